--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Operator command line of wagtailshunt.
+fn main() {}
--- /dev/null
+++ b/wagtailshunt/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/wire/src/codec.rs
@@ -0,0 +1,58 @@
+//! Length-delimited frames with one envelope each.
+
+use bytes::BytesMut;
+use prost::Message;
+use tokio_util::codec::{self, Decoder, Encoder};
+
+use crate::generated::envelope;
+
+/// Largest frame in bytes; a longer one closes the connection.
+pub const MAX_FRAME_BYTES: usize = 1024 * 1024;
+
+/// Errors of the frame layer. Each of them closes the connection.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The length prefix exceeds [`MAX_FRAME_BYTES`], or the stream is unusable.
+    #[error("frame rejected: {0}")]
+    Frame(#[from] std::io::Error),
+    /// The payload is not a valid envelope.
+    #[error("envelope rejected: {0}")]
+    Envelope(#[from] prost::DecodeError),
+}
+
+/// Encodes and decodes envelopes in a byte stream.
+#[derive(Debug)]
+pub struct EnvelopeCodec {
+    frames: codec::LengthDelimitedCodec,
+}
+
+impl Default for EnvelopeCodec {
+    fn default() -> Self {
+        let frames = codec::LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        EnvelopeCodec { frames }
+    }
+}
+
+impl EnvelopeCodec {
+    /// Appends the frame of `envelope` to `buf`.
+    pub fn encode(
+        &mut self,
+        envelope: &envelope::Envelope,
+        buf: &mut BytesMut,
+    ) -> Result<(), Error> {
+        let payload = bytes::Bytes::from(envelope.encode_to_vec());
+        self.frames.encode(payload, buf)?;
+        Ok(())
+    }
+
+    /// Takes the next complete envelope from `buf`, or `None` when more bytes are needed.
+    pub fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<envelope::Envelope>, Error> {
+        let Some(frame) = self.frames.decode(buf)? else {
+            return Ok(None);
+        };
+        let envelope = envelope::Envelope::decode(frame.freeze())?;
+        Ok(Some(envelope))
+    }
+}
