--- /dev/null
+++ b/core/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Bounded queues, fair shares and load shedding.
--- /dev/null
+++ b/core/src/balance/mod.rs
@@ -0,0 +1,1 @@
+//! Choosing a target for a call.
--- /dev/null
+++ b/core/src/connection/mod.rs
@@ -0,0 +1,1 @@
+//! Life cycle of connections to targets and complete answers.
--- /dev/null
+++ b/core/src/containment/mod.rs
@@ -0,0 +1,1 @@
+//! Requests that crash targets: suspects, permits and blocks.
--- /dev/null
+++ b/core/src/deadline/mod.rs
@@ -0,0 +1,1 @@
+//! Remaining time of a call and its propagation.
--- /dev/null
+++ b/core/src/directory/mod.rs
@@ -0,0 +1,1 @@
+//! Targets: announcements, vouching and spread of changes.
--- /dev/null
+++ b/core/src/event/catalogue.rs
@@ -0,0 +1,103 @@
+//! The catalogue of events; `docs/events.md` describes each of them.
+
+use derive_more::Display;
+
+/// Severity of an event.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Level {
+    /// Something an operator must look at.
+    #[display("error")]
+    Error,
+    /// Something unusual that the system handled.
+    #[display("warn")]
+    Warn,
+    /// A change of state.
+    #[display("info")]
+    Info,
+    /// Detail for debugging.
+    #[display("debug")]
+    Debug,
+}
+
+/// One line of the catalogue.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    /// Number and name of the event.
+    pub id: Id,
+    /// Its severity.
+    pub level: Level,
+    /// What it says, as shown in logs.
+    pub text: &'static str,
+}
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// Identifier of an event; its number never changes once released.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[repr(u16)]
+        pub enum Id {
+            $(#[doc = $text] $name = $number,)*
+        }
+
+        impl Id {
+            /// Returns the number of the event.
+            pub fn number(self) -> u16 {
+                self as u16
+            }
+
+            /// Returns the catalogue line of the event.
+            pub fn entry(self) -> &'static Entry {
+                match self {
+                    $(Id::$name => &Entry { id: Id::$name, level: Level::$level, text: $text },)*
+                }
+            }
+        }
+
+        /// All events, in the order of their numbers.
+        pub const CATALOGUE: &[Entry] = &[
+            $(Entry { id: Id::$name, level: Level::$level, text: $text },)*
+        ];
+    };
+}
+
+events! {
+    ProcessStarted = 1, Info, "process started";
+    ProcessStopping = 2, Info, "planned stop began";
+    ProcessStopped = 3, Info, "process stopped";
+    ListenerFailed = 4, Error, "listener failed";
+    PeerConnected = 10, Info, "connection to peer established";
+    PeerLost = 11, Warn, "connection to peer lost";
+    PeerRefused = 12, Warn, "peer refused: wrong cluster, key or frame";
+    RoleChanged = 20, Info, "role in a replicated group changed";
+    SnapshotTaken = 21, Info, "snapshot taken";
+    SnapshotInstalled = 22, Info, "snapshot from another VM installed";
+    StorageRecovered = 23, Info, "replicated group recovered from disk";
+    StorageFailed = 24, Error, "storage failed";
+    MembershipChanged = 25, Info, "membership of a replicated group changed";
+    RecordAccepted = 30, Info, "record accepted";
+    RecordRefused = 31, Info, "record refused";
+    RecordInForce = 32, Info, "record in force on every VM";
+    RecordApplied = 33, Info, "record applied";
+    LeaseGranted = 40, Info, "serving lease acquired";
+    LeaseLost = 41, Warn, "serving lease ran out; new calls are refused";
+    TargetJoined = 50, Info, "target announced itself";
+    TargetChanged = 51, Info, "target changed state";
+    TargetLeft = 52, Info, "target left";
+    TargetEjected = 53, Warn, "target ejected after consecutive failures";
+    TargetRestored = 54, Info, "ejected target restored";
+    AnnouncementRefused = 55, Warn, "announcement refused";
+    CallRefused = 60, Debug, "call refused before dispatch";
+    CallRetried = 61, Debug, "call retried";
+    CallUnknown = 62, Warn, "call ended with an unknown outcome";
+    CallReplayed = 63, Info, "stored answer replayed";
+    CallAborted = 64, Warn, "answer ended early; connection to caller aborted";
+    RequestRejected = 65, Warn, "malformed request rejected";
+    ClaimGranted = 70, Debug, "idempotency key claimed";
+    ClaimCompleted = 71, Info, "keyed call completed";
+    ClaimUnknown = 72, Warn, "keyed call has an unknown outcome";
+    ConnectionSilent = 80, Warn, "connection to target went silent";
+    ConnectionDestroyed = 81, Warn, "connection to target destroyed";
+    SuspectReported = 90, Warn, "request suspected of crashing a target";
+    RequestBlocked = 91, Error, "request blocked after crashing targets";
+    BlockLifted = 92, Info, "block of a request lifted";
+}
--- /dev/null
+++ b/core/src/lease/mod.rs
@@ -0,0 +1,1 @@
+//! Serving leases of gateways and in-force tracking.
--- /dev/null
+++ b/core/src/ledger/mod.rs
@@ -0,0 +1,1 @@
+//! Replicated state machine of idempotency keys.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -3,5 +3,20 @@
 //! Every module is a state machine without input or output: inputs are methods that take the
 //! current time, outputs are pulled with `poll_output`.
 
+pub mod admission;
+pub mod balance;
+pub mod connection;
+pub mod containment;
+pub mod deadline;
+pub mod directory;
+pub mod event;
+pub mod lease;
+pub mod ledger;
+pub mod measure;
+pub mod records;
+pub mod registry;
+pub mod replication;
+pub mod retry;
+pub mod storage;
 pub mod time;
 pub mod types;
--- /dev/null
+++ b/core/src/measure/mod.rs
@@ -0,0 +1,1 @@
+//! Token budget for measuring target load.
--- /dev/null
+++ b/core/src/records/mod.rs
@@ -0,0 +1,1 @@
+//! Service and VM records: schemas, parsing and validation.
--- /dev/null
+++ b/core/src/registry/mod.rs
@@ -0,0 +1,1 @@
+//! Replicated state machine of records, request ids and registered VMs.
--- /dev/null
+++ b/core/src/replication/mod.rs
@@ -0,0 +1,1 @@
+//! Replicated log: leader election, quorum commit, snapshots, membership (Raft).
--- /dev/null
+++ b/core/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retry and hedging decisions and their budgets.
--- /dev/null
+++ b/core/src/storage/mod.rs
@@ -0,0 +1,1 @@
+//! On-disk format of a replicated group: frames, segments, snapshots, recovery.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,1 +1,7 @@
-//! placeholder
+//! Scenarios, policy comparison, fake targets and load generation.
+
+pub mod load;
+pub mod policy;
+pub mod scenario;
+pub mod target;
+pub mod worlds;
--- /dev/null
+++ b/lab/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Open-loop load generator with latency histograms.
--- /dev/null
+++ b/lab/src/policy/mod.rs
@@ -0,0 +1,1 @@
+//! Comparison of target selection policies on one generated load.
--- /dev/null
+++ b/lab/src/scenario/mod.rs
@@ -0,0 +1,1 @@
+//! Scenario language: grammar, parser and runner.
--- /dev/null
+++ b/lab/src/worlds/calls.rs
@@ -0,0 +1,1 @@
+//! Balancing, admission and retries against fake targets.
--- /dev/null
+++ b/lab/src/worlds/control.rs
@@ -0,0 +1,1 @@
+//! Records, leases and directory over a fake network.
--- /dev/null
+++ b/lab/src/worlds/keys.rs
@@ -0,0 +1,1 @@
+//! Idempotency keys, containment and connections against fake targets.
--- /dev/null
+++ b/lab/src/worlds/replication.rs
@@ -0,0 +1,1 @@
+//! Replicated groups over a fake network and fake disks.
--- /dev/null
+++ b/wagtailshunt/src/admin/mod.rs
@@ -0,0 +1,1 @@
+//! Health, metrics, status and events over HTTP.
--- /dev/null
+++ b/wagtailshunt/src/clock/mod.rs
@@ -0,0 +1,1 @@
+//! The clock of the runtime, behind one type.
--- /dev/null
+++ b/wagtailshunt/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! Control daemon: replicated groups, leases, directory and operators.
--- /dev/null
+++ b/wagtailshunt/src/disk/mod.rs
@@ -0,0 +1,1 @@
+//! File operations of a replicated group.
--- /dev/null
+++ b/wagtailshunt/src/gateway/mod.rs
@@ -0,0 +1,1 @@
+//! Gateway daemon: callers, targets and announcements.
--- /dev/null
+++ b/wagtailshunt/src/http/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP helpers shared by all listeners.
--- a/wagtailshunt/src/lib.rs
+++ b/wagtailshunt/src/lib.rs
@@ -1,1 +1,10 @@
-//! placeholder
+//! The wagtailshunt load balancer as a library: settings, sockets, files, timers and loops.
+
+pub mod admin;
+pub mod clock;
+pub mod control;
+pub mod disk;
+pub mod gateway;
+pub mod http;
+pub mod settings;
+pub mod transport;
--- /dev/null
+++ b/wagtailshunt/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings files: JSON with comments, checked before anything starts.
--- /dev/null
+++ b/wagtailshunt/src/transport/mod.rs
@@ -0,0 +1,1 @@
+//! Framed connections between the processes of the system.
--- /dev/null
+++ b/wire/src/containment.rs
@@ -0,0 +1,1 @@
+//! Conversions between the `containment` messages and the core.
--- /dev/null
+++ b/wire/src/ledger.rs
@@ -0,0 +1,1 @@
+//! Conversions between the `ledger` messages and the core.
--- /dev/null
+++ b/wire/src/membership.rs
@@ -0,0 +1,1 @@
+//! Conversions between the `membership` messages and the core.
--- /dev/null
+++ b/wire/src/records.rs
@@ -0,0 +1,1 @@
+//! Conversions between the `records` messages and the core.
--- /dev/null
+++ b/wire/src/replication.rs
@@ -0,0 +1,1 @@
+//! Conversions between the `replication` messages and the core.
