--- a/core/src/time/mod.rs
+++ b/core/src/time/mod.rs
@@ -1,6 +1,7 @@
 //! Time values that the core receives as arguments.
 
-use std::{ops, time};
+use std::ops;
+pub use std::time::Duration;
 
 use derive_more::{Display, From, Into};
 use serde::{Deserialize, Serialize};
@@ -14,20 +15,20 @@
 
 impl Instant {
     /// Returns the time elapsed since `earlier`, or zero when `earlier` is later.
-    pub fn since(self, earlier: Instant) -> time::Duration {
-        time::Duration::from_micros(self.0.saturating_sub(earlier.0))
+    pub fn since(self, earlier: Instant) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
     /// Returns this point moved back by `duration`, stopping at the origin.
-    pub fn saturating_sub(self, duration: time::Duration) -> Instant {
+    pub fn saturating_sub(self, duration: Duration) -> Instant {
         Instant(self.0.saturating_sub(micros(duration)))
     }
 }
 
-impl ops::Add<time::Duration> for Instant {
+impl ops::Add<Duration> for Instant {
     type Output = Instant;
 
-    fn add(self, duration: time::Duration) -> Instant {
+    fn add(self, duration: Duration) -> Instant {
         Instant(self.0.saturating_add(micros(duration)))
     }
 }
@@ -53,6 +54,6 @@
 pub struct UnixMillis(pub u64);
 
 /// Converts a duration to whole microseconds, saturating at `u64::MAX`.
-pub fn micros(duration: time::Duration) -> u64 {
+pub fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/wagtailshunt/src/clock/mod.rs
+++ b/wagtailshunt/src/clock/mod.rs
@@ -1,1 +1,45 @@
 //! The clock of the runtime, behind one type.
+//!
+//! compio's clock cannot be paused, so the core takes the time as an argument and only this
+//! module reads it.
+
+use std::time;
+
+use wagtailshunt_core::time as core_time;
+
+/// Reads monotonic and wall-clock time.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: time::Instant,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Clock {
+            origin: time::Instant::now(),
+        }
+    }
+}
+
+impl Clock {
+    /// Returns the monotonic time since the clock was created.
+    pub fn now(&self) -> core_time::Instant {
+        core_time::Instant(core_time::micros(self.origin.elapsed()))
+    }
+
+    /// Returns the wall-clock time; zero when the system clock is before 1970.
+    pub fn wall(&self) -> core_time::UnixMillis {
+        let elapsed = time::SystemTime::now()
+            .duration_since(time::UNIX_EPOCH)
+            .unwrap_or_default();
+        core_time::UnixMillis(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Waits until `deadline`; returns at once when it has passed.
+    pub async fn sleep_until(&self, deadline: core_time::Instant) {
+        let wait = deadline.since(self.now());
+        if !wait.is_zero() {
+            compio::time::sleep(wait).await;
+        }
+    }
+}
--- /dev/null
+++ b/wagtailshunt/src/events/mod.rs
@@ -0,0 +1,163 @@
+//! Numbered events of one process: stamped, logged and kept for the time line.
+
+use std::{cell, collections, fmt, rc};
+
+use serde::Serialize;
+use wagtailshunt_core::{event, types};
+
+use crate::clock;
+
+/// Events kept in memory for `/v1/events`; older ones are only in the log.
+const KEPT_EVENTS: usize = 4096;
+
+/// One event as it appears in the time line.
+#[derive(Clone, Debug, Serialize)]
+pub struct Event {
+    /// Hybrid logical clock stamp.
+    pub stamp: event::Stamp,
+    /// VM of the process.
+    pub vm: types::VmId,
+    /// Role of the process.
+    pub role: types::Role,
+    /// Position among the events of the process, from 1.
+    pub sequence: u64,
+    /// Number in the catalogue.
+    pub number: u16,
+    /// Text of the catalogue.
+    pub text: &'static str,
+    /// Values that belong to the event.
+    pub fields: collections::BTreeMap<&'static str, String>,
+}
+
+struct Inner {
+    clock: clock::Clock,
+    hlc: event::Clock,
+    vm: types::VmId,
+    role: types::Role,
+    sequence: u64,
+    kept: collections::VecDeque<Event>,
+}
+
+/// Log of a process, shared by its tasks.
+#[derive(Clone)]
+pub struct EventLog {
+    inner: rc::Rc<cell::RefCell<Inner>>,
+}
+
+impl fmt::Debug for EventLog {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EventLog").finish_non_exhaustive()
+    }
+}
+
+impl EventLog {
+    /// Creates the log of the process on `vm`.
+    pub fn new(clock: clock::Clock, vm: types::VmId, role: types::Role) -> Self {
+        let inner = Inner {
+            clock,
+            hlc: event::Clock::default(),
+            vm,
+            role,
+            sequence: 0,
+            kept: collections::VecDeque::with_capacity(KEPT_EVENTS),
+        };
+        EventLog {
+            inner: rc::Rc::new(cell::RefCell::new(inner)),
+        }
+    }
+
+    /// Records an event with its fields.
+    pub fn emit(&self, id: event::Id, fields: &[(&'static str, &dyn fmt::Display)]) {
+        let mut inner = self.inner.borrow_mut();
+        let entry = id.entry();
+        let level = log_level(entry.level);
+        let wall = inner.clock.wall();
+        let stamp = inner.hlc.tick(wall);
+        inner.sequence += 1;
+        let fields: collections::BTreeMap<_, _> = fields
+            .iter()
+            .map(|(name, value)| (*name, value.to_string()))
+            .collect();
+        write_log(level, id, stamp, inner.vm, entry.text, &fields);
+        let event = Event {
+            stamp,
+            vm: inner.vm,
+            role: inner.role,
+            sequence: inner.sequence,
+            number: id.number(),
+            text: entry.text,
+            fields,
+        };
+        if inner.kept.len() == KEPT_EVENTS {
+            inner.kept.pop_front();
+        }
+        inner.kept.push_back(event);
+    }
+
+    /// Returns the stamp for a frame that is about to be sent.
+    pub fn stamp(&self) -> event::Stamp {
+        let mut inner = self.inner.borrow_mut();
+        let wall = inner.clock.wall();
+        inner.hlc.tick(wall)
+    }
+
+    /// Takes over the stamp of a received frame.
+    pub fn observe(&self, received: event::Stamp) {
+        let mut inner = self.inner.borrow_mut();
+        let wall = inner.clock.wall();
+        inner.hlc.observe(wall, received);
+    }
+
+    /// Returns the kept events as JSON lines, oldest first.
+    pub fn json_lines(&self) -> String {
+        let inner = self.inner.borrow();
+        let mut out = String::new();
+        for event in &inner.kept {
+            if let Ok(line) = serde_json::to_string(event) {
+                out.push_str(&line);
+                out.push('\n');
+            }
+        }
+        out
+    }
+}
+
+fn log_level(level: event::Level) -> log::Level {
+    match level {
+        event::Level::Error => log::Level::Error,
+        event::Level::Warn => log::Level::Warn,
+        event::Level::Info => log::Level::Info,
+        event::Level::Debug => log::Level::Debug,
+    }
+}
+
+fn write_log(
+    level: log::Level,
+    id: event::Id,
+    stamp: event::Stamp,
+    vm: types::VmId,
+    text: &str,
+    fields: &collections::BTreeMap<&'static str, String>,
+) {
+    if !log::log_enabled!(level) {
+        return;
+    }
+    let mut values = vec![
+        ("event", log::kv::Value::from(id.number())),
+        ("stamp", log::kv::Value::from(stamp.0)),
+        ("vm", log::kv::Value::from(vm.0)),
+    ];
+    values.extend(
+        fields
+            .iter()
+            .map(|(name, value)| (*name, log::kv::Value::from(value.as_str()))),
+    );
+    log::logger().log(
+        &log::Record::builder()
+            .level(level)
+            .target("wagtailshunt")
+            .args(format_args!("{text}"))
+            .key_values(&values)
+            .build(),
+    );
+}
--- a/wagtailshunt/src/gateway/mod.rs
+++ b/wagtailshunt/src/gateway/mod.rs
@@ -1,1 +1,4 @@
 //! Gateway daemon: callers, targets and announcements.
+
+mod headers;
+mod upstream;
--- /dev/null
+++ b/wagtailshunt/src/http/auth.rs
@@ -0,0 +1,52 @@
+//! Keys that operators, targets and processes present.
+
+use std::{fmt, hint};
+
+use hyper::header;
+use serde::Deserialize;
+
+/// A shared key. It never appears in logs or errors.
+#[derive(Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
+pub struct Key(String);
+
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Key(..)")
+    }
+}
+
+impl From<&str> for Key {
+    fn from(text: &str) -> Self {
+        Key(text.to_owned())
+    }
+}
+
+impl Key {
+    /// Compares `presented` with the key in a time that depends only on the lengths.
+    pub fn matches(&self, presented: &[u8]) -> bool {
+        let expected = self.0.as_bytes();
+        let mut difference = u8::from(expected.len() != presented.len());
+        for (i, byte) in presented.iter().enumerate() {
+            let other = expected.get(i).copied().unwrap_or(!*byte);
+            difference |= hint::black_box(byte ^ other);
+        }
+        !expected.is_empty() && hint::black_box(difference) == 0
+    }
+
+    /// Returns the key for the handshake with another process.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+}
+
+/// Checks the `Authorization: Bearer` header of a request.
+pub fn bearer_matches(headers: &hyper::HeaderMap, key: &Key) -> bool {
+    let Some(value) = headers.get(header::AUTHORIZATION) else {
+        return false;
+    };
+    match value.as_bytes().strip_prefix(b"Bearer ") {
+        Some(presented) => key.matches(presented),
+        None => false,
+    }
+}
--- /dev/null
+++ b/wagtailshunt/src/http/problem.rs
@@ -0,0 +1,71 @@
+//! Answers made by the system itself (RFC 9457).
+
+use hyper::{Response, StatusCode, header};
+use serde::Serialize;
+
+use crate::http::{Body, full};
+
+/// Media type of a problem document.
+pub const CONTENT_TYPE_PROBLEM: &str = "application/problem+json";
+
+/// A problem document.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Problem<'a> {
+    /// URI that names the kind of problem.
+    #[serde(rename = "type")]
+    pub kind: &'a str,
+    /// Short summary, the same for every problem of this kind.
+    pub title: &'a str,
+    /// HTTP status.
+    pub status: u16,
+    /// What happened in this case.
+    #[serde(skip_serializing_if = "str::is_empty")]
+    pub detail: &'a str,
+}
+
+impl Problem<'_> {
+    /// Builds the answer; `outcome` becomes the `Wagtailshunt-Outcome` header.
+    pub fn answer(&self, outcome: Option<&'static str>) -> Response<Body> {
+        let text = serde_json::to_vec(self).unwrap_or_default();
+        let mut answer = Response::new(full(text));
+        *answer.status_mut() =
+            StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = answer.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            header::HeaderValue::from_static(CONTENT_TYPE_PROBLEM),
+        );
+        if let Some(outcome) = outcome {
+            headers.insert(
+                "wagtailshunt-outcome",
+                header::HeaderValue::from_static(outcome),
+            );
+        }
+        answer
+    }
+}
+
+/// Returns a JSON answer.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    typed(status, "application/json", text)
+}
+
+/// Returns a plain text answer.
+pub fn plain(status: StatusCode, text: impl Into<bytes::Bytes>) -> Response<Body> {
+    typed(status, "text/plain; charset=utf-8", text)
+}
+
+fn typed(
+    status: StatusCode,
+    media_type: &'static str,
+    text: impl Into<bytes::Bytes>,
+) -> Response<Body> {
+    let mut answer = Response::new(full(text));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static(media_type),
+    );
+    answer
+}
--- /dev/null
+++ b/wagtailshunt/src/http/serve.rs
@@ -0,0 +1,228 @@
+//! Accept loop of an HTTP listener with graceful shutdown.
+
+use std::{cell, io, net, rc, time};
+
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_channel::oneshot;
+use futures_util::{FutureExt, future as future_util, pin_mut, select_biased};
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service};
+
+use crate::http::Body;
+
+/// Limits of a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Largest head of a request in bytes.
+    pub header_bytes: usize,
+    /// Largest number of header fields of a request.
+    pub header_count: usize,
+    /// Time within which the head of a request must be complete.
+    pub header_timeout: time::Duration,
+    /// Connections open at once; further ones wait in the kernel's backlog.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            header_bytes: 32 * 1024,
+            header_count: 100,
+            header_timeout: time::Duration::from_secs(10),
+            connections: 4096,
+        }
+    }
+}
+
+#[derive(Default)]
+struct ShutdownInner {
+    started: cell::Cell<bool>,
+    open: cell::Cell<usize>,
+    waiters: cell::RefCell<Vec<oneshot::Sender<()>>>,
+    idle: cell::RefCell<Vec<oneshot::Sender<()>>>,
+}
+
+/// Graceful shutdown of listeners: no new connections, open calls end, idle connections close.
+#[derive(Clone, Default)]
+pub struct Shutdown {
+    inner: rc::Rc<ShutdownInner>,
+}
+
+impl Shutdown {
+    /// Starts the shutdown; calling it again has no effect.
+    pub fn start(&self) {
+        self.inner.started.set(true);
+        for tx in self.inner.waiters.borrow_mut().drain(..) {
+            // The receiver is gone when its connection has already ended.
+            let _ = tx.send(());
+        }
+        self.notify_idle();
+    }
+
+    /// Returns whether the shutdown has started.
+    pub fn started(&self) -> bool {
+        self.inner.started.get()
+    }
+
+    /// Returns the number of open connections.
+    pub fn open(&self) -> usize {
+        self.inner.open.get()
+    }
+
+    /// Waits until the shutdown starts.
+    pub async fn wait(&self) {
+        if self.started() {
+            return;
+        }
+        let (tx, rx) = oneshot::channel();
+        self.inner.waiters.borrow_mut().push(tx);
+        let _ = rx.await;
+    }
+
+    /// Waits until no connection is open after the start of the shutdown.
+    pub async fn drained(&self) {
+        self.wait().await;
+        while self.open() > 0 {
+            let (tx, rx) = oneshot::channel();
+            self.inner.idle.borrow_mut().push(tx);
+            let _ = rx.await;
+        }
+    }
+
+    fn opened(&self) -> OpenGuard {
+        self.inner.open.set(self.inner.open.get() + 1);
+        OpenGuard {
+            shutdown: self.clone(),
+        }
+    }
+
+    fn notify_idle(&self) {
+        if self.open() == 0 {
+            for tx in self.inner.idle.borrow_mut().drain(..) {
+                let _ = tx.send(());
+            }
+        }
+    }
+
+    /// Removes waiters of connections that have ended.
+    fn prune(&self) {
+        let mut waiters = self.inner.waiters.borrow_mut();
+        if waiters.len() > 2 * self.open() + 16 {
+            waiters.retain(|tx| !tx.is_canceled());
+        }
+    }
+}
+
+struct OpenGuard {
+    shutdown: Shutdown,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        let open = &self.shutdown.inner.open;
+        open.set(open.get() - 1);
+        self.shutdown.notify_idle();
+    }
+}
+
+/// Accepts connections until the shutdown starts; each request goes to `handler`.
+///
+/// Returns an error when the listener itself fails.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: Limits,
+    shutdown: Shutdown,
+    handler: H,
+) -> io::Result<()>
+where
+    H: Fn(Request<Incoming>, net::SocketAddr) -> F + Clone + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    loop {
+        if shutdown.open() >= limits.connections {
+            compio::time::sleep(time::Duration::from_millis(1)).await;
+            if shutdown.started() {
+                return Ok(());
+            }
+            continue;
+        }
+        let stop = shutdown.wait().fuse();
+        let accept = listener.accept().fuse();
+        pin_mut!(stop, accept);
+        let accepted = select_biased! {
+            () = stop => return Ok(()),
+            accepted = accept => accepted,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                let guard = shutdown.opened();
+                shutdown.prune();
+                let task = connection(stream, peer, limits, shutdown.clone(), handler.clone());
+                compio::runtime::spawn(async move {
+                    let _guard = guard;
+                    task.await;
+                })
+                .detach();
+            }
+            Err(err) if is_transient(&err) => {
+                compio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+            Err(err) => return Err(err),
+        }
+    }
+}
+
+/// Errors of a single connection or of a temporary shortage of descriptors.
+fn is_transient(err: &io::Error) -> bool {
+    const EMFILE: i32 = 24;
+    const ENFILE: i32 = 23;
+    matches!(
+        err.kind(),
+        io::ErrorKind::ConnectionAborted | io::ErrorKind::ConnectionReset
+    ) || matches!(err.raw_os_error(), Some(EMFILE | ENFILE))
+}
+
+async fn connection<H, F>(
+    stream: TcpStream,
+    peer: net::SocketAddr,
+    limits: Limits,
+    shutdown: Shutdown,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, net::SocketAddr) -> F + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    // Without it a small answer waits for the acknowledgement of the previous segment.
+    let _ = stream.set_nodelay(true);
+    let stopping = shutdown.clone();
+    let service = service::service_fn(move |req| {
+        let answer = handler(req, peer);
+        let stopping = stopping.clone();
+        async move {
+            let mut answer = answer.await;
+            if stopping.started() {
+                let close = hyper::header::HeaderValue::from_static("close");
+                answer
+                    .headers_mut()
+                    .insert(hyper::header::CONNECTION, close);
+            }
+            Ok::<_, std::convert::Infallible>(answer)
+        }
+    });
+    let conn = http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.header_bytes.max(8192))
+        .max_headers(limits.header_count)
+        .serve_connection(HyperStream::new_plain(stream), service);
+    pin_mut!(conn);
+    let stop = shutdown.wait();
+    pin_mut!(stop);
+    match future_util::select(conn.as_mut(), stop).await {
+        future_util::Either::Left(_) => {}
+        future_util::Either::Right(_) => {
+            conn.as_mut().graceful_shutdown();
+            let _: Result<(), hyper::Error> = conn.await;
+        }
+    }
+}
--- a/wagtailshunt/src/lib.rs
+++ b/wagtailshunt/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod control;
 pub mod disk;
+pub mod events;
 pub mod gateway;
 pub mod http;
 pub mod settings;
--- /dev/null
+++ b/wagtailshunt/src/transport/dial.rs
@@ -0,0 +1,125 @@
+//! Outgoing connections, opened again when they end.
+
+use std::{cell, net, rc, time};
+
+use compio::net::TcpStream;
+use wagtailshunt_core::event;
+use wagtailshunt_wire::generated::envelope;
+
+use crate::transport::{Error, Handle, Identity, Peer, connection};
+
+/// Time for a connection attempt including the first frames.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
+
+/// First pause after a failed attempt; doubled up to [`MAX_BACKOFF`].
+const MIN_BACKOFF: time::Duration = time::Duration::from_millis(50);
+
+const MAX_BACKOFF: time::Duration = time::Duration::from_millis(1000);
+
+/// Keeps one connection to a peer open.
+#[derive(Clone, Debug)]
+pub struct Dialer {
+    handle: rc::Rc<cell::RefCell<Option<Handle>>>,
+    stopped: rc::Rc<cell::Cell<bool>>,
+}
+
+impl Dialer {
+    /// Returns the handle of the open connection.
+    pub fn handle(&self) -> Option<Handle> {
+        self.handle
+            .borrow()
+            .as_ref()
+            .filter(|handle| handle.is_open())
+            .cloned()
+    }
+
+    /// Closes the connection and opens no further one.
+    pub fn stop(&self) {
+        self.stopped.set(true);
+        self.handle.borrow_mut().take();
+    }
+}
+
+/// Opens a connection to `addr` and keeps it open until the dialer is stopped.
+///
+/// `on_open` is called for each new connection, before any frame.
+pub fn dial(
+    identity: rc::Rc<Identity>,
+    addr: net::SocketAddr,
+    on_open: impl Fn(&Peer, Handle) + 'static,
+    on_frame: impl Fn(&Peer, envelope::Envelope) + 'static,
+) -> Dialer {
+    let dialer = Dialer {
+        handle: rc::Rc::default(),
+        stopped: rc::Rc::default(),
+    };
+    let task = dialer.clone();
+    compio::runtime::spawn(async move {
+        let mut backoff = MIN_BACKOFF;
+        while !task.stopped.get() {
+            let started = time::Instant::now();
+            let err = attempt(&identity, addr, &task, &on_open, &on_frame).await;
+            task.handle.borrow_mut().take();
+            if task.stopped.get() {
+                break;
+            }
+            if started.elapsed() > MAX_BACKOFF {
+                backoff = MIN_BACKOFF;
+            }
+            if matches!(err, Error::Refused(_)) {
+                identity.events.emit(
+                    event::Id::PeerRefused,
+                    &[("address", &addr), ("reason", &err)],
+                );
+            }
+            compio::time::sleep(backoff).await;
+            backoff = (backoff * 2).min(MAX_BACKOFF);
+        }
+    })
+    .detach();
+    dialer
+}
+
+async fn attempt(
+    identity: &Identity,
+    addr: net::SocketAddr,
+    dialer: &Dialer,
+    on_open: &dyn Fn(&Peer, Handle),
+    on_frame: &dyn Fn(&Peer, envelope::Envelope),
+) -> Error {
+    let stream = match connect(identity, addr).await {
+        Ok(stream) => stream,
+        Err(err) => return err,
+    };
+    let mut reader = connection::Reader::new(&stream);
+    let first = match compio::time::timeout(CONNECT_TIMEOUT, reader.next()).await {
+        Ok(Ok(first)) => first,
+        Ok(Err(err)) => return err,
+        Err(_) => return Error::Silent,
+    };
+    let peer = match identity.admit(&first) {
+        Ok(peer) => peer,
+        Err(err) => return err,
+    };
+    let (handle, queue) = connection::queue();
+    *dialer.handle.borrow_mut() = Some(handle.clone());
+    identity.events.emit(
+        event::Id::PeerConnected,
+        &[("peer", &peer.vm), ("address", &addr)],
+    );
+    on_open(&peer, handle);
+    let err = connection::run(identity, &stream, &peer, reader, queue, on_frame).await;
+    identity
+        .events
+        .emit(event::Id::PeerLost, &[("peer", &peer.vm), ("reason", &err)]);
+    err
+}
+
+async fn connect(identity: &Identity, addr: net::SocketAddr) -> Result<TcpStream, Error> {
+    let connect = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+    let stream = connect.await.map_err(|_| Error::Silent)??;
+    // Without it small frames wait for the acknowledgement of the previous segment.
+    stream.set_nodelay(true)?;
+    connection::write_one(&stream, &identity.hello()).await?;
+    Ok(stream)
+}
