--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod measure;
+pub mod outcome;
 pub mod records;
 pub mod registry;
 pub mod replication;
