--- /dev/null
+++ b/core/tests/retry.rs
@@ -0,0 +1,133 @@
+//! Retry and hedging rules.
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use wagtailshunt_core::deadline::Deadline;
+use wagtailshunt_core::retry::{
+    Attempt, AttemptNumber, Budget, Config, Decision, Failure, HedgeConfig, Hedger, Quantile,
+    Reason, decide,
+};
+use wagtailshunt_core::time::Instant;
+
+const NOT_RUN: Failure = Failure {
+    not_run: true,
+    retried_below: false,
+};
+const MAY_HAVE_RUN: Failure = Failure {
+    not_run: false,
+    retried_below: false,
+};
+
+fn attempt(idempotent: bool) -> Attempt {
+    Attempt {
+        from_caller: AttemptNumber::FIRST,
+        made: 1,
+        idempotent,
+        deadline: Deadline(Instant(1_000_000)),
+        expected: Duration::from_millis(5),
+    }
+}
+
+fn full_budget() -> Budget {
+    let mut budget = Budget::new(Config::default());
+    (0..100).for_each(|_| budget.call());
+    budget
+}
+
+fn decide_now(attempt: &Attempt, failure: &Failure) -> Decision {
+    decide(Instant(0), attempt, failure, &mut full_budget())
+}
+
+/// Guards against repeating work that must not repeat (I4), and against each way in which a retry
+/// does harm.
+#[test]
+fn when_to_retry() {
+    use Decision::{GiveUp, Retry};
+    let call = attempt(false);
+    assert_eq!(decide_now(&call, &NOT_RUN), Retry);
+    assert_eq!(decide_now(&call, &MAY_HAVE_RUN), GiveUp(Reason::MayHaveRun));
+    assert_eq!(decide_now(&attempt(true), &MAY_HAVE_RUN), Retry);
+    let again = Attempt {
+        from_caller: AttemptNumber(2),
+        ..call
+    };
+    assert_eq!(decide_now(&again, &NOT_RUN), GiveUp(Reason::RetriedAbove));
+    let below = Failure {
+        retried_below: true,
+        ..NOT_RUN
+    };
+    assert_eq!(decide_now(&call, &below), GiveUp(Reason::RetriedBelow));
+    assert_eq!(
+        decide_now(&Attempt { made: 2, ..call }, &NOT_RUN),
+        GiveUp(Reason::Attempts)
+    );
+    let late = Attempt {
+        deadline: Deadline(Instant(4_999)),
+        ..call
+    };
+    assert_eq!(decide_now(&late, &NOT_RUN), GiveUp(Reason::Deadline));
+    let mut empty = Budget::new(Config::default());
+    assert_eq!(
+        decide(Instant(0), &call, &NOT_RUN, &mut empty),
+        GiveUp(Reason::Budget)
+    );
+}
+
+/// Guards against hedging calls that must not run twice, that are retries, or before the quantile
+/// is known.
+#[test]
+fn when_to_hedge() {
+    let mut hedger = Hedger::new(HedgeConfig::default());
+    assert_eq!(hedger.delay(), None);
+    for ms in 1..=100 {
+        hedger.call();
+        hedger.record(Duration::from_millis(ms));
+    }
+    let delay = hedger.delay().expect("enough samples");
+    assert!(
+        (Duration::from_millis(95)..Duration::from_millis(106)).contains(&delay),
+        "{delay:?}"
+    );
+    assert!(!hedger.try_hedge(Instant(0), &attempt(false)));
+    let again = Attempt {
+        from_caller: AttemptNumber(2),
+        ..attempt(true)
+    };
+    assert!(!hedger.try_hedge(Instant(0), &again));
+    assert!(hedger.try_hedge(Instant(0), &attempt(true)));
+}
+
+quickcheck! {
+    /// Guards against retries above 10% and hedges above 5% of calls, in any order of events.
+    fn budgets_hold(failures: Vec<bool>) -> bool {
+        let mut budget = Budget::new(Config::default());
+        let mut hedger = Hedger::new(HedgeConfig::default());
+        failures.iter().all(|failed| {
+            budget.call();
+            hedger.call();
+            if *failed {
+                decide(Instant(0), &attempt(true), &NOT_RUN, &mut budget);
+                hedger.try_hedge(Instant(0), &attempt(true));
+            }
+            let (calls, retries) = budget.totals();
+            let (_, hedges) = hedger.totals();
+            retries * 10 <= calls && hedges * 20 <= calls
+        })
+    }
+
+    /// Guards against a quantile that lies outside the samples by more than a bucket.
+    fn quantile_is_within_a_bucket(samples: Vec<u32>) -> bool {
+        let mut quantile = Quantile::default();
+        let mut sorted: Vec<u64> = samples.iter().map(|us| u64::from(*us).max(1)).collect();
+        sorted.sort_unstable();
+        for us in &sorted {
+            quantile.record(Duration::from_micros(*us));
+        }
+        let Some(value) = quantile.value(950) else { return sorted.is_empty() };
+        let rank = (sorted.len() * 95).div_ceil(100).max(1);
+        let exact = sorted[rank - 1] as f64;
+        let value = value.as_micros() as f64;
+        value >= exact && value <= exact * 1.13 + 1.0
+    }
+}
