Add containment of requests that crash targets

A request that crashes each target that runs it, and is sent again, would take down a service. A gateway attributes a loss to the calls in flight on the target; the leader lets suspects run one at a time and blocks a request after two lost targets. When another request was in flight at both losses, the next isolated run decides between them, so that an innocent neighbour is not blocked.

--- /dev/null
+++ b/core/src/containment/gateway.rs
@@ -0,0 +1,451 @@
+//! Attribution of losses and treatment of suspects on a gateway.
+
+use std::{collections, time::Duration};
+
+use super::{
+    fingerprint::Fingerprint,
+    instance,
+    message::{
+        CrashReport, Notice, PermitDone, PermitReply, PermitRequest, Rebuild, Record, RunResult,
+        Suspect, Target,
+    },
+};
+use crate::time;
+
+/// Settings of [`Gateway`].
+#[derive(Clone, Debug)]
+pub struct GatewayConfig {
+    /// Time after the end of a call's connection within which the target's other connections or its
+    /// incarnation must end for a loss. It covers the TTL of an announcement (3 s) and its spread.
+    pub window: Duration,
+    /// Time for which a reported suspect is treated as such without word from the leader.
+    pub report_lifetime: Duration,
+}
+
+impl Default for GatewayConfig {
+    fn default() -> Self {
+        GatewayConfig {
+            window: Duration::from_secs(5),
+            report_lifetime: Duration::from_secs(60),
+        }
+    }
+}
+
+/// What to do with a call before it is dispatched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Run it as usual.
+    Run,
+    /// Ask for a permit with [`Gateway::ask`].
+    Isolate,
+    /// Refuse it as not run; the block lasts this much longer.
+    Refuse(Duration),
+}
+
+/// What to do with a call after the leader's reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Run it on a connection of its own, on a target from [`Gateway::isolated_target`].
+    Isolated,
+    /// Run it as usual.
+    Run,
+    /// Refuse it as not run because it is blocked.
+    Refuse(Duration),
+    /// Refuse it as not run because its turn did not come.
+    NoTurn,
+    /// The call no longer waits; nothing to do.
+    Ignored,
+}
+
+/// A call in flight, as its end is reported.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// Id of the call, unique within the gateway.
+    pub id: u64,
+    /// Request of the call.
+    pub fingerprint: Fingerprint,
+    /// Target that ran it.
+    pub target: &'a Target,
+    /// Time at which its connection was opened.
+    pub opened: time::Instant,
+    /// Time at which it was sent.
+    pub started: time::Instant,
+}
+
+/// Messages to the leader of group 0.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// A target was lost.
+    Report(CrashReport),
+    /// A suspect wants to run.
+    Ask(PermitRequest),
+    /// A permit is returned, or a suspect was answered.
+    Done(PermitDone),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Local {
+    until: time::Instant,
+    // Whether a loss was reported; otherwise only a connection ended.
+    reported: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    record: Record,
+    blocked_until: Option<time::Instant>,
+}
+
+#[derive(Clone, Debug)]
+struct Permit {
+    request: PermitRequest,
+    deadline: time::Instant,
+    granted: bool,
+    target: Option<Target>,
+}
+
+/// Containment on a gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    cfg: GatewayConfig,
+    known: collections::BTreeMap<Fingerprint, Known>,
+    // Suspects of this gateway that the leader has not confirmed or cleared.
+    local: collections::BTreeMap<Fingerprint, Local>,
+    targets: collections::BTreeMap<Target, instance::Instance>,
+    permits: collections::BTreeMap<u64, Permit>,
+    outputs: collections::VecDeque<Output>,
+}
+
+impl Gateway {
+    /// Creates the state of a gateway that knows no suspects.
+    pub fn new(cfg: GatewayConfig) -> Self {
+        Gateway {
+            cfg,
+            known: collections::BTreeMap::new(),
+            local: collections::BTreeMap::new(),
+            targets: collections::BTreeMap::new(),
+            permits: collections::BTreeMap::new(),
+            outputs: collections::VecDeque::new(),
+        }
+    }
+
+    /// Decides about a call before each dispatch, also before a retry.
+    pub fn decide(&self, now: time::Instant, fingerprint: Fingerprint) -> Decision {
+        if let Some(known) = self.known.get(&fingerprint) {
+            return match known.blocked_until {
+                Some(until) if until > now => Decision::Refuse(until.since(now)),
+                Some(_) => Decision::Run,
+                None => Decision::Isolate,
+            };
+        }
+        match self.local.get(&fingerprint) {
+            Some(local) if local.until > now => Decision::Isolate,
+            _ => Decision::Run,
+        }
+    }
+
+    /// Asks the leader for a permit. After a change of leader the I/O layer repeats this for calls
+    /// that still wait.
+    pub fn ask(&mut self, now: time::Instant, call: u64, suspect: Suspect, remaining: Duration) {
+        let request = PermitRequest {
+            call,
+            suspect,
+            remaining,
+        };
+        let permit = Permit {
+            request: request.clone(),
+            deadline: now + remaining,
+            granted: false,
+            target: None,
+        };
+        self.permits.insert(call, permit);
+        self.outputs.push_back(Output::Ask(request));
+    }
+
+    /// Takes the leader's reply to [`Gateway::ask`].
+    pub fn permit_reply(
+        &mut self,
+        call: u64,
+        fingerprint: Fingerprint,
+        reply: PermitReply,
+    ) -> Verdict {
+        let Some(permit) = self.permits.get_mut(&call) else {
+            if reply == PermitReply::Granted {
+                self.done(call, fingerprint, RunResult::Inconclusive);
+            }
+            return Verdict::Ignored;
+        };
+        if permit.granted {
+            return Verdict::Ignored;
+        }
+        match reply {
+            PermitReply::Granted => {
+                permit.granted = true;
+                return Verdict::Isolated;
+            }
+            PermitReply::Cleared | PermitReply::Blocked(_) | PermitReply::NoTurn => {
+                self.permits.remove(&call);
+            }
+        }
+        match reply {
+            PermitReply::Blocked(left) => Verdict::Refuse(left),
+            PermitReply::NoTurn => Verdict::NoTurn,
+            PermitReply::Granted | PermitReply::Cleared => Verdict::Run,
+        }
+    }
+
+    /// The call is not run, or its isolated run ended without evidence. Returns its permit.
+    pub fn give_up(&mut self, call: u64) {
+        if let Some(permit) = self.release(call) {
+            let fingerprint = permit.request.suspect.fingerprint;
+            self.done(call, fingerprint, RunResult::Inconclusive);
+        }
+    }
+
+    /// Picks a target without calls of this gateway for the isolated run of `call` and reserves it.
+    pub fn isolated_target<'a>(
+        &mut self,
+        call: u64,
+        mut candidates: impl Iterator<Item = &'a Target>,
+    ) -> Option<&'a Target> {
+        let permit = self.permits.get_mut(&call).filter(|p| p.granted)?;
+        let free = |target: &&Target| match self.targets.get(*target) {
+            None => true,
+            Some(i) => i.in_flight == 0 && i.reserved_by.is_none() && !i.lost,
+        };
+        let target = candidates.find(free)?;
+        permit.target = Some(target.clone());
+        self.targets.entry(target.clone()).or_default().reserved_by = Some(call);
+        Some(target)
+    }
+
+    /// Whether the target is reserved for an isolated run, so that no other call may go there.
+    pub fn is_reserved(&self, target: &Target) -> bool {
+        let instance = self.targets.get(target);
+        instance.is_some_and(|instance| instance.reserved_by.is_some())
+    }
+
+    /// A connection to the target was opened.
+    pub fn connection_opened(&mut self, target: &Target) {
+        self.instance(target).open += 1;
+    }
+
+    /// A call was sent to the target.
+    pub fn started(&mut self, target: &Target) {
+        self.instance(target).in_flight += 1;
+    }
+
+    /// A call ended; `answered` means that its answer is complete.
+    pub fn finished(&mut self, call: &Call<'_>, answered: bool) {
+        let instance = self.instance(call.target);
+        instance.in_flight = instance.in_flight.saturating_sub(1);
+        if !answered {
+            return self.forget_unused(call.target);
+        }
+        let disproved = instance.answered(call.opened, call.started);
+        if let Some(broken) = disproved {
+            self.acquit(broken);
+        }
+        let permit = self.release(call.id);
+        let suspected = permit.is_some()
+            || self.local.contains_key(&call.fingerprint)
+            || self.is_known_suspect(call.fingerprint);
+        if suspected {
+            self.local.remove(&call.fingerprint);
+            self.done(call.id, call.fingerprint, RunResult::Answered);
+        }
+        self.forget_unused(call.target);
+    }
+
+    /// A connection that was opened at `opened` ended. A call on it must also be reported with
+    /// [`Gateway::finished`].
+    pub fn connection_ended(
+        &mut self,
+        now: time::Instant,
+        target: &Target,
+        opened: time::Instant,
+        end: instance::End,
+    ) {
+        if let instance::End::Unanswered { suspect, .. } = &end {
+            let until = now + self.cfg.window;
+            let local = Local {
+                until,
+                reported: false,
+            };
+            self.local.entry(suspect.fingerprint).or_insert(local);
+        }
+        self.instance(target).connection_ended(now, opened, end);
+        self.attribute(now, target);
+    }
+
+    /// A new connection to the target was refused.
+    pub fn connect_failed(&mut self, now: time::Instant, target: &Target) {
+        self.instance(target).connect_failed();
+        self.attribute(now, target);
+    }
+
+    /// The incarnation ended: a newer one announced itself, or its announcement ran out.
+    pub fn incarnation_ended(&mut self, now: time::Instant, target: &Target) {
+        self.instance(target).lost = true;
+        self.attribute(now, target);
+    }
+
+    /// Takes a change from the leader.
+    pub fn notice(&mut self, now: time::Instant, notice: &Notice) {
+        match notice {
+            Notice::Update(record) => {
+                let known = Known {
+                    record: record.clone(),
+                    blocked_until: record.blocked_for.map(|left| now + left),
+                };
+                self.local.remove(&record.suspect.fingerprint);
+                self.known.insert(record.suspect.fingerprint, known);
+            }
+            Notice::Cleared(fingerprint) => {
+                self.local.remove(fingerprint);
+                self.known.remove(fingerprint);
+            }
+        }
+    }
+
+    /// Replaces everything known from an earlier leader by the list of this one.
+    pub fn replace(&mut self, now: time::Instant, records: &[Record]) {
+        self.known.clear();
+        for record in records {
+            self.notice(now, &Notice::Update(record.clone()));
+        }
+    }
+
+    /// Reports to a new leader what this gateway knows.
+    pub fn rebuild(&self, now: time::Instant) -> Rebuild {
+        let left = |until: time::Instant| until.since(now);
+        let record = |known: &Known| Record {
+            blocked_for: known.blocked_until.map(left),
+            ..known.record.clone()
+        };
+        let in_force = |known: &&Known| known.blocked_until.is_none_or(|until| until > now);
+        let held = self.permits.values().filter(|permit| permit.granted);
+        let request = |permit: &Permit| PermitRequest {
+            remaining: left(permit.deadline),
+            ..permit.request.clone()
+        };
+        Rebuild {
+            records: self.known.values().filter(in_force).map(record).collect(),
+            permits: held.map(request).collect(),
+        }
+    }
+
+    /// Ends windows of attribution and expired entries.
+    pub fn tick(&mut self, now: time::Instant) {
+        let window = self.cfg.window;
+        let ended = |i: &instance::Instance| match &i.broken {
+            Some(broken) => now.since(broken.since) >= window,
+            None => false,
+        };
+        let due: Vec<Target> = self
+            .targets
+            .iter()
+            .filter(|(_, instance)| ended(instance))
+            .map(|(target, _)| target.clone())
+            .collect();
+        for target in due {
+            if let Some(broken) = self.instance(&target).broken.take() {
+                self.acquit(broken);
+            }
+            self.forget_unused(&target);
+        }
+        self.local.retain(|_, local| local.until > now);
+        let in_force = |known: &Known| known.blocked_until.is_none_or(|until| until > now);
+        self.known.retain(|_, known| in_force(known));
+    }
+
+    /// Time at which [`Gateway::tick`] must be called.
+    pub fn next_deadline(&self) -> Option<time::Instant> {
+        let broken = self.targets.values().filter_map(|i| i.broken.as_ref());
+        broken.map(|b| b.since + self.cfg.window).min()
+    }
+
+    /// Takes the next message to the leader.
+    pub fn poll_output(&mut self) -> Option<Output> {
+        self.outputs.pop_front()
+    }
+
+    fn attribute(&mut self, now: time::Instant, target: &Target) {
+        let Some(broken) = self.instance(target).take_loss() else {
+            return self.forget_unused(target);
+        };
+        let mut suspects: Vec<Suspect> = Vec::new();
+        for (_, suspect) in &broken.calls {
+            let until = now + self.cfg.report_lifetime;
+            let local = Local {
+                until,
+                reported: true,
+            };
+            self.local.insert(suspect.fingerprint, local);
+            if !suspects
+                .iter()
+                .any(|s| s.fingerprint == suspect.fingerprint)
+            {
+                suspects.push(suspect.clone());
+            }
+        }
+        self.outputs.push_back(Output::Report(CrashReport {
+            target: target.clone(),
+            suspects,
+        }));
+        for (call, suspect) in broken.calls {
+            if self.release(call).is_some() {
+                self.done(call, suspect.fingerprint, RunResult::Lost);
+            }
+        }
+        self.forget_unused(target);
+    }
+
+    /// The target lives, or nothing showed within the window that it was lost.
+    fn acquit(&mut self, broken: instance::Break) {
+        for (call, suspect) in broken.calls {
+            let reported = |local: &Local| local.reported;
+            if !self.local.get(&suspect.fingerprint).is_some_and(reported) {
+                self.local.remove(&suspect.fingerprint);
+            }
+            self.give_up(call);
+        }
+    }
+
+    fn release(&mut self, call: u64) -> Option<Permit> {
+        let permit = self.permits.remove(&call)?;
+        let target = permit.target.as_ref();
+        if let Some(instance) = target.and_then(|target| self.targets.get_mut(target)) {
+            instance.reserved_by = None;
+        }
+        Some(permit)
+    }
+
+    fn done(&mut self, call: u64, fingerprint: Fingerprint, result: RunResult) {
+        self.outputs.push_back(Output::Done(PermitDone {
+            call,
+            fingerprint,
+            result,
+        }));
+    }
+
+    fn is_known_suspect(&self, fingerprint: Fingerprint) -> bool {
+        let known = self.known.get(&fingerprint);
+        known.is_some_and(|known| known.blocked_until.is_none())
+    }
+
+    fn instance(&mut self, target: &Target) -> &mut instance::Instance {
+        if !self.targets.contains_key(target) {
+            self.targets
+                .insert(target.clone(), instance::Instance::default());
+        }
+        self.targets.entry(target.clone()).or_default()
+    }
+
+    fn forget_unused(&mut self, target: &Target) {
+        let unused = self.targets.get(target).is_some_and(|i| i.is_unused());
+        if unused {
+            self.targets.remove(target);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/containment/leader.rs
@@ -0,0 +1,404 @@
+//! Counting of losses, permits and blocks on the leader of group 0.
+
+use std::{collections, time::Duration};
+
+use super::{
+    fingerprint::Fingerprint,
+    message::{
+        CrashReport, Notice, PermitDone, PermitReply, PermitRequest, Rebuild, Record, RunResult,
+        Suspect, Target,
+    },
+};
+use crate::{time, types};
+
+/// Lost targets after which a request is blocked.
+pub const LOSSES_TO_BLOCK: usize = 2;
+
+/// Lost targets after which a request is blocked even if another suspect was in flight at all of
+/// the losses. The isolated run that follows an ambiguous second loss decides between the two.
+pub const MAX_LOSSES: usize = 3;
+
+/// Most suspects and blocks.
+pub const MAX_ENTRIES: usize = 1024;
+
+const MAX_WAITING: usize = 256;
+
+/// Settings of [`Leader`].
+#[derive(Clone, Debug)]
+pub struct LeaderConfig {
+    /// Duration of a block.
+    pub block: Duration,
+    /// Time after which a suspect that was not sent again is forgotten.
+    pub suspect_lifetime: Duration,
+    /// Time that a permit outlives its call's deadline: the window of attribution on the gateway and
+    /// a margin for the report.
+    pub permit_grace: Duration,
+    /// Time after a change of leader in which no permit is granted, so that gateways can report
+    /// the permits they hold. It is the length of a serving lease.
+    pub rebuild: Duration,
+}
+
+impl Default for LeaderConfig {
+    fn default() -> Self {
+        LeaderConfig {
+            block: Duration::from_secs(600),
+            suspect_lifetime: Duration::from_secs(600),
+            permit_grace: Duration::from_secs(7),
+            rebuild: Duration::from_millis(2_200),
+        }
+    }
+}
+
+/// What the I/O layer must send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaderOutput {
+    /// Send to all gateways.
+    Publish(Notice),
+    /// Answer a permit request.
+    Reply {
+        /// Gateway that asked.
+        vm: types::VmId,
+        /// Call that asked.
+        call: u64,
+        /// Request of the call.
+        fingerprint: Fingerprint,
+        /// Answer.
+        reply: PermitReply,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    vm: types::VmId,
+    call: u64,
+    until: time::Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    label: String,
+    losses: collections::BTreeSet<Target>,
+    blocked_until: Option<time::Instant>,
+    touched: time::Instant,
+    changed: bool,
+    permit: Option<Turn>,
+    waiting: collections::VecDeque<Turn>,
+}
+
+/// Containment on the leader of group 0.
+#[derive(Debug)]
+pub struct Leader {
+    cfg: LeaderConfig,
+    ready: time::Instant,
+    entries: collections::BTreeMap<Fingerprint, Entry>,
+    outputs: collections::VecDeque<LeaderOutput>,
+}
+
+impl Leader {
+    /// Creates the state of a VM that became leader at `now`.
+    pub fn new(cfg: LeaderConfig, now: time::Instant) -> Self {
+        let ready = now + cfg.rebuild;
+        Leader {
+            cfg,
+            ready,
+            entries: collections::BTreeMap::new(),
+            outputs: collections::VecDeque::new(),
+        }
+    }
+
+    /// Takes a gateway's report of a lost target.
+    pub fn report(&mut self, now: time::Instant, report: &CrashReport) {
+        for suspect in &report.suspects {
+            self.entry(now, suspect)
+                .losses
+                .insert(report.target.clone());
+        }
+        // Another gateway's report of the same loss may make an earlier judgement ambiguous.
+        let shares = |(_, entry): &(&Fingerprint, &Entry)| entry.losses.contains(&report.target);
+        let sharing: Vec<Fingerprint> = self
+            .entries
+            .iter()
+            .filter(shares)
+            .map(|(fingerprint, _)| *fingerprint)
+            .collect();
+        for fingerprint in sharing {
+            self.judge(now, fingerprint);
+        }
+    }
+
+    /// Takes what a gateway knows from an earlier leader.
+    pub fn rebuild(&mut self, now: time::Instant, vm: types::VmId, known: &Rebuild) {
+        for record in &known.records {
+            let entry = self.entry(now, &record.suspect);
+            entry.losses.extend(record.losses.iter().cloned());
+            let until = record.blocked_for.map(|left| now + left);
+            entry.blocked_until = entry.blocked_until.max(until);
+        }
+        for record in &known.records {
+            let fingerprint = record.suspect.fingerprint;
+            if self.is_guilty(fingerprint) {
+                self.block(now, fingerprint);
+            }
+            self.publish(now, fingerprint);
+            self.serve(now, fingerprint);
+        }
+        for request in &known.permits {
+            let until = now + request.remaining + self.cfg.permit_grace;
+            let entry = self.entry(now, &request.suspect);
+            entry.permit = Some(Turn {
+                vm,
+                call: request.call,
+                until,
+            });
+        }
+    }
+
+    /// A gateway asks to run a suspect. The reply comes with the call's turn.
+    pub fn ask(&mut self, now: time::Instant, vm: types::VmId, request: &PermitRequest) {
+        let fingerprint = request.suspect.fingerprint;
+        let turn = Turn {
+            vm,
+            call: request.call,
+            until: now + request.remaining,
+        };
+        let entry = self.entry(now, &request.suspect);
+        let repeated = |t: &Turn| (t.vm, t.call) == (turn.vm, turn.call);
+        if entry.permit.as_ref().is_some_and(repeated) {
+            return self.reply(fingerprint, turn, PermitReply::Granted);
+        }
+        if entry.waiting.iter().any(repeated) {
+            return;
+        }
+        if entry.waiting.len() >= MAX_WAITING {
+            return self.reply(fingerprint, turn, PermitReply::NoTurn);
+        }
+        entry.waiting.push_back(turn);
+        self.serve(now, fingerprint);
+    }
+
+    /// A gateway returns a permit or reports that a suspect was answered.
+    pub fn done(&mut self, now: time::Instant, vm: types::VmId, done: &PermitDone) {
+        let Some(entry) = self.entries.get_mut(&done.fingerprint) else {
+            return;
+        };
+        entry.touched = now;
+        let held = |turn: &Turn| (turn.vm, turn.call) == (vm, done.call);
+        if entry.permit.as_ref().is_some_and(held) {
+            entry.permit = None;
+        }
+        entry.waiting.retain(|turn| !held(turn));
+        if done.result == RunResult::Answered && entry.blocked_until.is_none() {
+            return self.clear(done.fingerprint);
+        }
+        self.serve(now, done.fingerprint);
+        let idle = |e: &Entry| e.losses.is_empty() && e.permit.is_none() && e.waiting.is_empty();
+        if self.entries.get(&done.fingerprint).is_some_and(idle) {
+            self.entries.remove(&done.fingerprint);
+        }
+    }
+
+    /// An operator lifts a block.
+    pub fn lift(&mut self, fingerprint: Fingerprint) {
+        if self.entries.contains_key(&fingerprint) {
+            self.clear(fingerprint);
+        }
+    }
+
+    /// Ends expired permits, waits, blocks and suspects.
+    pub fn tick(&mut self, now: time::Instant) {
+        let fingerprints: Vec<Fingerprint> = self.entries.keys().copied().collect();
+        for fingerprint in fingerprints {
+            self.expire(now, fingerprint);
+        }
+    }
+
+    /// Time at which [`Leader::tick`] must be called.
+    pub fn next_deadline(&self) -> Option<time::Instant> {
+        self.entries.values().map(|entry| self.due(entry)).min()
+    }
+
+    /// Everything known, for a gateway that connects and for operators, in the order of the
+    /// fingerprints.
+    pub fn list(&self, now: time::Instant) -> Vec<Record> {
+        let record = |(fingerprint, entry): (&Fingerprint, &Entry)| entry.record(now, *fingerprint);
+        self.entries.iter().map(record).collect()
+    }
+
+    /// Takes the next output.
+    pub fn poll_output(&mut self) -> Option<LeaderOutput> {
+        self.outputs.pop_front()
+    }
+
+    /// Blocks the request if its losses are enough, lifts the block if they no longer are, and tells
+    /// the gateways of any change.
+    fn judge(&mut self, now: time::Instant, fingerprint: Fingerprint) {
+        let guilty = self.is_guilty(fingerprint);
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return;
+        };
+        let blocked = entry.blocked_until.is_some();
+        let changed = std::mem::take(&mut entry.changed) || blocked != guilty;
+        match guilty {
+            true => self.block(now, fingerprint),
+            false => entry.blocked_until = None,
+        }
+        if changed {
+            self.publish(now, fingerprint);
+        }
+        self.serve(now, fingerprint);
+    }
+
+    fn is_guilty(&self, fingerprint: Fingerprint) -> bool {
+        let Some(entry) = self.entries.get(&fingerprint) else {
+            return false;
+        };
+        let losses = entry.losses.len();
+        let enough = losses >= LOSSES_TO_BLOCK && !self.is_ambiguous(fingerprint, entry);
+        enough || losses >= MAX_LOSSES
+    }
+
+    fn block(&mut self, now: time::Instant, fingerprint: Fingerprint) {
+        let until = now + self.cfg.block;
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.blocked_until = entry.blocked_until.or(Some(until));
+        }
+    }
+
+    fn publish(&mut self, now: time::Instant, fingerprint: Fingerprint) {
+        if let Some(entry) = self.entries.get(&fingerprint) {
+            let notice = Notice::Update(entry.record(now, fingerprint));
+            self.outputs.push_back(LeaderOutput::Publish(notice));
+        }
+    }
+
+    /// Whether another request that is not cleared was in flight at all losses of this one.
+    fn is_ambiguous(&self, fingerprint: Fingerprint, entry: &Entry) -> bool {
+        let explains = |(other, e): (&Fingerprint, &Entry)| {
+            *other != fingerprint && entry.losses.is_subset(&e.losses)
+        };
+        self.entries.iter().any(explains)
+    }
+
+    /// Answers waiting calls as far as possible.
+    fn serve(&mut self, now: time::Instant, fingerprint: Fingerprint) {
+        let ready = now >= self.ready;
+        let grace = self.cfg.permit_grace;
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return;
+        };
+        if let Some(until) = entry.blocked_until {
+            let reply = PermitReply::Blocked(until.since(now));
+            for turn in std::mem::take(&mut entry.waiting) {
+                self.reply(fingerprint, turn, reply);
+            }
+            return;
+        }
+        if !ready || entry.permit.is_some() {
+            return;
+        }
+        let Some(turn) = entry.waiting.pop_front() else {
+            return;
+        };
+        entry.permit = Some(Turn {
+            until: turn.until + grace,
+            ..turn
+        });
+        self.reply(fingerprint, turn, PermitReply::Granted);
+    }
+
+    fn clear(&mut self, fingerprint: Fingerprint) {
+        let entry = self.entries.remove(&fingerprint);
+        for turn in entry.into_iter().flat_map(|entry| entry.waiting) {
+            self.reply(fingerprint, turn, PermitReply::Cleared);
+        }
+        let notice = Notice::Cleared(fingerprint);
+        self.outputs.push_back(LeaderOutput::Publish(notice));
+    }
+
+    fn expire(&mut self, now: time::Instant, fingerprint: Fingerprint) {
+        let suspect_lifetime = self.cfg.suspect_lifetime;
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return;
+        };
+        let ended = match entry.blocked_until {
+            Some(until) => until <= now,
+            None => now.since(entry.touched) >= suspect_lifetime,
+        };
+        if ended {
+            return self.clear(fingerprint);
+        }
+        if entry.permit.is_some_and(|permit| permit.until <= now) {
+            entry.permit = None;
+        }
+        let waiting = std::mem::take(&mut entry.waiting);
+        let (late, waiting): (Vec<Turn>, Vec<Turn>) =
+            waiting.into_iter().partition(|turn| turn.until <= now);
+        entry.waiting = waiting.into();
+        for turn in late {
+            self.reply(fingerprint, turn, PermitReply::NoTurn);
+        }
+        self.serve(now, fingerprint);
+    }
+
+    fn due(&self, entry: &Entry) -> time::Instant {
+        let mut due = match entry.blocked_until {
+            Some(until) => until,
+            None => entry.touched + self.cfg.suspect_lifetime,
+        };
+        for turn in entry.permit.iter().chain(&entry.waiting) {
+            due = due.min(turn.until);
+        }
+        // After a change of leader the waiting calls get their turn when the rebuild is over.
+        if entry.permit.is_none() && !entry.waiting.is_empty() {
+            due = due.min(self.ready);
+        }
+        due
+    }
+
+    fn reply(&mut self, fingerprint: Fingerprint, turn: Turn, reply: PermitReply) {
+        self.outputs.push_back(LeaderOutput::Reply {
+            vm: turn.vm,
+            call: turn.call,
+            fingerprint,
+            reply,
+        });
+    }
+
+    /// Returns the entry of a suspect, making room for it by dropping the entry that was not
+    /// touched for longest, suspects before blocks.
+    fn entry(&mut self, now: time::Instant, suspect: &Suspect) -> &mut Entry {
+        let known = self.entries.contains_key(&suspect.fingerprint);
+        if !known && self.entries.len() >= MAX_ENTRIES {
+            let age = |entry: &Entry| (entry.blocked_until.is_some(), entry.touched);
+            let oldest = self.entries.iter().min_by_key(|(_, entry)| age(entry));
+            if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
+                self.clear(fingerprint);
+            }
+        }
+        let new = || Entry {
+            label: suspect.label.clone(),
+            losses: collections::BTreeSet::new(),
+            blocked_until: None,
+            touched: now,
+            changed: false,
+            permit: None,
+            waiting: collections::VecDeque::new(),
+        };
+        let entry = self.entries.entry(suspect.fingerprint).or_insert_with(new);
+        entry.touched = now;
+        entry
+    }
+}
+
+impl Entry {
+    fn record(&self, now: time::Instant, fingerprint: Fingerprint) -> Record {
+        Record {
+            suspect: Suspect {
+                fingerprint,
+                label: self.label.clone(),
+            },
+            losses: self.losses.iter().cloned().collect(),
+            blocked_for: self.blocked_until.map(|until| until.since(now)),
+        }
+    }
+}
--- a/core/src/ledger/request.rs
+++ b/core/src/ledger/request.rs
@@ -80,7 +80,8 @@
 /// What the I/O layer must do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
-    /// Propose the command, then call [`Service::proposed`] or [`Service::rejected`].
+    /// Propose the command, then call [`super::Service::proposed`] or
+    /// [`super::Service::rejected`].
     Propose {
         /// Matches the result to this proposal.
         ticket: u64,
--- /dev/null
+++ b/core/tests/containment.rs
@@ -0,0 +1,338 @@
+//! Requests that crash targets: attribution, permits, blocks, and relief of innocent neighbours.
+
+use std::time::Duration;
+
+use wagtailshunt_core::{containment, ledger, time, types};
+
+const START: time::Instant = time::Instant(10_000_000);
+
+fn ms(value: u64) -> time::Instant {
+    START + Duration::from_millis(value)
+}
+
+fn target(number: u64) -> containment::Target {
+    containment::Target {
+        service: "bookings".into(),
+        id: types::TargetId(format!("t{number}")),
+        incarnation: types::Incarnation(1),
+    }
+}
+
+fn suspect(number: u128) -> containment::Suspect {
+    containment::Suspect {
+        fingerprint: containment::Fingerprint(number),
+        label: format!("bookings POST /{number}"),
+    }
+}
+
+fn unanswered(call: u64, request: u128) -> containment::End {
+    containment::End::Unanswered {
+        call,
+        suspect: suspect(request),
+    }
+}
+
+fn call(id: u64, request: u128, target: &containment::Target, sent: u64) -> containment::Call<'_> {
+    containment::Call {
+        id,
+        fingerprint: containment::Fingerprint(request),
+        target,
+        opened: START,
+        started: ms(sent),
+    }
+}
+
+fn gateway() -> containment::Gateway {
+    containment::Gateway::new(containment::GatewayConfig::default())
+}
+
+fn leader() -> containment::Leader {
+    let since = time::Instant(0);
+    containment::Leader::new(containment::LeaderConfig::default(), since)
+}
+
+fn report(number: u64, requests: &[u128]) -> containment::CrashReport {
+    containment::CrashReport {
+        target: target(number),
+        suspects: requests.iter().map(|request| suspect(*request)).collect(),
+    }
+}
+
+fn ask(call: u64, request: u128) -> containment::PermitRequest {
+    containment::PermitRequest {
+        call,
+        suspect: suspect(request),
+        remaining: Duration::from_secs(1),
+    }
+}
+
+fn done(call: u64, request: u128, result: containment::RunResult) -> containment::PermitDone {
+    containment::PermitDone {
+        call,
+        fingerprint: containment::Fingerprint(request),
+        result,
+    }
+}
+
+fn replies(leader: &mut containment::Leader) -> Vec<(u64, containment::PermitReply)> {
+    let outputs = std::iter::from_fn(|| leader.poll_output());
+    let reply = |output| match output {
+        containment::LeaderOutput::Reply { call, reply, .. } => Some((call, reply)),
+        containment::LeaderOutput::Publish(_) => None,
+    };
+    outputs.filter_map(reply).collect()
+}
+
+fn is_blocked(leader: &containment::Leader, request: u128) -> bool {
+    let fingerprint = containment::Fingerprint(request);
+    let list = leader.list(ms(0));
+    let record = list.iter().find(|r| r.suspect.fingerprint == fingerprint);
+    record.is_some_and(|record| record.blocked_for.is_some())
+}
+
+/// Opens `connections` connections and starts the calls 1, 2, .. on them.
+fn with_calls(calls: u64, connections: u64) -> containment::Gateway {
+    let mut gateway = gateway();
+    for _ in 0..connections {
+        gateway.connection_opened(&target(1));
+    }
+    for _ in 0..calls {
+        gateway.started(&target(1));
+    }
+    gateway
+}
+
+/// Guards against a crash that is not noticed, and against neighbours that are overlooked.
+#[test]
+fn all_calls_in_flight_on_a_lost_target_are_reported() {
+    let mut gateway = with_calls(2, 3);
+    gateway.connection_ended(ms(0), &target(1), START, unanswered(1, 10));
+    assert_eq!(gateway.poll_output(), None);
+    let fingerprint = containment::Fingerprint(10);
+    assert_eq!(
+        gateway.decide(ms(0), fingerprint),
+        containment::Decision::Isolate
+    );
+    gateway.connection_ended(ms(1), &target(1), START, unanswered(2, 11));
+    gateway.connection_ended(ms(1), &target(1), START, containment::End::Idle);
+    let expected = containment::Output::Report(report(1, &[10, 11]));
+    assert_eq!(gateway.poll_output(), Some(expected));
+}
+
+/// Guards against suspicion of a call whose connection alone was reset.
+#[test]
+fn a_target_that_goes_on_answering_was_not_lost() {
+    let mut gateway = with_calls(1, 2);
+    let target = target(1);
+    gateway.connection_ended(ms(5), &target, START, unanswered(1, 10));
+    gateway.finished(&call(1, 10, &target, 0), false);
+    // An answer to a call from before the end may have been sent before a loss.
+    gateway.started(&target);
+    gateway.finished(&call(2, 11, &target, 4), true);
+    let fingerprint = containment::Fingerprint(10);
+    assert_eq!(
+        gateway.decide(ms(6), fingerprint),
+        containment::Decision::Isolate
+    );
+    gateway.started(&target);
+    gateway.finished(&call(3, 11, &target, 6), true);
+    assert_eq!(
+        gateway.decide(ms(6), fingerprint),
+        containment::Decision::Run
+    );
+    assert_eq!(gateway.poll_output(), None);
+}
+
+/// Guards against a crash that goes unnoticed because the call's connection was the only one.
+#[test]
+fn a_single_connection_needs_further_evidence() {
+    type Evidence = fn(&mut containment::Gateway);
+    let evidence: [Evidence; 2] = [
+        |gateway| gateway.incarnation_ended(ms(900), &target(1)),
+        |gateway| gateway.connect_failed(ms(1), &target(1)),
+    ];
+    for evidence in evidence {
+        let mut gateway = with_calls(1, 1);
+        gateway.connection_ended(ms(0), &target(1), START, unanswered(1, 10));
+        assert_eq!(gateway.poll_output(), None);
+        evidence(&mut gateway);
+        let expected = containment::Output::Report(report(1, &[10]));
+        assert_eq!(gateway.poll_output(), Some(expected));
+    }
+}
+
+/// Guards against suspicion that never ends, and against a planned stop taken for a crash.
+#[test]
+fn evidence_outside_the_window_does_not_count() {
+    let mut gateway = with_calls(1, 1);
+    gateway.connection_ended(ms(0), &target(1), START, unanswered(1, 10));
+    assert_eq!(gateway.next_deadline(), Some(ms(5_000)));
+    gateway.tick(ms(5_000));
+    gateway.incarnation_ended(ms(5_001), &target(1));
+    assert_eq!(gateway.poll_output(), None);
+    let fingerprint = containment::Fingerprint(10);
+    assert_eq!(
+        gateway.decide(ms(5_001), fingerprint),
+        containment::Decision::Run
+    );
+}
+
+/// Guards against an isolated run beside another call, which would make a second innocent suspect.
+#[test]
+fn isolated_runs_get_a_target_of_their_own() {
+    let mut gateway = with_calls(1, 1);
+    gateway.ask(ms(0), 7, suspect(10), Duration::from_secs(1));
+    let targets = [target(1), target(2)];
+    assert_eq!(gateway.isolated_target(7, targets.iter()), None);
+    let fingerprint = containment::Fingerprint(10);
+    let verdict = gateway.permit_reply(7, fingerprint, containment::PermitReply::Granted);
+    assert_eq!(verdict, containment::Verdict::Isolated);
+    assert_eq!(
+        gateway.isolated_target(7, targets.iter()),
+        Some(&targets[1])
+    );
+    assert!(gateway.is_reserved(&targets[1]));
+    gateway.poll_output();
+    gateway.started(&targets[1]);
+    gateway.finished(&call(7, 10, &targets[1], 1), true);
+    assert!(!gateway.is_reserved(&targets[1]));
+    let cleared = done(7, 10, containment::RunResult::Answered);
+    assert_eq!(
+        gateway.poll_output(),
+        Some(containment::Output::Done(cleared))
+    );
+}
+
+/// Guards against a permit that is held forever by a call that gave up before the grant arrived.
+#[test]
+fn a_late_permit_is_returned() {
+    let mut gateway = gateway();
+    gateway.ask(ms(0), 7, suspect(10), Duration::from_secs(1));
+    gateway.poll_output();
+    gateway.give_up(7);
+    gateway.poll_output();
+    let fingerprint = containment::Fingerprint(10);
+    let verdict = gateway.permit_reply(7, fingerprint, containment::PermitReply::Granted);
+    assert_eq!(verdict, containment::Verdict::Ignored);
+    let returned = done(7, 10, containment::RunResult::Inconclusive);
+    assert_eq!(
+        gateway.poll_output(),
+        Some(containment::Output::Done(returned))
+    );
+}
+
+/// Guards against two isolated runs of one suspect at a time, and against a suspect that loses more
+/// than two targets.
+#[test]
+fn one_run_at_a_time_and_a_block_after_two_losses() {
+    let mut leader = leader();
+    let vm = types::VmId(1);
+    leader.report(ms(0), &report(1, &[10]));
+    leader.ask(ms(1), vm, &ask(1, 10));
+    leader.ask(ms(1), types::VmId(2), &ask(2, 10));
+    assert_eq!(
+        replies(&mut leader),
+        [(1, containment::PermitReply::Granted)]
+    );
+    leader.report(ms(2), &report(2, &[10]));
+    leader.done(ms(2), vm, &done(1, 10, containment::RunResult::Lost));
+    let blocked = containment::PermitReply::Blocked(Duration::from_secs(600));
+    assert_eq!(replies(&mut leader), [(2, blocked)]);
+    leader.tick(ms(600_002));
+    assert!(leader.list(ms(600_002)).is_empty());
+}
+
+/// Guards against counting one lost target once for each gateway that saw it.
+#[test]
+fn reports_of_several_gateways_about_one_target_are_one_loss() {
+    let mut leader = leader();
+    leader.report(ms(0), &report(1, &[10]));
+    leader.report(ms(1), &report(1, &[10]));
+    assert!(!is_blocked(&leader, 10));
+}
+
+/// Guards against blocking an innocent request that was in flight at each loss of a guilty one.
+#[test]
+fn neighbours_are_cleared_by_one_success() {
+    let mut leader = leader();
+    leader.report(ms(0), &report(1, &[10]));
+    leader.report(ms(1), &report(2, &[10]));
+    assert!(is_blocked(&leader, 10));
+    leader.report(ms(2), &report(1, &[11]));
+    leader.report(ms(3), &report(2, &[11]));
+    assert!(!is_blocked(&leader, 10) && !is_blocked(&leader, 11));
+    leader.done(
+        ms(4),
+        types::VmId(1),
+        &done(1, 11, containment::RunResult::Answered),
+    );
+    assert_eq!(leader.list(ms(4)).len(), 1);
+    leader.report(ms(5), &report(3, &[10]));
+    assert!(is_blocked(&leader, 10));
+}
+
+/// Guards against blocks and held permits that are forgotten with the leader, which would cost
+/// further targets.
+#[test]
+fn a_new_leader_learns_from_the_gateways() {
+    let mut old = leader();
+    let mut gateway = gateway();
+    old.report(ms(0), &report(1, &[10]));
+    old.report(ms(0), &report(2, &[10]));
+    old.report(ms(0), &report(3, &[11]));
+    while let Some(output) = old.poll_output() {
+        if let containment::LeaderOutput::Publish(notice) = output {
+            gateway.notice(ms(0), &notice);
+        }
+    }
+    gateway.ask(ms(0), 7, suspect(11), Duration::from_secs(1));
+    let granted = containment::PermitReply::Granted;
+    gateway.permit_reply(7, containment::Fingerprint(11), granted);
+    let mut new = containment::Leader::new(containment::LeaderConfig::default(), ms(100));
+    new.ask(ms(100), types::VmId(2), &ask(8, 11));
+    assert_eq!(replies(&mut new), []);
+    new.rebuild(ms(110), types::VmId(1), &gateway.rebuild(ms(110)));
+    new.tick(ms(2_300));
+    assert_eq!(replies(&mut new), [(8, containment::PermitReply::NoTurn)]);
+    assert!(is_blocked(&new, 10));
+    let fingerprint = containment::Fingerprint(10);
+    let refuse = containment::Decision::Refuse(Duration::from_secs(590));
+    assert_eq!(gateway.decide(ms(10_000), fingerprint), refuse);
+    new.lift(fingerprint);
+    assert!(!is_blocked(&new, 10));
+}
+
+/// Guards against a table that grows without bound, and against dropping blocks before suspects.
+#[test]
+fn the_table_is_bounded_and_keeps_blocks() {
+    let mut leader = leader();
+    leader.report(ms(0), &report(1, &[0]));
+    leader.report(ms(0), &report(2, &[0]));
+    for request in 1..=containment::MAX_ENTRIES as u128 {
+        let number = 10 + request as u64;
+        leader.report(ms(number), &report(number, &[request]));
+    }
+    assert_eq!(leader.list(ms(0)).len(), containment::MAX_ENTRIES);
+    assert!(is_blocked(&leader, 0));
+}
+
+/// Guards against one fingerprint for different requests, and against a fingerprint that an operator
+/// cannot write into a record.
+#[test]
+fn fingerprints_tell_requests_apart() {
+    let body = |text: &str| {
+        let digest = ledger::Digest::of_request("", "", "", text.as_bytes());
+        containment::Identity::Body(digest)
+    };
+    let first = containment::Fingerprint::new("s", "POST", "/a?b", body("x"));
+    assert_ne!(
+        first,
+        containment::Fingerprint::new("s", "POST", "/a?b", body("y"))
+    );
+    assert_ne!(
+        first,
+        containment::Fingerprint::new("s", "PUT", "/a?b", body("x"))
+    );
+    assert_eq!(first.to_string().parse(), Ok(first));
+    assert!("+1".parse::<containment::Fingerprint>().is_err());
+}
