--- a/wagtailshunt/src/settings/control.rs
+++ b/wagtailshunt/src/settings/control.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use wagtailshunt_core::types;
 
+use super::{Fault, Settings, check, gateway, source};
 use crate::settings;
 
 /// A control VM as the others reach it.
@@ -17,6 +18,10 @@
     pub admin: net::SocketAddr,
 }
 
+/// Longest serving lease. With the clock margin of 1% it ends after 2.93 s, so that a change is in
+/// force within 3 s.
+const MAX_LEASE_MS: u64 = 2900;
+
 /// Times of leases and elections in milliseconds.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -59,8 +64,10 @@
     /// Folder for the state that must survive.
     pub data: path::PathBuf,
     /// All control VMs, this one included.
+    #[serde(deserialize_with = "source::by_vm")]
     pub peers: collections::BTreeMap<types::VmId, ControlPeer>,
-    /// Voters of a new cluster; ignored once the data folder holds state.
+    /// Voters of a new cluster; ignored once the data folder holds state. Empty on a VM that joins a
+    /// running cluster.
     pub bootstrap: collections::BTreeSet<types::VmId>,
     /// Number of ledger shards; the same on every VM.
     pub ledger_shards: u32,
@@ -90,3 +97,90 @@
         }
     }
 }
+
+impl Settings for Control {
+    const REQUIRED: &'static [&'static str] = &[
+        "vm",
+        "failure_domain",
+        "listen",
+        "admin",
+        "data",
+        "peers",
+        "bootstrap",
+        "keys",
+    ];
+
+    fn resolve(&mut self, folder: &path::Path) -> Result<(), Fault> {
+        self.data = folder.join(&self.data);
+        self.keys.resolve(folder)
+    }
+
+    fn check(&self) -> Result<(), Fault> {
+        check::not_empty("cluster", &self.cluster)?;
+        check::not_empty("failure_domain", self.failure_domain.as_str())?;
+        self.check_addresses()?;
+        self.check_bootstrap()?;
+        let drain_limit = gateway::MAX_DRAIN_LIMIT_MS;
+        check::in_range("drain_limit_ms", self.drain_limit_ms, 1, drain_limit)?;
+        let shards = self.ledger_shards.into();
+        check::in_range("ledger_shards", shards, 1, gateway::MAX_LEDGER_SHARDS)?;
+        self.timing.check()?;
+        self.keys.check()
+    }
+}
+
+impl Control {
+    fn check_addresses(&self) -> Result<(), Fault> {
+        let own = [
+            ("listen".to_owned(), self.listen),
+            ("admin".to_owned(), self.admin),
+        ];
+        check::distinct(&own)?;
+        let mut addresses = Vec::new();
+        for (vm, peer) in &self.peers {
+            addresses.push((format!("peers.{vm}.peer"), peer.peer));
+            addresses.push((format!("peers.{vm}.admin"), peer.admin));
+        }
+        for (key, address) in &addresses {
+            check::reachable(key, *address)?;
+        }
+        check::distinct(&addresses)
+    }
+
+    fn check_bootstrap(&self) -> Result<(), Fault> {
+        if !self.peers.contains_key(&self.vm) {
+            return Err(Fault::new(
+                "peers",
+                format!("has no entry for this VM ({})", self.vm),
+            ));
+        }
+        let unknown = self
+            .bootstrap
+            .iter()
+            .find(|vm| !self.peers.contains_key(vm));
+        match unknown {
+            Some(vm) => Err(Fault::new(
+                "bootstrap",
+                format!("VM {vm} has no entry in `peers`"),
+            )),
+            None => Ok(()),
+        }
+    }
+}
+
+impl Timing {
+    fn check(&self) -> Result<(), Fault> {
+        check::in_range("timing.lease_ms", self.lease_ms, 1, MAX_LEASE_MS)?;
+        check::in_range("timing.heartbeat_ms", self.heartbeat_ms, 1, self.lease_ms)?;
+        // An election before two heartbeats were missed would follow one lost frame.
+        let shortest = self.heartbeat_ms * 2;
+        check::in_range(
+            "timing.election_min_ms",
+            self.election_min_ms,
+            shortest,
+            60_000,
+        )?;
+        let min = self.election_min_ms + 1;
+        check::in_range("timing.election_max_ms", self.election_max_ms, min, 120_000)
+    }
+}
--- a/wagtailshunt/src/settings/gateway.rs
+++ b/wagtailshunt/src/settings/gateway.rs
@@ -1,12 +1,19 @@
 //! Settings of the gateway daemon.
 
-use std::{collections, net};
+use std::{collections, net, path};
 
 use serde::Deserialize;
 use wagtailshunt_core::types;
 
+use super::{Fault, Settings, check, source};
 use crate::settings;
 
+/// Longest planned stop: one hour.
+pub(super) const MAX_DRAIN_LIMIT_MS: u64 = 3_600_000;
+
+/// Most ledger shards; each is a replicated group on every control VM.
+pub(super) const MAX_LEDGER_SHARDS: u64 = 64;
+
 /// Settings of `wagtailshunt-gateway`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -22,6 +29,7 @@
     /// Address for health, metrics, status and announcements.
     pub admin: net::SocketAddr,
     /// Process-to-process addresses of the control VMs.
+    #[serde(deserialize_with = "source::by_vm")]
     pub control: collections::BTreeMap<types::VmId, net::SocketAddr>,
     /// Keys of the cluster.
     pub keys: settings::Keys,
@@ -29,6 +37,8 @@
     pub drain_limit_ms: u64,
     /// Connections of callers open at once.
     pub max_connections: usize,
+    /// Largest header section of a request in bytes.
+    pub max_header_bytes: usize,
     /// Number of ledger shards; the same on every VM.
     pub ledger_shards: u32,
 }
@@ -45,7 +55,59 @@
             keys: settings::Keys::default(),
             drain_limit_ms: 30_000,
             max_connections: 4096,
+            max_header_bytes: 16 * 1024,
             ledger_shards: 1,
         }
     }
 }
+
+impl Settings for Gateway {
+    const REQUIRED: &'static [&'static str] =
+        &["vm", "failure_domain", "listen", "admin", "control", "keys"];
+
+    fn resolve(&mut self, folder: &path::Path) -> Result<(), Fault> {
+        self.keys.resolve(folder)
+    }
+
+    fn check(&self) -> Result<(), Fault> {
+        check::not_empty("cluster", &self.cluster)?;
+        check::not_empty("failure_domain", self.failure_domain.as_str())?;
+        self.check_addresses()?;
+        check::in_range("drain_limit_ms", self.drain_limit_ms, 1, MAX_DRAIN_LIMIT_MS)?;
+        check::in_range("max_connections", self.max_connections as u64, 1, 1 << 20)?;
+        // hyper needs a read buffer of at least 8 KiB.
+        check::in_range(
+            "max_header_bytes",
+            self.max_header_bytes as u64,
+            8 << 10,
+            1 << 20,
+        )?;
+        check::in_range(
+            "ledger_shards",
+            self.ledger_shards.into(),
+            1,
+            MAX_LEDGER_SHARDS,
+        )?;
+        self.keys.check()
+    }
+}
+
+impl Gateway {
+    fn check_addresses(&self) -> Result<(), Fault> {
+        if self.control.is_empty() {
+            return Err(Fault::new("control", "names no control VM"));
+        }
+        let mut addresses = vec![
+            ("listen".to_owned(), self.listen),
+            ("admin".to_owned(), self.admin),
+        ];
+        for (vm, address) in &self.control {
+            let key = format!("control.{vm}");
+            check::reachable(&key, *address)?;
+            addresses.push((key, *address));
+        }
+        // A control VM may use the same port as a listener here, on its own address.
+        check::distinct(&addresses[..2])?;
+        check::distinct(&addresses[2..])
+    }
+}
--- /dev/null
+++ b/wagtailshunt/src/settings/keys.rs
@@ -0,0 +1,83 @@
+//! Shared keys, inline or from files.
+
+use std::{fs, path};
+
+use serde::Deserialize;
+
+use super::Fault;
+use crate::http;
+
+/// Keys shared by the processes of a cluster.
+///
+/// Each key is given inline or as the name of a file that holds it.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Keys {
+    /// Presented by the processes of the cluster to each other.
+    pub cluster: http::Key,
+    /// File that holds `cluster`.
+    pub cluster_file: Option<path::PathBuf>,
+    /// Presented by targets that announce themselves.
+    pub target: http::Key,
+    /// File that holds `target`.
+    pub target_file: Option<path::PathBuf>,
+    /// Presented by operators.
+    pub operator: http::Key,
+    /// File that holds `operator`.
+    pub operator_file: Option<path::PathBuf>,
+}
+
+impl Keys {
+    /// Reads the key files; relative paths start at `folder`.
+    pub(super) fn resolve(&mut self, folder: &path::Path) -> Result<(), Fault> {
+        let keys = [
+            ("cluster", &mut self.cluster, &self.cluster_file),
+            ("target", &mut self.target, &self.target_file),
+            ("operator", &mut self.operator, &self.operator_file),
+        ];
+        for (name, key, file) in keys {
+            if let Some(file) = file {
+                *key = read(name, key, &folder.join(file))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Refuses missing keys, and keys that would let one party act as another.
+    pub(super) fn check(&self) -> Result<(), Fault> {
+        let keys = [
+            ("cluster", &self.cluster),
+            ("target", &self.target),
+            ("operator", &self.operator),
+        ];
+        for (i, (name, key)) in keys.iter().enumerate() {
+            let path = format!("keys.{name}");
+            if key.reveal().is_empty() {
+                return Err(Fault::new(path, "the key is missing"));
+            }
+            let same = keys[..i].iter().find(|(_, other)| other == key);
+            if let Some((other, _)) = same {
+                return Err(Fault::new(
+                    path,
+                    format!("is the same as key `keys.{other}`"),
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn read(name: &str, inline: &http::Key, file: &path::Path) -> Result<http::Key, Fault> {
+    let path = format!("keys.{name}_file");
+    if !inline.reveal().is_empty() {
+        return Err(Fault::new(path, format!("clashes with key `keys.{name}`")));
+    }
+    let text = fs::read_to_string(file).map_err(|err| {
+        let message = format!("cannot read {}: {err}", file.display());
+        Fault::new(path.clone(), message)
+    })?;
+    if text.trim().is_empty() {
+        return Err(Fault::new(path, format!("{} is empty", file.display())));
+    }
+    Ok(http::Key::from(text.trim()))
+}
--- a/wagtailshunt/src/settings/mod.rs
+++ b/wagtailshunt/src/settings/mod.rs
@@ -1,17 +1,18 @@
 //! Settings files: JSON with comments, checked before anything starts.
 
+mod check;
 mod control;
 mod gateway;
+mod keys;
+mod source;
 
+pub use check::{Fault, Settings};
 pub use control::{Control, ControlPeer, Timing};
 pub use gateway::Gateway;
+pub use keys::Keys;
 
 use std::{fs, io, net, path};
 
-use serde::{Deserialize, de};
-
-use crate::http;
-
 /// Errors of a settings file; nothing is started after one.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -24,43 +25,40 @@
         source: io::Error,
     },
     /// The text is not valid, or a key or value is wrong.
-    #[error("settings file {}: {message}", path.display())]
+    #[error("settings file {}, {fault}", path.display())]
     Invalid {
         /// File named on the command line.
         path: path::PathBuf,
         /// Key, line and cause.
-        message: String,
+        fault: Fault,
     },
 }
 
-/// Keys shared by the processes of a cluster.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Keys {
-    /// Presented by the processes of the cluster to each other.
-    pub cluster: http::Key,
-    /// Presented by targets that announce themselves.
-    pub target: http::Key,
-    /// Presented by operators.
-    pub operator: http::Key,
-}
-
-/// Reads a settings file.
-pub fn load<T: de::DeserializeOwned>(path: &path::Path) -> Result<T, Error> {
+/// Reads a settings file and the key files that it names.
+///
+/// Paths in the file are relative to its folder.
+pub fn load<T: Settings>(path: &path::Path) -> Result<T, Error> {
     let text = fs::read_to_string(path).map_err(|source| Error::Read {
         path: path.to_owned(),
         source,
     })?;
-    parse(&text).map_err(|message| Error::Invalid {
+    let folder = path.parent().unwrap_or(path::Path::new("."));
+    parse(&text, folder).map_err(|fault| Error::Invalid {
         path: path.to_owned(),
-        message,
+        fault,
     })
 }
 
-/// Parses settings text; the error names the key or position.
-pub fn parse<T: de::DeserializeOwned>(text: &str) -> Result<T, String> {
-    jsonc_parser::parse_to_serde_value::<T>(text, &jsonc_parser::ParseOptions::default())
-        .map_err(|err| err.to_string())
+/// Parses and checks settings text; paths in it are relative to `folder`.
+pub fn parse<T: Settings>(text: &str, folder: &path::Path) -> Result<T, Fault> {
+    let source = source::Source::new(text)?;
+    let mut settings: T = source.deserialize()?;
+    source.require(T::REQUIRED)?;
+    settings
+        .resolve(folder)
+        .and_then(|()| settings.check())
+        .map_err(|fault| source.locate(fault))?;
+    Ok(settings)
 }
 
 /// Address used before settings are read: an unset one.
--- /dev/null
+++ b/wagtailshunt/src/settings/source.rs
@@ -0,0 +1,181 @@
+//! Settings text with the positions of its keys.
+
+use std::{collections, fmt};
+
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{ast, errors};
+use serde::{Deserialize, de};
+use wagtailshunt_core::types;
+
+use super::Fault;
+
+/// A parsed settings text.
+pub(super) struct Source<'a> {
+    text: &'a str,
+    root: ast::Object<'a>,
+}
+
+impl<'a> Source<'a> {
+    pub fn new(text: &'a str) -> Result<Source<'a>, Fault> {
+        let options = strict();
+        let collect = jsonc_parser::CollectOptions::default();
+        let parsed = jsonc_parser::parse_to_ast(text, &collect, &options).map_err(|err| Fault {
+            line: err.line_display(),
+            ..Fault::new("", err.kind().to_string())
+        })?;
+        match parsed.value {
+            Some(ast::Value::Object(root)) => Ok(Source { text, root }),
+            _ => Err(Fault {
+                line: 1,
+                ..Fault::new("", "the text is not a JSON object")
+            }),
+        }
+    }
+
+    pub fn deserialize<T: de::DeserializeOwned>(&self) -> Result<T, Fault> {
+        let options = strict();
+        jsonc_parser::parse_to_serde_value(self.text, &options).map_err(|err| self.fault(&err))
+    }
+
+    /// Refuses a text without one of `keys`.
+    pub fn require(&self, keys: &[&str]) -> Result<(), Fault> {
+        for key in keys {
+            let (found, _, complete) = self.find(key);
+            if !complete {
+                let line = self.line(found);
+                return Err(Fault {
+                    line,
+                    ..Fault::new(*key, "the key is missing")
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Adds the line to a fault whose key is known.
+    pub fn locate(&self, fault: Fault) -> Fault {
+        let (offset, ..) = self.find(&fault.key);
+        Fault {
+            line: self.line(offset),
+            ..fault
+        }
+    }
+
+    /// Converts an error of the deserializer, which knows a position but not always the key.
+    fn fault(&self, err: &errors::ParseError) -> Fault {
+        let message = err.kind().to_string();
+        let mut key = Vec::new();
+        let mut offset = err.range().start;
+        let object = path_to(&self.root, offset, &mut key);
+        if let Some(name) = quoted(&message, "unknown field `") {
+            if let Some(prop) = object.get(name) {
+                offset = prop.range.start;
+            }
+            key.push(name);
+        } else if let Some(name) = quoted(&message, "missing field `") {
+            key.push(name);
+        }
+        Fault {
+            line: self.line(offset),
+            ..Fault::new(key.join("."), message)
+        }
+    }
+
+    /// Returns the offset of the deepest existing part of `key`, its value, and whether all
+    /// parts exist.
+    fn find(&self, key: &str) -> (usize, Option<&ast::Value<'a>>, bool) {
+        let mut object = Some(&self.root);
+        let mut offset = self.root.range.start;
+        let mut value = None;
+        for part in key.split('.').filter(|part| !part.is_empty()) {
+            let Some(prop) = object.and_then(|object| object.get(part)) else {
+                return (offset, value, false);
+            };
+            offset = prop.range.start;
+            value = Some(&prop.value);
+            object = prop.value.as_object();
+        }
+        (offset, value, true)
+    }
+
+    fn line(&self, offset: usize) -> usize {
+        let before = &self.text.as_bytes()[..offset.min(self.text.len())];
+        before.iter().filter(|byte| **byte == b'\n').count() + 1
+    }
+}
+
+/// JSON with comments and trailing commas, without the parser's other extensions: a missing comma
+/// is more often a lost line than an intention.
+fn strict() -> jsonc_parser::ParseOptions {
+    jsonc_parser::ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+/// Collects the keys that lead to `offset`; returns the innermost object around it.
+fn path_to<'a, 'b>(
+    object: &'b ast::Object<'a>,
+    offset: usize,
+    key: &mut Vec<&'b str>,
+) -> &'b ast::Object<'a> {
+    let within = |prop: &&ast::ObjectProp<'a>| {
+        let range = prop.range();
+        (range.start..range.end).contains(&offset)
+    };
+    let Some(prop) = object.properties.iter().find(within) else {
+        return object;
+    };
+    key.push(prop.name.as_str());
+    match &prop.value {
+        ast::Value::Object(inner) => path_to(inner, offset, key),
+        _ => object,
+    }
+}
+
+fn quoted<'a>(message: &'a str, prefix: &str) -> Option<&'a str> {
+    let (_, rest) = message.split_once(prefix)?;
+    rest.split('`').next()
+}
+
+/// Reads an object whose keys are VM ids.
+///
+/// The deserializer passes keys as text only, which a numeric id does not accept.
+pub(super) fn by_vm<'de, D, T>(
+    deserializer: D,
+) -> Result<collections::BTreeMap<types::VmId, T>, D::Error>
+where
+    D: de::Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    struct ByVm<T>(std::marker::PhantomData<T>);
+
+    impl<'de, T: Deserialize<'de>> de::Visitor<'de> for ByVm<T> {
+        type Value = collections::BTreeMap<types::VmId, T>;
+
+        fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+            f.write_str("an object with VM ids as keys")
+        }
+
+        fn visit_map<A: de::MapAccess<'de>>(self, mut map: A) -> Result<Self::Value, A::Error> {
+            let mut entries = collections::BTreeMap::new();
+            while let Some(key) = map.next_key::<String>()? {
+                let vm = key
+                    .parse()
+                    .map_err(|_| de::Error::custom(format!("`{key}` is not a VM id")))?;
+                entries.insert(types::VmId(vm), map.next_value()?);
+            }
+            Ok(entries)
+        }
+    }
+
+    deserializer.deserialize_map(ByVm(std::marker::PhantomData))
+}
