--- /dev/null
+++ b/wagtailshunt/src/control/state.rs
@@ -0,0 +1,141 @@
+//! State of a control daemon, shared by its tasks. No borrow is held across an await.
+
+use std::{cell, collections, rc};
+
+use futures_channel::oneshot;
+use wagtailshunt_core::{records, types};
+
+use crate::{
+    clock,
+    control::{StartError, group, leader, links, metrics},
+    disk, events, settings, transport,
+};
+
+/// Everything that one control process knows.
+pub struct State {
+    pub cfg: settings::Control,
+    pub clock: clock::Clock,
+    pub events: events::EventLog,
+    pub incarnation: types::Incarnation,
+    pub identity: rc::Rc<transport::Identity>,
+    pub metrics: metrics::Metrics,
+    pub links: links::Links,
+    pub inner: cell::RefCell<Inner>,
+    stopped: cell::Cell<bool>,
+    wake: cell::RefCell<Option<oneshot::Sender<()>>>,
+    /// Keeps the data folder locked for this process.
+    _lock: disk::Lock,
+}
+
+pub struct Inner {
+    pub groups: collections::BTreeMap<types::GroupId, group::Group>,
+    /// Soft state of the leader of group 0; `None` on other VMs.
+    pub leader: Option<leader::Leader>,
+    pub next_token: u64,
+    /// Gateways that wait for an answer of the ledger, by token.
+    pub requests: collections::BTreeMap<u64, Requester>,
+}
+
+/// Where the answer to a ledger request goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Requester {
+    pub vm: types::VmId,
+    pub request: u64,
+    pub group: types::GroupId,
+}
+
+impl State {
+    /// Opens the data folder and recovers all groups.
+    pub fn open(
+        cfg: settings::Control,
+        clock: clock::Clock,
+        events: events::EventLog,
+        incarnation: types::Incarnation,
+    ) -> Result<State, StartError> {
+        let lock = disk::Lock::acquire(&cfg.data)?;
+        let mut groups = collections::BTreeMap::new();
+        for number in 0..=cfg.ledger_shards {
+            let id = types::GroupId(number);
+            let group = group::Group::open(&cfg, &events, clock.now(), id)?;
+            groups.insert(id, group);
+        }
+        let identity = transport::Identity {
+            cluster: cfg.cluster.clone(),
+            vm: cfg.vm,
+            incarnation,
+            role: types::Role::Control,
+            failure_domain: cfg.failure_domain.clone(),
+            schema: records::SCHEMAS.iter().copied().max().unwrap_or_default(),
+            key: cfg.keys.cluster.clone(),
+            events: events.clone(),
+        };
+        Ok(State {
+            cfg,
+            clock,
+            events,
+            incarnation,
+            identity: rc::Rc::new(identity),
+            metrics: metrics::Metrics::new(),
+            links: links::Links::default(),
+            inner: cell::RefCell::new(Inner {
+                groups,
+                leader: None,
+                next_token: 0,
+                requests: collections::BTreeMap::new(),
+            }),
+            stopped: cell::Cell::new(false),
+            wake: cell::RefCell::default(),
+            _lock: lock,
+        })
+    }
+
+    /// Runs `f` on the mutable state.
+    pub fn with<R>(&self, f: impl FnOnce(&mut Inner) -> R) -> R {
+        f(&mut self.inner.borrow_mut())
+    }
+
+    /// Returns whether this VM leads group 0 and has built up the leader's state.
+    pub fn is_leading(&self) -> bool {
+        self.with(|inner| inner.leader.is_some())
+    }
+
+    /// Returns the leader of a group as this VM knows it.
+    pub fn leader_of(&self, group: types::GroupId) -> Option<types::VmId> {
+        self.with(|inner| inner.groups.get(&group).and_then(|group| group.node.leader()))
+    }
+
+    /// Stops all tasks; what was synced stays.
+    pub fn stop(&self) {
+        self.stopped.set(true);
+        self.links.stop();
+        self.wake();
+    }
+
+    /// Returns whether the process is ending.
+    pub fn stopped(&self) -> bool {
+        self.stopped.get()
+    }
+
+    /// Makes the timer task look at the deadlines again.
+    pub fn wake(&self) {
+        if let Some(tx) = self.wake.borrow_mut().take() {
+            // The receiver is gone when the timer task has just been woken by its timer.
+            let _ = tx.send(());
+        }
+    }
+
+    /// Returns a future that ends with the next [`State::wake`].
+    pub fn woken(&self) -> oneshot::Receiver<()> {
+        let (tx, rx) = oneshot::channel();
+        *self.wake.borrow_mut() = Some(tx);
+        rx
+    }
+}
+
+impl Inner {
+    /// Returns a token that no other request of this process has.
+    pub fn token(&mut self) -> u64 {
+        self.next_token += 1;
+        self.next_token
+    }
+}
--- /dev/null
+++ b/wagtailshunt/src/gateway/attempt.rs
@@ -0,0 +1,429 @@
+//! One attempt of a call at one target.
+
+use std::{net, rc, time};
+
+use futures_util::future;
+use hyper::{Request, Response, Version, body::Incoming, header, http::response};
+use wagtailshunt_core::{
+    balance, connection, deadline, event, outcome, time as core_time,
+};
+
+use crate::{
+    gateway::{call, headers, service, state, upstream},
+    http,
+};
+
+/// Longest time to open a connection; today's targets take about 1 ms.
+const CONNECT_LIMIT: time::Duration = time::Duration::from_millis(500);
+
+/// A head that a target answered with, and what must be settled when its body ends.
+pub struct Answered {
+    pub head: response::Parts,
+    pub body: Incoming,
+    pub flight: Flight,
+    /// The target marked the call as not run.
+    pub not_run: bool,
+    /// A layer below has retried the call.
+    pub retried_below: bool,
+}
+
+/// An attempt without an answer.
+pub struct Failed {
+    pub reason: outcome::Reason,
+    pub proves_not_run: bool,
+    /// The connection went silent and the call may move to another one.
+    pub silent: bool,
+    pub detail: String,
+}
+
+/// An attempt in flight: the connection and the balancer's count.
+pub struct Flight {
+    pub service: rc::Rc<service::Service>,
+    pub target: rc::Rc<service::Target>,
+    pub key: balance::TargetKey,
+    pub busy: Option<connection::Busy<upstream::Upstream>>,
+    started: core_time::Instant,
+    clock: crate::clock::Clock,
+    pub report: Option<balance::LoadReport>,
+    finished: bool,
+}
+
+impl Flight {
+    fn start(
+        state: &state::State,
+        call: &call::Call,
+        key: balance::TargetKey,
+        target: rc::Rc<service::Target>,
+    ) -> Self {
+        let now = state.now();
+        call.service.balancer.borrow_mut().started(now, key);
+        Flight {
+            service: call.service.clone(),
+            target,
+            key,
+            busy: None,
+            started: now,
+            clock: state.clock,
+            report: None,
+            finished: false,
+        }
+    }
+
+    /// Reports the end of the attempt to the balancer and returns the connection to its pool.
+    pub fn finish(&mut self, outcome: balance::Outcome) {
+        if std::mem::replace(&mut self.finished, true) {
+            return;
+        }
+        let now = self.clock.now();
+        let latency = now.since(self.started);
+        let finish = balance::Finish { latency, outcome, report: self.report };
+        self.service.balancer.borrow_mut().finished(now, self.key, &finish);
+        if outcome == balance::Outcome::Ok {
+            self.service.hedger.borrow_mut().record(latency);
+        }
+        let Some(busy) = self.busy.take() else {
+            return;
+        };
+        let mut pool = self.target.pool.borrow_mut();
+        // A connection that is not kept is closed by dropping it.
+        drop(pool.check_in(now, busy));
+        while pool.poll_closed().is_some() {}
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.busy.take();
+            self.finish(balance::Outcome::Cancelled);
+        }
+    }
+}
+
+/// Sends the call to a target and waits for the head of its answer.
+pub async fn run(
+    state: &rc::Rc<state::State>,
+    call: &call::Call,
+    body: http::Body,
+    key: balance::TargetKey,
+    target: rc::Rc<service::Target>,
+    number: u32,
+) -> Result<Answered, Failed> {
+    let mut flight = Flight::start(state, call, key, target);
+    let result = exchange(state, call, body, number, &mut flight).await;
+    match result {
+        Ok(answer) => Ok(accept(state, call, answer, flight)?),
+        Err((failed, outcome)) => {
+            flight.busy.take();
+            flight.finish(outcome);
+            emit_ejections(state, call);
+            Err(failed)
+        }
+    }
+}
+
+type Failure = (Failed, balance::Outcome);
+
+async fn exchange(
+    state: &rc::Rc<state::State>,
+    call: &call::Call,
+    body: http::Body,
+    number: u32,
+    flight: &mut Flight,
+) -> Result<Response<Incoming>, Failure> {
+    let Some(timeout) = call.deadline.forward(state.now(), call::ANSWER_RESERVE) else {
+        return Err(not_sent(outcome::Reason::DeadlineUnreachable, ""));
+    };
+    flight.busy = Some(check_out(state, call, &flight.target).await?);
+    let req = request(state, call, body, number, timeout);
+    let Some(busy) = flight.busy.as_mut() else {
+        return Err(not_sent(outcome::Reason::ConnectFailed, ""));
+    };
+    busy.exchange_mut().request_started();
+    let sent = state.now();
+    let view = connection::CallView {
+        idempotent: call.idempotent,
+        last_byte: sent,
+        deadline: call.deadline.0,
+        answer_started: false,
+        moves: 0,
+    };
+    let mut send = std::pin::pin!(busy.conn_mut().send(req));
+    loop {
+        let decision = connection::decide(state.now(), &view, &flight.target.health.borrow());
+        let wait_until = match decision {
+            connection::Decision::Wait(at) | connection::Decision::Hold(at) => at,
+            connection::Decision::Move => {
+                flight.target.health.borrow_mut().silent();
+                flight.target.pool.borrow_mut().silent(sent);
+                state.events.emit(
+                    event::Id::ConnectionSilent,
+                    &[("target", &flight.target.id), ("call", &call.id)],
+                );
+                return Err((Failed { silent: true, ..timed_out() }, balance::Outcome::Timeout));
+            }
+            connection::Decision::Unknown | connection::Decision::Abort => {
+                return Err((timed_out(), balance::Outcome::Timeout));
+            }
+        };
+        let timer = std::pin::pin!(state.clock.sleep_until(wait_until));
+        match future::select(send.as_mut(), timer).await {
+            future::Either::Left((Ok(answer), _)) => return Ok(answer),
+            future::Either::Left((Err(err), _)) => return Err(send_failed(&err)),
+            future::Either::Right(_) => {}
+        }
+    }
+}
+
+fn not_sent(reason: outcome::Reason, detail: impl Into<String>) -> Failure {
+    let failed =
+        Failed { reason, proves_not_run: true, silent: false, detail: detail.into() };
+    (failed, balance::Outcome::Cancelled)
+}
+
+fn timed_out() -> Failed {
+    Failed {
+        reason: outcome::Reason::TimedOut,
+        proves_not_run: false,
+        silent: false,
+        detail: String::new(),
+    }
+}
+
+fn send_failed(err: &upstream::Error) -> Failure {
+    let proves_not_run = err.proves_not_run();
+    let reason = match proves_not_run {
+        true => outcome::Reason::ConnectFailed,
+        false => outcome::Reason::ConnectionBroken,
+    };
+    let failed = Failed { reason, proves_not_run, silent: false, detail: err.to_string() };
+    // A pooled connection that the target closed in the meantime says nothing about its health.
+    let outcome = match err {
+        upstream::Error::NotSent => balance::Outcome::Cancelled,
+        _ => balance::Outcome::Error,
+    };
+    (failed, outcome)
+}
+
+/// Takes a connection of the pool or opens one.
+async fn check_out(
+    state: &state::State,
+    call: &call::Call,
+    target: &service::Target,
+) -> Result<connection::Busy<upstream::Upstream>, Failure> {
+    let purpose = match call.idempotent {
+        true => connection::Purpose::Idempotent,
+        false => connection::Purpose::NotIdempotent,
+    };
+    let now = state.now();
+    let check_out =
+        target.pool.borrow_mut().check_out(now, purpose, call.id, |conn| conn.is_usable());
+    let connecting = match check_out {
+        connection::CheckOut::Busy(busy) => return Ok(busy),
+        connection::CheckOut::Full => {
+            return Err(not_sent(outcome::Reason::Overloaded, "all connections are busy"));
+        }
+        connection::CheckOut::Open(connecting) => connecting,
+    };
+    let limit = call.deadline.remaining(now).min(CONNECT_LIMIT);
+    match connect(target.address, limit).await {
+        Ok(conn) => Ok(connecting.opened(state.now(), conn, call.id)),
+        Err(err) => {
+            connecting.failed();
+            let (failed, _) = send_failed(&err);
+            Err((failed, balance::Outcome::Error))
+        }
+    }
+}
+
+async fn connect(
+    address: net::SocketAddr,
+    limit: time::Duration,
+) -> Result<upstream::Upstream, upstream::Error> {
+    let mut conn = upstream::Upstream::connect(address, limit).await?;
+    match conn.ready().await {
+        true => Ok(conn),
+        false => Err(upstream::Error::NotSent),
+    }
+}
+
+fn request(
+    state: &state::State,
+    call: &call::Call,
+    body: http::Body,
+    number: u32,
+    timeout: deadline::TimeoutMs,
+) -> Request<http::Body> {
+    let mut req = Request::new(body);
+    *req.method_mut() = call.method.clone();
+    *req.uri_mut() = call.uri.clone();
+    let map = req.headers_mut();
+    *map = call.headers.clone();
+    headers::strip_connection_fields(map);
+    map.insert(headers::TIMEOUT_MS, header::HeaderValue::from(timeout.0));
+    map.insert(headers::ATTEMPT, header::HeaderValue::from(number));
+    if let Ok(value) = header::HeaderValue::from_str(&call_id(state, call)) {
+        map.insert(headers::CALL, value);
+    }
+    req
+}
+
+/// Id of a call as targets see it: VM, incarnation and number.
+fn call_id(state: &state::State, call: &call::Call) -> String {
+    format!("{}-{}-{}", state.cfg.vm, state.incarnation, call.id)
+}
+
+/// Checks that the answer belongs to the call and is framed so that its end is known.
+fn accept(
+    state: &state::State,
+    call: &call::Call,
+    answer: Response<Incoming>,
+    mut flight: Flight,
+) -> Result<Answered, Failed> {
+    let (head, body) = answer.into_parts();
+    flight.report = headers::text(&head.headers, &headers::LOAD)
+        .and_then(|value| balance::LoadReport::parse(value).ok());
+    let now = state.now();
+    let latency = now.since(flight.started);
+    flight.target.health.borrow_mut().answered(now, latency);
+    if let Err(detail) = check_answer(state, call, &head, &mut flight) {
+        state.events.emit(
+            event::Id::ConnectionDestroyed,
+            &[("target", &flight.target.id), ("reason", &detail)],
+        );
+        flight.busy.take();
+        flight.finish(balance::Outcome::Error);
+        return Err(Failed {
+            reason: outcome::Reason::ConnectionBroken,
+            proves_not_run: false,
+            silent: false,
+            detail: detail.to_owned(),
+        });
+    }
+    let marker = headers::text(&head.headers, &headers::NOT_RUN);
+    Ok(Answered {
+        not_run: marker.is_some_and(outcome::is_not_run_marker),
+        retried_below: head.headers.contains_key(&headers::RETRIED),
+        head,
+        body,
+        flight,
+    })
+}
+
+fn check_answer(
+    state: &state::State,
+    call: &call::Call,
+    head: &response::Parts,
+    flight: &mut Flight,
+) -> Result<(), &'static str> {
+    let echo = headers::text(&head.headers, &headers::CALL);
+    let echoed = match echo {
+        Some(echo) if echo == call_id(state, call) => Some(call.id),
+        Some(_) => return Err("answer of another call"),
+        None if flight.target.echoes.get() => return Err("answer without the call id"),
+        None => None,
+    };
+    flight.target.echoes.set(echoed.is_some());
+    let length = body_length(call, head);
+    if length == connection::BodyLength::UntilClose {
+        return Err("the end of the answer is not marked");
+    }
+    let facts = connection::Head { echoed_call: echoed, length, keep_alive: keeps_alive(head) };
+    let Some(busy) = flight.busy.as_mut() else {
+        return Ok(());
+    };
+    // hyper reports a connection as ready only after the whole request was written.
+    busy.exchange_mut().request_complete();
+    busy.exchange_mut().head(&facts).map_err(|_| "answer out of order")
+}
+
+fn body_length(call: &call::Call, head: &response::Parts) -> connection::BodyLength {
+    let status = head.status.as_u16();
+    if call.method == hyper::Method::HEAD || status == 204 || status == 304 || status < 200 {
+        return connection::BodyLength::Empty;
+    }
+    if head.headers.contains_key(header::TRANSFER_ENCODING) {
+        return connection::BodyLength::Chunked;
+    }
+    let length = headers::text(&head.headers, &header::CONTENT_LENGTH);
+    match length.and_then(|length| length.parse().ok()) {
+        Some(length) => connection::BodyLength::Known(length),
+        None => connection::BodyLength::UntilClose,
+    }
+}
+
+fn keeps_alive(head: &response::Parts) -> bool {
+    let connection = headers::text(&head.headers, &header::CONNECTION).unwrap_or_default();
+    let names = |wanted: &str| connection.split(',').any(|n| n.trim().eq_ignore_ascii_case(wanted));
+    match head.version {
+        Version::HTTP_11 => !names("close"),
+        _ => false,
+    }
+}
+
+/// Logs targets that the balancer ejected or restored.
+fn emit_ejections(state: &state::State, call: &call::Call) {
+    run_probes(state, &call.service);
+}
+
+/// Carries out what the balancer asked for.
+pub fn run_probes(state: &state::State, service: &rc::Rc<service::Service>) {
+    loop {
+        let output = service.balancer.borrow_mut().poll_output();
+        match output {
+            None => return,
+            Some(balance::Output::Probe { key }) => start_probe(state, service, key),
+            Some(balance::Output::Ejected { key }) => {
+                emit_target(state, service, key, event::Id::TargetEjected);
+            }
+            Some(balance::Output::Restored { key }) => {
+                emit_target(state, service, key, event::Id::TargetRestored);
+            }
+        }
+    }
+}
+
+fn emit_target(
+    state: &state::State,
+    service: &service::Service,
+    key: balance::TargetKey,
+    id: event::Id,
+) {
+    if let Some(target) = service.target(key) {
+        state.events.emit(id, &[("service", &service.name), ("target", &target.id)]);
+    }
+}
+
+/// Sends a probe: a HEAD request to the documented path on a connection of its own.
+fn start_probe(
+    state: &state::State,
+    service: &rc::Rc<service::Service>,
+    key: balance::TargetKey,
+) {
+    let Some(target) = service.target(key) else {
+        return;
+    };
+    state.metrics.probes.inc();
+    let service = service.clone();
+    let clock = state.clock;
+    compio::runtime::spawn(async move {
+        let probe = compio::time::timeout(CONNECT_LIMIT, probe(target.address));
+        if let Ok(Some(report)) = probe.await {
+            service.balancer.borrow_mut().probe_answered(clock.now(), key, &report);
+        }
+    })
+    .detach();
+}
+
+async fn probe(address: net::SocketAddr) -> Option<balance::LoadReport> {
+    let mut conn = connect(address, CONNECT_LIMIT).await.ok()?;
+    let req = Request::builder()
+        .method(hyper::Method::GET)
+        .uri("/wagtailshunt/load")
+        .header(header::HOST, address.to_string())
+        .body(http::empty())
+        .ok()?;
+    let answer = conn.send(req).await.ok()?;
+    let value = headers::text(answer.headers(), &headers::LOAD)?;
+    balance::LoadReport::parse(value).ok()
+}
--- /dev/null
+++ b/wagtailshunt/src/gateway/call.rs
@@ -0,0 +1,379 @@
+//! One call from its arrival to its answer.
+
+use std::{net, rc, time};
+
+use bytes::Bytes;
+use futures_util::future;
+use hyper::{HeaderMap, Method, Request, Response, Uri, body::Body as _, body::Incoming};
+use wagtailshunt_core::{
+    admission, balance, connection, deadline, event, outcome, records, retry, types,
+};
+
+use crate::{
+    gateway::{answer, attempt, headers, refusal::Refusal, service, state},
+    http,
+};
+
+/// Time kept back from the caller's deadline for the way of the answer.
+pub const ANSWER_RESERVE: time::Duration = time::Duration::from_millis(1);
+
+/// Body of a call, as far as it can be sent again.
+pub enum Replay {
+    /// No body.
+    Empty,
+    /// All bytes are at hand.
+    Bytes(Bytes),
+    /// A stream that can be sent once; `None` after it was.
+    Stream(Option<Incoming>),
+}
+
+/// A call that was routed to a service.
+pub struct Call {
+    pub id: u64,
+    pub service: rc::Rc<service::Service>,
+    pub spec: rc::Rc<records::ServiceSpec>,
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub deadline: deadline::Deadline,
+    pub attempt: retry::AttemptNumber,
+    /// Whether the caller declared the attempt number.
+    pub declared: Option<u32>,
+    pub idempotent: bool,
+    pub keyed: bool,
+    pub caller: net::IpAddr,
+}
+
+/// Ends the admission of a call when dropped.
+pub struct Admitted {
+    state: rc::Rc<state::State>,
+    id: admission::CallId,
+    pub ok: bool,
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        self.state.leave_admission(self.id, self.ok);
+    }
+}
+
+/// Handles a request of a caller.
+pub async fn handle(
+    state: rc::Rc<state::State>,
+    req: Request<Incoming>,
+    peer: net::SocketAddr,
+) -> Response<http::Body> {
+    state.metrics.calls.inc();
+    match run(&state, req, peer).await {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            note_refusal(&state, &refusal);
+            refusal.answer()
+        }
+    }
+}
+
+fn note_refusal(state: &state::State, refusal: &Refusal) {
+    let outcome = refusal.outcome;
+    state.metrics.refused.with_label_values(&[outcome.to_string().as_str()]).inc();
+    let id = match outcome {
+        outcome::Outcome::NotRun => event::Id::CallRefused,
+        outcome::Outcome::Unknown => event::Id::CallUnknown,
+        outcome::Outcome::Completed => event::Id::CallReplayed,
+    };
+    // Refusals come in thousands under overload and are counted by the metric instead.
+    if outcome != outcome::Outcome::NotRun || log::log_enabled!(log::Level::Debug) {
+        state.events.emit(id, &[("reason", &refusal.reason.title()), ("detail", &refusal.detail)]);
+    }
+}
+
+async fn run(
+    state: &rc::Rc<state::State>,
+    req: Request<Incoming>,
+    peer: net::SocketAddr,
+) -> Result<Response<http::Body>, Refusal> {
+    if let Err(err) = headers::check_head(&req) {
+        state.events.emit(event::Id::RequestRejected, &[("caller", &peer), ("reason", &err)]);
+        return Err(Refusal::not_run(outcome::Reason::BadRequest).detail(err.to_string()));
+    }
+    let (call, body) = route(state, req, peer)?;
+    let earlier = outcome::Earlier::declared(call.keyed, call.declared);
+    let admitted =
+        admit(state, &call).await.map_err(|refusal| refusal.with_earlier(earlier))?;
+    let body = replayable(body);
+    forward(state, &call, body, admitted).await.map_err(|refusal| refusal.with_earlier(earlier))
+}
+
+fn replayable(body: Incoming) -> Replay {
+    match body.is_end_stream() {
+        true => Replay::Empty,
+        false => Replay::Stream(Some(body)),
+    }
+}
+
+/// Finds the service of a request and checks its head.
+fn route(
+    state: &rc::Rc<state::State>,
+    req: Request<Incoming>,
+    peer: net::SocketAddr,
+) -> Result<(Call, Incoming), Refusal> {
+    let now = state.now();
+    let host = headers::text(req.headers(), &hyper::header::HOST).unwrap_or_default();
+    let service = state.with(|inner| {
+        if !inner.holder.serving(now) {
+            return Err(Refusal::not_run(outcome::Reason::NoLease));
+        }
+        let name = inner.table.lookup(host, req.uri().path());
+        let service = name.and_then(|name| inner.services.get(name));
+        service.cloned().ok_or(Refusal::not_run(outcome::Reason::NoService))
+    })?;
+    let spec = service.spec();
+    let (parts, body) = req.into_parts();
+    let timeout = header(&parts.headers, &headers::TIMEOUT_MS, deadline::TimeoutMs::parse)?;
+    let declared = header(&parts.headers, &headers::ATTEMPT, retry::AttemptNumber::parse)?;
+    let has_method = |methods: &[String]| methods.iter().any(|m| m == parts.method.as_str());
+    let idempotent = has_method(&spec.idempotent_methods);
+    let keyed = !idempotent && parts.headers.contains_key(&headers::IDEMPOTENCY_KEY);
+    if !keyed && has_method(&spec.key_required_methods) {
+        return Err(Refusal::not_run(outcome::Reason::KeyRequired));
+    }
+    let call = Call {
+        id: state.next_call(),
+        deadline: deadline::Deadline::at_arrival(now, timeout, spec.timeout),
+        attempt: declared.unwrap_or(retry::AttemptNumber::FIRST),
+        declared: declared.map(|number| number.0),
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        caller: peer.ip(),
+        service,
+        spec,
+        idempotent,
+        keyed,
+    };
+    Ok((call, body))
+}
+
+fn header<T>(
+    map: &HeaderMap,
+    name: &hyper::header::HeaderName,
+    parse: impl Fn(&str) -> Result<T, deadline::HeaderError>,
+) -> Result<Option<T>, Refusal> {
+    let Some(value) = map.get(name) else {
+        return Ok(None);
+    };
+    let parsed = value.to_str().map_err(|_| deadline::HeaderError::NotANumber).and_then(parse);
+    parsed.map(Some).map_err(|err| {
+        Refusal::not_run(outcome::Reason::BadRequest).detail(format!("{name}: {err}"))
+    })
+}
+
+/// Waits for the call's turn.
+async fn admit(state: &rc::Rc<state::State>, call: &Call) -> Result<Admitted, Refusal> {
+    let id = admission::CallId(call.id);
+    let now = state.now();
+    let caller = call.caller.to_string();
+    let decision = state.with(|inner| {
+        let offer = admission::Call {
+            service: &call.service.name,
+            priority: admission::Priority(u8::try_from(call.spec.priority).unwrap_or(u8::MAX)),
+            caller: &caller,
+            deadline: call.deadline,
+        };
+        inner.admission.offer(now, id, &offer)
+    });
+    let admitted = Admitted { state: state.clone(), id, ok: false };
+    match decision {
+        admission::Decision::Run => Ok(admitted),
+        admission::Decision::Refuse(reason) => Err(reason.into()),
+        admission::Decision::Queued => {
+            let waiting = state.wait_for_admission(id);
+            state.pump_admission();
+            match waiting.await {
+                Ok(Ok(())) => Ok(admitted),
+                Ok(Err(reason)) => Err(reason.into()),
+                Err(_) => Err(Refusal::not_run(outcome::Reason::Stopping)),
+            }
+        }
+    }
+}
+
+/// Progress of a call over its attempts.
+#[derive(Default)]
+struct Progress {
+    tried: Vec<balance::TargetKey>,
+    made: u32,
+    moves: u32,
+    may_have_run: bool,
+}
+
+impl Progress {
+    fn refusal(&self, reason: outcome::Reason) -> Refusal {
+        match self.may_have_run {
+            true => Refusal::unknown(reason),
+            false => Refusal::not_run(reason),
+        }
+    }
+}
+
+/// Sends the call to targets until one answers or no further attempt is allowed.
+pub async fn forward(
+    state: &rc::Rc<state::State>,
+    call: &Call,
+    mut body: Replay,
+    admitted: Admitted,
+) -> Result<Response<http::Body>, Refusal> {
+    let mut progress = Progress::default();
+    let mut admitted = Some(admitted);
+    call.service.retries.borrow_mut().call();
+    call.service.hedger.borrow_mut().call();
+    let mut last = outcome::Reason::NoTarget;
+    loop {
+        let Some((key, target)) = pick(state, call, &progress.tried) else {
+            return Err(progress.refusal(last));
+        };
+        progress.made += 1;
+        progress.tried.push(key);
+        let result = hedged(state, call, &mut body, key, target, &mut progress).await;
+        let failed = match result {
+            Ok(answered) if !answered.not_run => {
+                let retried = progress.made > 1;
+                return Ok(answer::pass_on(state, call, answered, admitted.take(), retried));
+            }
+            Ok(answered) => {
+                let failure = retry::Failure {
+                    not_run: true,
+                    retried_below: answered.retried_below,
+                };
+                if !may_retry(state, call, &progress, &failure, &body) {
+                    let retried = progress.made > 1;
+                    return Ok(answer::pass_on(state, call, answered, admitted.take(), retried));
+                }
+                continue;
+            }
+            Err(failed) => failed,
+        };
+        last = failed.reason;
+        progress.may_have_run |= !failed.proves_not_run;
+        if failed.silent && progress.moves < connection::MAX_MOVES {
+            progress.moves += 1;
+            continue;
+        }
+        let failure =
+            retry::Failure { not_run: failed.proves_not_run, retried_below: false };
+        if !may_retry(state, call, &progress, &failure, &body) {
+            return Err(progress.refusal(failed.reason).detail(failed.detail));
+        }
+        state.metrics.retries.inc();
+    }
+}
+
+fn may_retry(
+    state: &state::State,
+    call: &Call,
+    progress: &Progress,
+    failure: &retry::Failure,
+    body: &Replay,
+) -> bool {
+    if matches!(body, Replay::Stream(None)) {
+        return false;
+    }
+    let attempt = retry::Attempt {
+        from_caller: call.attempt,
+        made: progress.made,
+        idempotent: call.idempotent,
+        deadline: call.deadline,
+        expected: call.service.hedger.borrow().expected(),
+    };
+    let mut budget = call.service.retries.borrow_mut();
+    retry::decide(state.now(), &attempt, failure, &mut budget) == retry::Decision::Retry
+}
+
+/// Chooses a target that was not tried yet, or any when all were.
+fn pick(
+    state: &state::State,
+    call: &Call,
+    avoid: &[balance::TargetKey],
+) -> Option<(balance::TargetKey, rc::Rc<service::Target>)> {
+    let now = state.now();
+    let mut balancer = call.service.balancer.borrow_mut();
+    let local: Option<&types::FailureDomain> = Some(&call.service.local);
+    let pick = balance::Pick { avoid, local, probe_allowed: true };
+    let key = balancer.pick(now, &pick)?;
+    drop(balancer);
+    attempt::run_probes(state, &call.service);
+    Some((key, call.service.target(key)?))
+}
+
+/// Runs one attempt, with a second one beside it when the first is slow and the call allows it.
+async fn hedged(
+    state: &rc::Rc<state::State>,
+    call: &Call,
+    body: &mut Replay,
+    key: balance::TargetKey,
+    target: rc::Rc<service::Target>,
+    progress: &mut Progress,
+) -> Result<attempt::Answered, attempt::Failed> {
+    let number = call.attempt.0 + progress.made - 1;
+    let single = matches!(body, Replay::Empty) && call.idempotent && progress.made == 1;
+    let delay = call.service.hedger.borrow().delay().filter(|_| single);
+    let first = attempt::run(state, call, body.take(), key, target, number);
+    let Some(delay) = delay else {
+        return first.await;
+    };
+    let first = std::pin::pin!(first);
+    let timer = std::pin::pin!(compio::time::sleep(delay));
+    let first = match future::select(first, timer).await {
+        future::Either::Left((result, _)) => return result,
+        future::Either::Right(((), first)) => first,
+    };
+    let Some((key, target)) = second_target(state, call, progress) else {
+        return first.await;
+    };
+    state.metrics.hedges.inc();
+    let second = attempt::run(state, call, http::empty(), key, target, number);
+    let second = std::pin::pin!(second);
+    // The loser is dropped, which closes its connection and so cancels it at the target.
+    match future::select(first, second).await {
+        future::Either::Left((Ok(answered), _)) => Ok(answered),
+        future::Either::Left((Err(_), second)) => second.await,
+        future::Either::Right((Ok(answered), _)) => Ok(answered),
+        future::Either::Right((Err(_), first)) => first.await,
+    }
+}
+
+fn second_target(
+    state: &state::State,
+    call: &Call,
+    progress: &mut Progress,
+) -> Option<(balance::TargetKey, rc::Rc<service::Target>)> {
+    let mut hedger = call.service.hedger.borrow_mut();
+    let attempt = retry::Attempt {
+        from_caller: call.attempt,
+        made: progress.made,
+        idempotent: call.idempotent,
+        deadline: call.deadline,
+        expected: hedger.expected(),
+    };
+    if !hedger.try_hedge(state.now(), &attempt) {
+        return None;
+    }
+    drop(hedger);
+    let (key, target) = pick(state, call, &progress.tried)?;
+    if progress.tried.contains(&key) {
+        return None;
+    }
+    progress.tried.push(key);
+    Some((key, target))
+}
+
+impl Replay {
+    /// Returns the body for the next attempt.
+    fn take(&mut self) -> http::Body {
+        match self {
+            Replay::Empty => http::empty(),
+            Replay::Bytes(bytes) => http::full(bytes.clone()),
+            Replay::Stream(stream) => stream.take().map_or(http::empty(), http::Body::Incoming),
+        }
+    }
+}
--- /dev/null
+++ b/wagtailshunt/src/gateway/control_link.rs
@@ -0,0 +1,388 @@
+//! Connections to control VMs: leases, records, directory, ledger and containment.
+
+use std::{cell, collections, rc, time};
+
+use futures_channel::oneshot;
+use futures_util::{FutureExt, pin_mut, select_biased};
+use wagtailshunt_core::{directory, lease, ledger, records, time as core_time, types};
+use wagtailshunt_wire::{
+    self as wire,
+    generated::{envelope, envelope::envelope::Body},
+};
+
+use crate::{gateway::state, transport};
+
+const REGISTRY: types::GroupId = types::GroupId(0);
+
+/// A leader that has not answered for this long is replaced by the next control VM: two renewals.
+const LEADER_SILENCE: time::Duration = time::Duration::from_millis(1000);
+
+/// Pause before another control VM is tried while no leader is known.
+const SEARCH_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// Longest pause of the link task.
+const MAX_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+/// Pause between two attempts of a ledger request.
+const LEDGER_RETRY: time::Duration = time::Duration::from_millis(20);
+
+/// Connections of a gateway to the control VMs. A connection is opened when it is first needed.
+#[derive(Default)]
+pub struct Links {
+    dialers: cell::RefCell<collections::BTreeMap<types::VmId, transport::Dialer>>,
+    leaders: cell::RefCell<collections::BTreeMap<types::GroupId, types::VmId>>,
+    heard: cell::Cell<core_time::Instant>,
+    searched: cell::Cell<core_time::Instant>,
+    waiting: cell::RefCell<collections::BTreeMap<u64, oneshot::Sender<Option<ledger::ServiceReply>>>>,
+    next_request: cell::Cell<u64>,
+    wake: cell::RefCell<Option<oneshot::Sender<()>>>,
+    stopped: cell::Cell<bool>,
+}
+
+impl Links {
+    /// Returns the leader of group 0 as far as this gateway knows.
+    pub fn leader(&self) -> Option<types::VmId> {
+        self.leaders.borrow().get(&REGISTRY).copied()
+    }
+
+    /// Closes all connections.
+    pub fn stop(&self) {
+        self.stopped.set(true);
+        for dialer in std::mem::take(&mut *self.dialers.borrow_mut()).into_values() {
+            dialer.stop();
+        }
+        self.wake();
+    }
+
+    fn wake(&self) {
+        if let Some(tx) = self.wake.borrow_mut().take() {
+            // The task has just been woken by its timer when the receiver is gone.
+            let _ = tx.send(());
+        }
+    }
+
+    fn request(&self) -> u64 {
+        self.next_request.set(self.next_request.get() + 1);
+        self.next_request.get()
+    }
+
+    /// Forgets the leader of a group and chooses the control VM to ask next.
+    fn next_candidate(&self, state: &state::State, group: types::GroupId) {
+        let current = self.leaders.borrow().get(&group).copied();
+        let vms = || state.cfg.control.keys().copied();
+        let next = vms().find(|vm| Some(*vm) > current).or_else(|| vms().next());
+        if let Some(next) = next {
+            self.leaders.borrow_mut().insert(group, next);
+        }
+    }
+}
+
+/// Starts the task that keeps the lease.
+pub fn start(state: &rc::Rc<state::State>) {
+    let state = state.clone();
+    compio::runtime::spawn(async move {
+        while !state.links.stopped.get() {
+            keep_lease(&state);
+            let now = state.now();
+            let due = state.with(|inner| inner.holder.next_deadline(now));
+            let next = due.map_or(now + MAX_PAUSE, |due| due.min(now + MAX_PAUSE));
+            let (tx, rx) = oneshot::channel();
+            *state.links.wake.borrow_mut() = Some(tx);
+            // A renewal that could not be sent stays due; a short pause avoids a busy loop.
+            let next = next.max(now + time::Duration::from_millis(5));
+            let woken = rx.fuse();
+            let timer = state.clock.sleep_until(next).fuse();
+            pin_mut!(woken, timer);
+            select_biased! {
+                _ = woken => {}
+                () = timer => {}
+            }
+        }
+    })
+    .detach();
+}
+
+fn keep_lease(state: &rc::Rc<state::State>) {
+    state.check_lease();
+    let now = state.now();
+    let links = &state.links;
+    let silent = now.since(links.heard.get()) >= LEADER_SILENCE;
+    let searching = now.since(links.searched.get()) >= LEADER_SILENCE;
+    if links.leader().is_none() || (silent && searching) {
+        links.next_candidate(state, REGISTRY);
+        links.searched.set(now);
+        state.with(|inner| inner.holder.renew_now(now));
+    }
+    if !state.with(|inner| inner.holder.renewal_due(now)) {
+        return;
+    }
+    let Some(handle) = connection(state, REGISTRY) else {
+        return;
+    };
+    let renewal = state.with(|inner| {
+        let status = status(inner);
+        inner.holder.sent(now, &status)
+    });
+    let message = wire::membership::Message::Renewal(renewal);
+    handle.send(links.request(), Body::Membership(message.encode()));
+}
+
+fn status(inner: &state::Inner) -> lease::Status {
+    lease::Status {
+        revision: inner.table.revision(),
+        directory: inner.view.version(),
+        vouched: inner.vouched.digest(),
+        vouched_count: u32::try_from(inner.vouched.len()).unwrap_or(u32::MAX),
+    }
+}
+
+/// Returns the open connection to the leader of a group, opening one if there is none.
+fn connection(
+    state: &rc::Rc<state::State>,
+    group: types::GroupId,
+) -> Option<transport::Handle> {
+    let leader = state.links.leaders.borrow().get(&group).copied();
+    let Some(leader) = leader else {
+        state.links.next_candidate(state, group);
+        return None;
+    };
+    let mut dialers = state.links.dialers.borrow_mut();
+    let dialer = match dialers.entry(leader) {
+        collections::btree_map::Entry::Occupied(entry) => entry.into_mut(),
+        collections::btree_map::Entry::Vacant(entry) => {
+            let address = *state.cfg.control.get(&leader)?;
+            entry.insert(open(state, address))
+        }
+    };
+    dialer.handle()
+}
+
+fn open(state: &rc::Rc<state::State>, address: std::net::SocketAddr) -> transport::Dialer {
+    let identity = rc::Rc::new(transport::Identity {
+        cluster: state.cfg.cluster.clone(),
+        vm: state.cfg.vm,
+        incarnation: state.incarnation,
+        role: types::Role::Gateway,
+        failure_domain: state.cfg.failure_domain.clone(),
+        schema: records::SCHEMAS.iter().copied().max().unwrap_or_default(),
+        key: state.cfg.keys.cluster.clone(),
+        events: state.events.clone(),
+    });
+    let opened = rc::Rc::downgrade(state);
+    let frames = rc::Rc::downgrade(state);
+    transport::dial(
+        identity,
+        address,
+        move |_, _| {
+            if let Some(state) = opened.upgrade() {
+                let now = state.now();
+                state.with(|inner| inner.holder.renew_now(now));
+                state.links.wake();
+            }
+        },
+        move |peer: &transport::Peer, envelope| {
+            if let Some(state) = frames.upgrade() {
+                received(&state, peer, envelope);
+            }
+        },
+    )
+}
+
+fn received(state: &rc::Rc<state::State>, peer: &transport::Peer, envelope: envelope::Envelope) {
+    match envelope.body {
+        Some(Body::Membership(msg)) => {
+            match wire::membership::Message::decode(msg, peer.vm, peer.incarnation) {
+                Ok(message) => membership(state, peer, message),
+                Err(err) => log::warn!("membership message of VM {} rejected: {err}", peer.vm),
+            }
+        }
+        Some(Body::Records(msg)) => match wire::records::decode_changes(msg) {
+            Ok(changes) => {
+                state.apply_records(&changes);
+                renew_now(state);
+            }
+            Err(err) => log::warn!("record changes of VM {} rejected: {err}", peer.vm),
+        },
+        Some(Body::Redirect(redirect)) => redirected(state, envelope.request, &redirect),
+        Some(Body::Ledger(msg)) => match wire::ledger::decode_reply(msg) {
+            Ok(reply) => answer(state, envelope.request, Some(reply)),
+            Err(err) => log::warn!("ledger answer of VM {} rejected: {err}", peer.vm),
+        },
+        _ => {}
+    }
+}
+
+fn renew_now(state: &state::State) {
+    let now = state.now();
+    state.with(|inner| inner.holder.renew_now(now));
+    state.links.wake();
+}
+
+fn membership(
+    state: &rc::Rc<state::State>,
+    peer: &transport::Peer,
+    message: wire::membership::Message,
+) {
+    let now = state.now();
+    match message {
+        wire::membership::Message::Grant(grant) => {
+            state.links.heard.set(now);
+            state.links.leaders.borrow_mut().insert(REGISTRY, peer.vm);
+            granted(state, &grant);
+        }
+        wire::membership::Message::Refusal(refusal) => {
+            state.links.heard.set(now);
+            state.with(|inner| inner.holder.refused(now, &refusal));
+            match refusal {
+                lease::Refusal::NotRegistered => register(state),
+                lease::Refusal::NotLeader => state.links.next_candidate(state, REGISTRY),
+                _ => {}
+            }
+            state.links.wake();
+        }
+        wire::membership::Message::Delta(delta) => {
+            state.apply_directory(&delta);
+            // The leader learns with the next renewal what was applied.
+        }
+        _ => {}
+    }
+}
+
+fn granted(state: &rc::Rc<state::State>, grant: &lease::Grant) {
+    let confirmed = state.with(|inner| {
+        inner.holder.granted(grant);
+        inner.view.confirm(grant.current.directory, grant.current.digest)
+    });
+    state.check_lease();
+    if confirmed == directory::Confirmed::Differs {
+        renew_now(state);
+    }
+    if grant.current.list_wanted {
+        let list = state.with(|inner| inner.vouched.list());
+        send(state, &wire::membership::Message::List(list));
+    }
+}
+
+fn register(state: &rc::Rc<state::State>) {
+    let vm = wagtailshunt_core::registry::Vm {
+        id: state.cfg.vm,
+        role: types::Role::Gateway,
+        failure_domain: state.cfg.failure_domain.clone(),
+        schemas: records::SCHEMAS.to_vec(),
+    };
+    send(state, &wire::membership::Message::Registration(vm));
+}
+
+fn send(state: &state::State, message: &wire::membership::Message) -> bool {
+    let leader = state.links.leader();
+    let dialers = state.links.dialers.borrow();
+    let handle = leader.and_then(|leader| dialers.get(&leader)?.handle());
+    handle.is_some_and(|handle| handle.send(0, Body::Membership(message.encode())))
+}
+
+/// Tells the leader a change of what this gateway vouches for. A change that is lost is found by
+/// the digest of the next renewal.
+pub fn send_change(state: &state::State, change: &directory::Change) {
+    send(state, &wire::membership::Message::Change(change.clone()));
+}
+
+fn redirected(state: &rc::Rc<state::State>, request: u64, redirect: &envelope::Redirect) {
+    let group = types::GroupId(redirect.group);
+    let leader = types::VmId(redirect.leader);
+    let now = state.now();
+    if state.cfg.control.contains_key(&leader) {
+        state.links.leaders.borrow_mut().insert(group, leader);
+    } else if now.since(state.links.searched.get()) >= SEARCH_INTERVAL {
+        state.links.searched.set(now);
+        state.links.next_candidate(state, group);
+    }
+    if group == REGISTRY {
+        state.with(|inner| {
+            inner.holder.refused(now, &lease::Refusal::NotLeader);
+        });
+        state.links.wake();
+    }
+    answer(state, request, None);
+}
+
+fn answer(state: &state::State, request: u64, reply: Option<ledger::ServiceReply>) {
+    let waiter = state.links.waiting.borrow_mut().remove(&request);
+    if let Some(tx) = waiter {
+        // The call may have given up; a late grant is then released by the claim's owner.
+        let _ = tx.send(reply);
+    }
+}
+
+/// Sends a request to the ledger until it is answered or `deadline` passes.
+pub async fn ask_ledger(
+    state: &rc::Rc<state::State>,
+    request: &ledger::Request,
+    deadline: core_time::Instant,
+) -> Option<ledger::ServiceReply> {
+    let shard = request.key().shard(state.cfg.ledger_shards);
+    let group = types::GroupId(1 + shard);
+    while state.now() < deadline && !state.links.stopped.get() {
+        if let Some(reply) = ask_once(state, group, request, deadline).await {
+            return Some(reply);
+        }
+        let pause = LEDGER_RETRY.min(deadline.since(state.now()));
+        compio::time::sleep(pause).await;
+    }
+    None
+}
+
+async fn ask_once(
+    state: &rc::Rc<state::State>,
+    group: types::GroupId,
+    request: &ledger::Request,
+    deadline: core_time::Instant,
+) -> Option<ledger::ServiceReply> {
+    let handle = connection(state, group)?;
+    let id = state.links.request();
+    let (tx, rx) = oneshot::channel();
+    state.links.waiting.borrow_mut().insert(id, tx);
+    handle.send(id, Body::Ledger(wire::ledger::encode_request(request)));
+    let limit = LEADER_SILENCE.min(deadline.since(state.now()));
+    let waits = matches!(request, ledger::Request::Claim { .. });
+    // A claim may wait for the outcome of the first run; other requests are answered at once.
+    let limit = if waits { deadline.since(state.now()) } else { limit };
+    let result = wait(&handle, rx, limit).await;
+    state.links.waiting.borrow_mut().remove(&id);
+    match result {
+        Some(reply) => reply,
+        None => {
+            state.links.next_candidate(state, group);
+            None
+        }
+    }
+}
+
+/// Waits for an answer while the connection is open.
+async fn wait<T>(
+    handle: &transport::Handle,
+    mut rx: oneshot::Receiver<T>,
+    limit: time::Duration,
+) -> Option<T> {
+    let started = time::Instant::now();
+    loop {
+        let left = limit.checked_sub(started.elapsed())?;
+        match compio::time::timeout(left.min(SEARCH_INTERVAL), &mut rx).await {
+            Ok(result) => return result.ok(),
+            Err(_) if !handle.is_open() => return None,
+            Err(_) => {}
+        }
+    }
+}
+
+/// Gives up the lease and tells the leader, twice in case the first frame is lost.
+pub async fn release(state: &state::State) {
+    for _ in 0..2 {
+        let renewal = state.with(|inner| {
+            let status = status(inner);
+            inner.holder.release(&status)
+        });
+        send(state, &wire::membership::Message::Renewal(renewal));
+        compio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    state.links.stop();
+}
--- a/wagtailshunt/src/gateway/mod.rs
+++ b/wagtailshunt/src/gateway/mod.rs
@@ -1,4 +1,156 @@
 //! Gateway daemon: callers, targets and announcements.
 
+mod admin;
+mod answer;
+mod announce;
+mod attempt;
+mod call;
+mod control_link;
 mod headers;
+mod metrics;
+mod refusal;
+mod service;
+mod state;
 mod upstream;
+
+use std::{io, net, rc, time};
+
+use compio::net::TcpListener;
+use wagtailshunt_core::{event, types};
+
+use crate::{clock, events, http, settings};
+
+/// A started gateway.
+#[derive(Clone)]
+pub struct Gateway {
+    state: rc::Rc<state::State>,
+    callers: http::Shutdown,
+    admin: http::Shutdown,
+    listen: net::SocketAddr,
+    admin_address: net::SocketAddr,
+}
+
+/// Errors that keep the gateway from starting.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[error("cannot listen on {address}: {source}")]
+    Bind {
+        /// Address from the settings.
+        address: net::SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+impl Gateway {
+    /// Binds the addresses and starts the tasks on the current runtime.
+    pub async fn start(cfg: settings::Gateway) -> Result<Gateway, StartError> {
+        let clock = clock::Clock::default();
+        let events = events::EventLog::new(clock, cfg.vm, types::Role::Gateway);
+        let callers_listener = bind(cfg.listen).await?;
+        let admin_listener = bind(cfg.admin).await?;
+        let listen = callers_listener.local_addr().unwrap_or(cfg.listen);
+        let admin_address = admin_listener.local_addr().unwrap_or(cfg.admin);
+        let limits = http::Limits { connections: cfg.max_connections, ..http::Limits::default() };
+        let incarnation = types::Incarnation(clock.wall().0);
+        let state = rc::Rc::new(state::State::new(cfg, clock, events, incarnation));
+        let gateway = Gateway {
+            state: state.clone(),
+            callers: http::Shutdown::default(),
+            admin: http::Shutdown::default(),
+            listen,
+            admin_address,
+        };
+        control_link::start(&state);
+        state::start_timer(&state);
+        gateway.serve_callers(callers_listener, limits);
+        gateway.serve_admin(admin_listener);
+        state.events.emit(
+            event::Id::ProcessStarted,
+            &[("listen", &listen), ("admin", &admin_address), ("incarnation", &incarnation)],
+        );
+        Ok(gateway)
+    }
+
+    /// Address for callers.
+    pub fn listen(&self) -> net::SocketAddr {
+        self.listen
+    }
+
+    /// Address for health, metrics, status and announcements.
+    pub fn admin_address(&self) -> net::SocketAddr {
+        self.admin_address
+    }
+
+    /// Returns whether new calls are served.
+    pub fn is_serving(&self) -> bool {
+        self.state.is_serving()
+    }
+
+    /// Returns the events of this process as JSON lines.
+    pub fn events(&self) -> String {
+        self.state.events.json_lines()
+    }
+
+    /// Performs a planned stop: readiness fails, calls in flight end, then the lease is given up.
+    ///
+    /// Returns whether all calls ended within the limit of the settings.
+    pub async fn stop(&self) -> bool {
+        let state = &self.state;
+        state.events.emit(event::Id::ProcessStopping, &[]);
+        state.start_draining();
+        // The platform's balancer looks away only after it has seen readiness fail, so new calls
+        // are still served for this long.
+        compio::time::sleep(time::Duration::from_millis(state.cfg.readiness_lead_ms)).await;
+        self.callers.start();
+        let limit = time::Duration::from_millis(state.cfg.drain_limit_ms);
+        let drained = compio::time::timeout(limit, self.callers.drained()).await.is_ok();
+        state.release_lease().await;
+        self.admin.start();
+        state.events.emit(event::Id::ProcessStopped, &[("drained", &drained)]);
+        drained
+    }
+
+    /// Ends at once, as a crash would: connections are dropped with the runtime.
+    pub fn abort(&self) {
+        self.callers.start();
+        self.admin.start();
+        self.state.stop_links();
+    }
+
+    fn serve_callers(&self, listener: TcpListener, limits: http::Limits) {
+        let state = self.state.clone();
+        let handler = move |req, peer| call::handle(state.clone(), req, peer);
+        let serve = http::serve(listener, limits, self.callers.clone(), handler);
+        self.spawn_listener("callers", serve);
+    }
+
+    fn serve_admin(&self, listener: TcpListener) {
+        let state = self.state.clone();
+        let handler = move |req, peer| admin::handle(state.clone(), req, peer);
+        let serve = http::serve(listener, http::Limits::default(), self.admin.clone(), handler);
+        self.spawn_listener("admin", serve);
+    }
+
+    fn spawn_listener(
+        &self,
+        name: &'static str,
+        serve: impl Future<Output = io::Result<()>> + 'static,
+    ) {
+        let state = self.state.clone();
+        compio::runtime::spawn(async move {
+            if let Err(err) = serve.await {
+                state.events.emit(
+                    event::Id::ListenerFailed,
+                    &[("listener", &name), ("reason", &err)],
+                );
+            }
+        })
+        .detach();
+    }
+}
+
+async fn bind(address: net::SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|source| StartError::Bind { address, source })
+}
--- /dev/null
+++ b/wagtailshunt/src/gateway/refusal.rs
@@ -0,0 +1,78 @@
+//! Answers that the gateway makes itself.
+
+use std::borrow;
+
+use hyper::{Response, header};
+use wagtailshunt_core::{admission, outcome};
+
+use crate::http;
+
+/// Seconds after which a refused caller may try again.
+const RETRY_AFTER: header::HeaderValue = header::HeaderValue::from_static("1");
+
+/// Why the gateway answers a call itself, and what it can say about the call.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    pub reason: outcome::Reason,
+    pub outcome: outcome::Outcome,
+    pub detail: borrow::Cow<'static, str>,
+}
+
+impl Refusal {
+    /// The call was not dispatched.
+    pub fn not_run(reason: outcome::Reason) -> Self {
+        Refusal { reason, outcome: outcome::Outcome::NotRun, detail: borrow::Cow::Borrowed("") }
+    }
+
+    /// The call may have run.
+    pub fn unknown(reason: outcome::Reason) -> Self {
+        Refusal { outcome: outcome::Outcome::Unknown, ..Refusal::not_run(reason) }
+    }
+
+    /// Adds what happened in this case.
+    pub fn detail(self, detail: impl Into<borrow::Cow<'static, str>>) -> Self {
+        Refusal { detail: detail.into(), ..self }
+    }
+
+    /// Combines the outcome with what is known about earlier attempts.
+    pub fn with_earlier(self, earlier: outcome::Earlier) -> Self {
+        Refusal { outcome: self.outcome.with_earlier(earlier), ..self }
+    }
+
+    /// Builds the answer.
+    pub fn answer(&self) -> Response<http::Body> {
+        let problem = http::Problem {
+            kind: self.reason.type_uri(),
+            title: self.reason.title(),
+            status: self.reason.status(),
+            detail: &self.detail,
+        };
+        let mut answer = problem.answer(Some(outcome_text(self.outcome)));
+        if self.reason.status() == 503 {
+            answer.headers_mut().insert(header::RETRY_AFTER, RETRY_AFTER);
+        }
+        answer
+    }
+}
+
+impl From<admission::Reason> for Refusal {
+    fn from(reason: admission::Reason) -> Self {
+        let mapped = match reason {
+            admission::Reason::UnknownService => outcome::Reason::NoService,
+            admission::Reason::Deadline => outcome::Reason::DeadlineUnreachable,
+            admission::Reason::QueueFull | admission::Reason::Displaced => {
+                outcome::Reason::Overloaded
+            }
+        };
+        Refusal::not_run(mapped).detail(reason.to_string())
+    }
+}
+
+/// Returns the value of the `Wagtailshunt-Outcome` header.
+pub fn outcome_text(outcome: outcome::Outcome) -> &'static str {
+    match outcome {
+        outcome::Outcome::NotRun => "not-run",
+        outcome::Outcome::Unknown => "unknown",
+        outcome::Outcome::Completed => "completed",
+    }
+}
--- /dev/null
+++ b/wagtailshunt/src/gateway/state.rs
@@ -0,0 +1,320 @@
+//! State of a gateway, shared by its tasks. No borrow is held across an await.
+
+use std::{cell, collections, rc, time};
+
+use futures_channel::oneshot;
+use wagtailshunt_core::{admission, directory, event, lease, records, time as core_time, types};
+
+use crate::{
+    clock, events,
+    gateway::{control_link, metrics, service},
+    settings,
+};
+
+/// Interval of the timer that looks after queues, vouching and pools.
+const TIMER_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// Everything that one gateway process knows.
+pub struct State {
+    pub cfg: settings::Gateway,
+    pub clock: clock::Clock,
+    pub events: events::EventLog,
+    pub incarnation: types::Incarnation,
+    pub metrics: metrics::Metrics,
+    pub links: control_link::Links,
+    inner: cell::RefCell<Inner>,
+}
+
+pub struct Inner {
+    pub table: records::Table,
+    pub view: directory::View,
+    pub vouched: directory::Vouched,
+    pub holder: lease::Holder,
+    pub services: collections::BTreeMap<types::ServiceName, rc::Rc<service::Service>>,
+    pub admission: admission::Admission,
+    pub draining: bool,
+    serving: bool,
+    next_call: u64,
+    queued: collections::BTreeMap<admission::CallId, oneshot::Sender<Admitted>>,
+}
+
+/// End of the wait of a queued call.
+pub type Admitted = Result<(), admission::Reason>;
+
+impl State {
+    /// Creates the state of a process without a lease.
+    pub fn new(
+        cfg: settings::Gateway,
+        clock: clock::Clock,
+        events: events::EventLog,
+        incarnation: types::Incarnation,
+    ) -> Self {
+        let inner = Inner {
+            table: records::Table::default(),
+            view: directory::View::default(),
+            vouched: directory::Vouched::new(directory::Config::default()),
+            holder: lease::Holder::new(lease::Config::default(), cfg.vm, incarnation),
+            services: collections::BTreeMap::new(),
+            admission: admission::Admission::new(admission::Config::default()),
+            draining: false,
+            serving: false,
+            next_call: 0,
+            queued: collections::BTreeMap::new(),
+        };
+        State {
+            links: control_link::Links::default(),
+            metrics: metrics::Metrics::new(),
+            cfg,
+            clock,
+            events,
+            incarnation,
+            inner: cell::RefCell::new(inner),
+        }
+    }
+
+    /// Returns the monotonic time.
+    pub fn now(&self) -> core_time::Instant {
+        self.clock.now()
+    }
+
+    /// Runs `f` on the mutable state.
+    pub fn with<R>(&self, f: impl FnOnce(&mut Inner) -> R) -> R {
+        f(&mut self.inner.borrow_mut())
+    }
+
+    /// Returns whether new calls are served: a lease is held.
+    pub fn is_serving(&self) -> bool {
+        let now = self.now();
+        self.with(|inner| inner.holder.serving(now))
+    }
+
+    /// Returns whether the platform's balancer should send calls here.
+    pub fn is_ready(&self) -> bool {
+        let now = self.now();
+        self.with(|inner| inner.holder.serving(now) && !inner.is_draining(self.cfg.vm))
+    }
+
+    /// Makes readiness fail before a planned stop.
+    pub fn start_draining(&self) {
+        self.with(|inner| inner.draining = true);
+    }
+
+    /// Gives up the lease and tells the leader.
+    pub async fn release_lease(&self) {
+        control_link::release(self).await;
+    }
+
+    /// Closes the connections to control VMs.
+    pub fn stop_links(&self) {
+        self.links.stop();
+    }
+
+    /// Returns a new id of a call; with VM and incarnation it is unique across gateways.
+    pub fn next_call(&self) -> u64 {
+        self.with(|inner| {
+            inner.next_call += 1;
+            inner.next_call
+        })
+    }
+
+    /// Applies record changes to everything that depends on them.
+    pub fn apply_records(&self, changes: &wagtailshunt_core::registry::Changes) {
+        let now = self.now();
+        let result = self.with(|inner| {
+            let applied = inner.table.apply(changes)?;
+            let revision = inner.table.revision();
+            for key in applied.changed.iter().chain(&applied.removed) {
+                inner.refresh_service(now, &self.cfg, key);
+            }
+            Ok::<_, records::ApplyError>((applied, revision))
+        });
+        match result {
+            Ok((applied, revision)) => {
+                for key in applied.changed.iter().chain(&applied.removed) {
+                    self.events.emit(
+                        event::Id::RecordApplied,
+                        &[("record", key), ("revision", &revision)],
+                    );
+                }
+            }
+            Err(err) => log::debug!("record changes not applied: {err}"),
+        }
+        self.pump_admission();
+    }
+
+    /// Applies directory changes to the balancers.
+    pub fn apply_directory(&self, delta: &directory::Delta) {
+        let now = self.now();
+        let changes = self.with(|inner| {
+            let changes = inner.view.apply(delta);
+            inner.apply_targets(now, &changes);
+            changes
+        });
+        for change in &changes {
+            self.emit_target(change);
+        }
+        self.pump_admission();
+    }
+
+    fn emit_target(&self, change: &directory::TargetChange) {
+        match change {
+            directory::TargetChange::Upsert(target) => self.events.emit(
+                event::Id::TargetChanged,
+                &[
+                    ("target", &target.key),
+                    ("state", &target.state),
+                    ("incarnation", &target.incarnation),
+                ],
+            ),
+            directory::TargetChange::Remove(key) => {
+                self.events.emit(event::Id::TargetLeft, &[("target", key)]);
+            }
+        }
+    }
+
+    /// Notes a change of the lease in the event log.
+    pub fn check_lease(&self) {
+        let now = self.now();
+        let (before, after) = self.with(|inner| {
+            let serving = inner.holder.serving(now);
+            (std::mem::replace(&mut inner.serving, serving), serving)
+        });
+        if before != after {
+            let id = if after { event::Id::LeaseGranted } else { event::Id::LeaseLost };
+            self.events.emit(id, &[]);
+            self.metrics.serving.set(i64::from(after));
+        }
+    }
+
+    /// Registers the wait of a queued call.
+    pub fn wait_for_admission(&self, id: admission::CallId) -> oneshot::Receiver<Admitted> {
+        let (tx, rx) = oneshot::channel();
+        self.with(|inner| inner.queued.insert(id, tx));
+        rx
+    }
+
+    /// Ends an admitted call or withdraws a queued one.
+    pub fn leave_admission(&self, id: admission::CallId, ok: bool) {
+        let now = self.now();
+        self.with(|inner| {
+            if inner.queued.remove(&id).is_some() {
+                inner.admission.cancel(id);
+            }
+            inner.admission.finished(now, id, ok);
+        });
+        self.pump_admission();
+    }
+
+    /// Wakes queued calls whose fate is decided.
+    pub fn pump_admission(&self) {
+        loop {
+            let next = self.with(|inner| {
+                let output = inner.admission.poll_output()?;
+                let (id, admitted) = match output {
+                    admission::Output::Run(id) => (id, Ok(())),
+                    admission::Output::Refuse(id, reason) => (id, Err(reason)),
+                };
+                Some((id, inner.queued.remove(&id), admitted))
+            });
+            let Some((id, waiter, admitted)) = next else {
+                return;
+            };
+            let ran = admitted.is_ok();
+            let delivered = waiter.is_some_and(|tx| tx.send(admitted).is_ok());
+            if ran && !delivered {
+                // The caller left while it was queued; its place goes to the next call.
+                let now = self.now();
+                self.with(|inner| inner.admission.finished(now, id, false));
+            }
+        }
+    }
+
+    fn tick(&self) {
+        let now = self.now();
+        let changes = self.with(|inner| {
+            inner.admission.tick(now);
+            inner.refresh_capacity(now);
+            for service in inner.services.values() {
+                service.expire_pools(now);
+            }
+            inner.vouched.expire(now)
+        });
+        for change in changes {
+            control_link::send_change(self, &change);
+        }
+        self.check_lease();
+        self.pump_admission();
+    }
+}
+
+impl Inner {
+    /// Returns whether a planned stop or a record drains this VM.
+    pub fn is_draining(&self, vm: types::VmId) -> bool {
+        self.draining || self.table.drains_vm(vm)
+    }
+
+    fn refresh_service(
+        &mut self,
+        now: core_time::Instant,
+        cfg: &settings::Gateway,
+        key: &records::Key,
+    ) {
+        if key.kind != records::Kind::Service {
+            return;
+        }
+        let name = types::ServiceName(key.name.clone());
+        let Some(spec) = self.table.service(&name).cloned() else {
+            self.services.remove(&name);
+            self.admission.remove_service(&name);
+            self.view.drain_by_record(&name, &[]);
+            return;
+        };
+        self.admission.set_service(now, &name, service::admission_config(&spec));
+        self.view.drain_by_record(&name, &spec.drain);
+        match self.services.get(&name) {
+            Some(service) => service.set_spec(spec),
+            None => {
+                let service = rc::Rc::new(service::Service::new(name.clone(), spec, cfg));
+                self.services.insert(name.clone(), service);
+            }
+        }
+        let targets: Vec<_> =
+            self.view.targets(&name).map(directory::TargetChange::Upsert).collect();
+        self.apply_targets(now, &targets);
+    }
+
+    fn apply_targets(&mut self, now: core_time::Instant, changes: &[directory::TargetChange]) {
+        for change in changes {
+            let key = match change {
+                directory::TargetChange::Upsert(target) => &target.key,
+                directory::TargetChange::Remove(key) => key,
+            };
+            if let Some(service) = self.services.get(&key.service) {
+                service.apply(now, change);
+            }
+        }
+        self.refresh_capacity(now);
+    }
+
+    /// Passes the balancers' estimate of what the targets take on to admission.
+    fn refresh_capacity(&mut self, now: core_time::Instant) {
+        for (name, service) in &self.services {
+            if let Some(capacity) = service.capacity(now) {
+                self.admission.set_capacity(now, name, capacity);
+            }
+        }
+    }
+}
+
+/// Starts the task that looks after everything bound to time.
+pub fn start_timer(state: &rc::Rc<State>) {
+    let weak = rc::Rc::downgrade(state);
+    compio::runtime::spawn(async move {
+        while let Some(state) = weak.upgrade() {
+            state.tick();
+            drop(state);
+            compio::time::sleep(TIMER_INTERVAL).await;
+        }
+    })
+    .detach();
+}
--- a/wagtailshunt/src/lib.rs
+++ b/wagtailshunt/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod events;
 pub mod gateway;
 pub mod http;
+pub mod metrics;
 pub mod settings;
 pub mod transport;
--- /dev/null
+++ b/wagtailshunt/src/metrics/mod.rs
@@ -0,0 +1,39 @@
+//! Metrics shared by the daemons (Prometheus text format).
+
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Returns the text exposition format of a registry.
+pub fn encode(registry: &Registry) -> Vec<u8> {
+    let mut buf = Vec::new();
+    if let Err(err) = TextEncoder::new().encode(&registry.gather(), &mut buf) {
+        log::warn!("metrics cannot be encoded: {err}");
+    }
+    buf
+}
+
+/// Registers a counter.
+pub fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::with_opts(Opts::new(name, help)).expect("constant name is valid");
+    register(registry, Box::new(counter.clone()));
+    counter
+}
+
+/// Registers a gauge.
+pub fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::with_opts(Opts::new(name, help)).expect("constant name is valid");
+    register(registry, Box::new(gauge.clone()));
+    gauge
+}
+
+/// Registers counters that differ in one label.
+pub fn vec(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
+    let vec = IntCounterVec::new(Opts::new(name, help), &[label]).expect("constant name is valid");
+    register(registry, Box::new(vec.clone()));
+    vec
+}
+
+fn register(registry: &Registry, collector: Box<dyn prometheus::core::Collector>) {
+    if let Err(err) = registry.register(collector) {
+        log::warn!("metric cannot be registered: {err}");
+    }
+}
--- a/wagtailshunt/src/settings/gateway.rs
+++ b/wagtailshunt/src/settings/gateway.rs
@@ -35,6 +35,9 @@
     pub keys: settings::Keys,
     /// Limit of a planned stop in milliseconds; calls still in flight then are cut off.
     pub drain_limit_ms: u64,
+    /// Time in milliseconds between failing readiness and refusing connections in a planned stop:
+    /// the platform's balancer needs it to look away.
+    pub readiness_lead_ms: u64,
     /// Connections of callers open at once.
     pub max_connections: usize,
     /// Largest header section of a request in bytes.
@@ -54,6 +57,7 @@
             control: collections::BTreeMap::new(),
             keys: settings::Keys::default(),
             drain_limit_ms: 30_000,
+            readiness_lead_ms: 2_000,
             max_connections: 4096,
             max_header_bytes: 16 * 1024,
             ledger_shards: 1,
