Add the on-disk format and recovery of replicated groups

A batch of log records is one frame that is synced before the next one is written, so only the last frame of the last segment can be torn. A valid frame after an unreadable one proves damage in the middle, which is reported with file and offset. The writer plans file operations as steps that real and fake disks carry out, so that both run the same order of write, sync and rename.

--- /dev/null
+++ b/core/src/storage/entry.rs
@@ -0,0 +1,148 @@
+//! Data that a replicated group keeps on disk.
+
+use std::collections;
+
+use bytes::Bytes;
+
+use crate::types;
+
+/// Voters and learners of a replicated group.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Membership {
+    /// VMs that vote and count towards a quorum.
+    pub voters: collections::BTreeSet<types::VmId>,
+    /// VMs that receive the log without a vote.
+    pub learners: collections::BTreeSet<types::VmId>,
+}
+
+impl Membership {
+    /// Returns a membership with the given voters and no learner.
+    pub fn of_voters(voters: impl IntoIterator<Item = types::VmId>) -> Membership {
+        Membership {
+            voters: voters.into_iter().collect(),
+            learners: collections::BTreeSet::new(),
+        }
+    }
+
+    /// Returns the number of voters that form a majority.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Returns whether `vm` receives the log, as voter or learner.
+    pub fn contains(&self, vm: types::VmId) -> bool {
+        self.voters.contains(&vm) || self.learners.contains(&vm)
+    }
+
+    /// Returns voters and learners in the order of their ids within each kind.
+    pub fn iter(&self) -> impl Iterator<Item = types::VmId> + '_ {
+        self.voters.iter().chain(&self.learners).copied()
+    }
+}
+
+/// What a log entry carries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Payload {
+    /// First entry of a leader's term; it lets the leader commit entries of earlier terms.
+    Noop,
+    /// Command for the state machine.
+    Command(Bytes),
+    /// Membership in force from this entry on.
+    Membership(Membership),
+}
+
+/// One entry of a replicated log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Position in the log.
+    pub index: types::LogIndex,
+    /// Term of the leader that created the entry.
+    pub term: types::Term,
+    /// Content.
+    pub payload: Payload,
+}
+
+/// Approximate size in bytes of an entry without its command, in memory and on the wire.
+const ENTRY_OVERHEAD_BYTES: usize = 32;
+
+impl Entry {
+    /// Returns the approximate encoded size in bytes, used to bound batches.
+    pub fn size(&self) -> usize {
+        let payload = match &self.payload {
+            Payload::Noop => 0,
+            Payload::Command(command) => command.len(),
+            Payload::Membership(members) => 8 * members.iter().count(),
+        };
+        ENTRY_OVERHEAD_BYTES + payload
+    }
+}
+
+/// Term and vote, which must survive a restart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HardState {
+    /// Latest term seen.
+    pub term: types::Term,
+    /// Candidate that received this node's vote in `term`.
+    pub voted_for: Option<types::VmId>,
+}
+
+/// State machine snapshot with the position that it covers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Last index covered.
+    pub index: types::LogIndex,
+    /// Term of the entry at `index`.
+    pub term: types::Term,
+    /// Membership in force at `index`.
+    pub membership: Membership,
+    /// Encoded state machine.
+    pub data: Bytes,
+}
+
+/// A change of the durable state. Ops of a batch are carried out in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Op {
+    /// Replaces term and vote.
+    HardState(HardState),
+    /// Appends entries; the first one follows the last entry of the log or of the snapshot.
+    Append {
+        /// Entries with consecutive indices.
+        entries: Vec<Entry>,
+    },
+    /// Removes the entries from `from` on.
+    Truncate {
+        /// First index to remove.
+        from: types::LogIndex,
+    },
+    /// Stores a snapshot; entries up to its index are no longer needed.
+    Snapshot(Snapshot),
+    /// Allows files to be deleted that hold only entries up to `through`.
+    Compact {
+        /// Last index that is no longer needed.
+        through: types::LogIndex,
+    },
+}
+
+/// Durable state of a group as read at start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Recovered {
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// Newest snapshot. At index 0 it carries the initial membership and no state.
+    pub snapshot: Snapshot,
+    /// Entries after the snapshot, with consecutive indices.
+    pub entries: Vec<Entry>,
+}
+
+impl Recovered {
+    /// Returns the state of a new group with the given initial membership.
+    pub fn bootstrap(membership: Membership) -> Recovered {
+        Recovered {
+            snapshot: Snapshot {
+                membership,
+                ..Snapshot::default()
+            },
+            ..Recovered::default()
+        }
+    }
+}
--- /dev/null
+++ b/core/src/storage/frame.rs
@@ -0,0 +1,86 @@
+//! Frames: `[length u32][crc32 u32][payload]`, little-endian.
+//!
+//! The checksum covers the length field and the payload, so that a run of zero bytes is never a
+//! valid frame. Every batch of log records is one frame, and a frame is synced before the next one
+//! is written. Therefore at most the last frame of the last segment can be torn.
+
+/// Size in bytes of the length and checksum before the payload.
+pub const FRAME_HEADER_BYTES: usize = 8;
+
+/// Largest payload in bytes; a longer length field is damage.
+pub const MAX_FRAME_BYTES: usize = 1 << 30;
+
+/// Why no frame could be read at an offset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Invalid {
+    /// The bytes end within the header or payload.
+    Incomplete,
+    /// The length field is zero or larger than [`MAX_FRAME_BYTES`].
+    Length,
+    /// The checksum differs.
+    Checksum,
+}
+
+impl Invalid {
+    pub(super) fn reason(self) -> &'static str {
+        match self {
+            Invalid::Incomplete => "frame is incomplete",
+            Invalid::Length => "frame length is out of range",
+            Invalid::Checksum => "frame checksum differs",
+        }
+    }
+}
+
+fn checksum(length: [u8; 4], payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&length);
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+/// Returns the frame of `payload`.
+///
+/// # Panics
+///
+/// Panics when the payload is empty or longer than [`MAX_FRAME_BYTES`].
+pub(super) fn encode(payload: &[u8]) -> Vec<u8> {
+    assert!(!payload.is_empty() && payload.len() <= MAX_FRAME_BYTES);
+    let length = (payload.len() as u32).to_le_bytes();
+    let mut frame = Vec::with_capacity(FRAME_HEADER_BYTES + payload.len());
+    frame.extend_from_slice(&length);
+    frame.extend_from_slice(&checksum(length, payload).to_le_bytes());
+    frame.extend_from_slice(payload);
+    frame
+}
+
+fn word(bytes: &[u8]) -> [u8; 4] {
+    [bytes[0], bytes[1], bytes[2], bytes[3]]
+}
+
+/// Returns the payload of the frame at the start of `bytes`.
+pub(super) fn decode(bytes: &[u8]) -> Result<&[u8], Invalid> {
+    if bytes.len() < FRAME_HEADER_BYTES {
+        return Err(Invalid::Incomplete);
+    }
+    let length = word(bytes);
+    let size = u32::from_le_bytes(length) as usize;
+    if size == 0 || size > MAX_FRAME_BYTES {
+        return Err(Invalid::Length);
+    }
+    let expected = u32::from_le_bytes(word(&bytes[4..]));
+    let payload = bytes
+        .get(FRAME_HEADER_BYTES..FRAME_HEADER_BYTES + size)
+        .ok_or(Invalid::Incomplete)?;
+    if checksum(length, payload) != expected {
+        return Err(Invalid::Checksum);
+    }
+    Ok(payload)
+}
+
+/// Returns the offset of the first complete frame in `bytes` at or after `from`, at any byte.
+///
+/// A frame after an unreadable one proves that the unreadable one had been synced. A checksum of
+/// 32 bits makes a chance match improbable; it would stop the process rather than lose data.
+pub(super) fn find(bytes: &[u8], from: usize) -> Option<usize> {
+    (from..bytes.len()).find(|&offset| decode(&bytes[offset..]).is_ok())
+}
--- a/core/src/storage/mod.rs
+++ b/core/src/storage/mod.rs
@@ -1,1 +1,70 @@
 //! On-disk format of a replicated group: frames, segments, snapshots, recovery.
+//!
+//! This module works on byte slices only. [`Writer`] turns a batch of [`Op`]s into file
+//! operations ([`Step`]), and [`recover`] rebuilds the state of a group from the contents of its
+//! folder. The I/O layer, or a fake disk in tests, carries the steps out.
+
+mod codec;
+mod entry;
+mod frame;
+mod recovery;
+mod writer;
+
+pub use entry::{Entry, HardState, Membership, Op, Payload, Recovered, Snapshot};
+pub use frame::{FRAME_HEADER_BYTES, MAX_FRAME_BYTES};
+pub use recovery::{Opened, recover};
+pub use writer::{DEFAULT_SEGMENT_BYTES, Step, Writer};
+
+use crate::types;
+
+/// Extension of a snapshot that is still being written.
+const TEMPORARY_SUFFIX: &str = ".tmp";
+
+/// Errors of encoding and recovery.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// A frame that was written and synced can no longer be read.
+    #[error("{file}: damaged at offset {offset}: {reason}")]
+    Damaged {
+        /// Name of the file within the folder of the group.
+        file: String,
+        /// Offset in bytes of the first frame that cannot be used.
+        offset: u64,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// Entries between the snapshot and the log, or within the log, are missing.
+    #[error("{file}: entries {from} to {to} are missing before offset {offset}")]
+    Missing {
+        /// Name of the file in which the gap was noticed.
+        file: String,
+        /// Offset in bytes of the frame after the gap.
+        offset: u64,
+        /// First missing index.
+        from: types::LogIndex,
+        /// Last missing index.
+        to: types::LogIndex,
+    },
+}
+
+/// Returns the name of the segment whose first entry has index `first`.
+fn segment_name(first: types::LogIndex) -> String {
+    format!("log-{:020}.wal", first.0)
+}
+
+/// Returns the name of the snapshot up to `index`.
+fn snapshot_name(index: types::LogIndex) -> String {
+    format!("snapshot-{:020}.snap", index.0)
+}
+
+/// Returns the first index of the segment called `name`, or `None` for any other file.
+fn parse_segment_name(name: &str) -> Option<types::LogIndex> {
+    let digits = name.strip_prefix("log-")?.strip_suffix(".wal")?;
+    digits.parse().ok().map(types::LogIndex)
+}
+
+/// Returns the index of the snapshot called `name`, or `None` for any other file.
+fn parse_snapshot_name(name: &str) -> Option<types::LogIndex> {
+    let digits = name.strip_prefix("snapshot-")?.strip_suffix(".snap")?;
+    digits.parse().ok().map(types::LogIndex)
+}
