--- a/wagtailshunt/src/control/frames.rs
+++ b/wagtailshunt/src/control/frames.rs
@@ -5,7 +5,7 @@
 use wagtailshunt_core::{ledger, types};
 use wagtailshunt_wire::{
     self as wire,
-    generated::{envelope, envelope::envelope::Body, replication as proto},
+    generated::{envelope, envelope::envelope::Body, ledger as ledger_proto, replication as proto},
 };
 
 use crate::{
@@ -19,7 +19,11 @@
 }
 
 /// Handles a frame.
-pub fn received(state: &rc::Rc<state::State>, peer: &transport::Peer, envelope: envelope::Envelope) {
+pub fn received(
+    state: &rc::Rc<state::State>,
+    peer: &transport::Peer,
+    envelope: envelope::Envelope,
+) {
     if state.stopped() {
         return;
     }
@@ -32,11 +36,12 @@
                 Err(err) => log::warn!("membership message of VM {} rejected: {err}", peer.vm),
             }
         }
-        Some(Body::Ledger(msg)) => match wire::ledger::decode_request(msg) {
-            Ok(message) => ledger(state, peer, request, message),
+        Some(Body::Ledger(msg)) => match ledger_request(msg) {
+            Ok(Some(message)) => ledger(state, peer, request, message),
+            Ok(None) => {}
             Err(err) => log::warn!("ledger request of VM {} rejected: {err}", peer.vm),
         },
-        Some(Body::Containment(msg)) => match wire::containment::decode(msg) {
+        Some(Body::Containment(msg)) => match wire::containment::Message::try_from(msg) {
             Ok(message) => leader::containment(state, peer, message),
             Err(err) => log::warn!("containment message of VM {} rejected: {err}", peer.vm),
         },
@@ -44,11 +49,7 @@
     }
 }
 
-fn step(
-    state: &rc::Rc<state::State>,
-    peer: &transport::Peer,
-    msg: proto::ReplicationMessage,
-) {
+fn step(state: &rc::Rc<state::State>, peer: &transport::Peer, msg: proto::ReplicationMessage) {
     let (id, msg) = match wire::replication::decode(msg) {
         Ok(decoded) => decoded,
         Err(err) => {
@@ -67,12 +68,25 @@
 
 /// Tells a gateway where the leader of a group is.
 pub fn redirect(state: &state::State, to: types::VmId, request: u64, group: types::GroupId) {
-    let leader = state.leader_of(group).filter(|leader| *leader != state.cfg.vm);
-    let redirect =
-        envelope::Redirect { group: group.0, leader: leader.map_or(0, |leader| leader.0) };
+    let leader = state
+        .leader_of(group)
+        .filter(|leader| *leader != state.cfg.vm);
+    let redirect = envelope::Redirect {
+        group: group.0,
+        leader: leader.map_or(0, |leader| leader.0),
+    };
     state.links.send(to, request, Body::Redirect(redirect));
 }
 
+fn ledger_request(
+    msg: ledger_proto::LedgerMessage,
+) -> Result<Option<ledger::Request>, wire::ledger::Error> {
+    match msg.body {
+        Some(ledger_proto::ledger_message::Body::Request(request)) => request.try_into().map(Some),
+        _ => Ok(None),
+    }
+}
+
 /// Passes a gateway's request to the shard of its key.
 fn ledger(
     state: &rc::Rc<state::State>,
@@ -87,11 +101,20 @@
     state.metrics.ledger_requests.inc();
     state.with(|inner| {
         let token = inner.token();
-        inner.requests.insert(token, state::Requester { vm: peer.vm, request, group: id });
+        let requester = state::Requester {
+            vm: peer.vm,
+            request,
+            group: id,
+            key: message.key(),
+            holder: message.holder(),
+        };
+        inner.requests.insert(token, requester);
         let Some(shard) = inner.groups.get_mut(&id).and_then(group::Group::shard_mut) else {
             return;
         };
-        shard.service.request(now, wall, token, message, &shard.ledger);
+        shard
+            .service
+            .request(now, wall, token, message, &shard.ledger);
     });
     group::pump(state, id);
 }
@@ -99,14 +122,28 @@
 /// Answers a gateway's request to the ledger.
 pub fn answer(state: &state::State, token: u64, reply: &ledger::ServiceReply) {
     let requester = state.with(|inner| inner.requests.remove(&token));
-    let Some(state::Requester { vm, request, group }) = requester else {
+    let Some(state::Requester {
+        vm,
+        request,
+        group,
+        key,
+        holder,
+    }) = requester
+    else {
         return;
     };
-    match reply {
-        ledger::ServiceReply::NotLeader => redirect(state, vm, request, group),
-        reply => {
-            let body = Body::Ledger(wire::ledger::encode_reply(reply));
-            state.links.send(vm, request, body);
-        }
+    if *reply == ledger::ServiceReply::NotLeader {
+        return redirect(state, vm, request, group);
     }
+    let answered = wire::ledger::Answered {
+        key,
+        holder,
+        reply: reply.clone(),
+    };
+    let body = ledger_proto::ledger_message::Body::Reply((&answered).into());
+    let msg = ledger_proto::LedgerMessage {
+        group: group.0,
+        body: Some(body),
+    };
+    state.links.send(vm, request, Body::Ledger(msg));
 }
--- a/wagtailshunt/src/control/group.rs
+++ b/wagtailshunt/src/control/group.rs
@@ -5,9 +5,7 @@
 use bytes::Bytes;
 use futures_channel::{mpsc, oneshot};
 use futures_util::{FutureExt, StreamExt, pin_mut, select_biased};
-use wagtailshunt_core::{
-    event, ledger, registry, replication, storage, time as core_time, types,
-};
+use wagtailshunt_core::{event, ledger, registry, replication, storage, time as core_time, types};
 use wagtailshunt_wire as wire;
 
 use crate::{
@@ -18,6 +16,9 @@
 /// Longest pause of the timer task.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(200);
 
+/// Pause before a batch is tried again on a full disk.
+const DISK_FULL_PAUSE: time::Duration = time::Duration::from_millis(500);
+
 /// A snapshot is taken when this many entries have been applied since the last one.
 const SNAPSHOT_ENTRIES: u64 = 8192;
 
@@ -29,7 +30,7 @@
     pub node: replication::Node,
     pub machine: machine::Machine,
     pub applied: types::LogIndex,
-    disk: Option<disk::Group>,
+    disk: Option<disk::Store<disk::Folder>>,
     persist: mpsc::UnboundedSender<Batch>,
     persist_rx: Option<mpsc::UnboundedReceiver<Batch>>,
     waiters: collections::BTreeMap<types::LogIndex, oneshot::Sender<registry::Reply>>,
@@ -53,16 +54,14 @@
     /// Recovers a group from the data folder, or starts an empty one.
     pub fn open(
         cfg: &settings::Control,
+        folder: &disk::DataFolder,
         events: &events::EventLog,
         now: core_time::Instant,
         id: types::GroupId,
     ) -> Result<Group, StartError> {
-        let (disk, recovered) = disk::Group::open(&cfg.data, id)?;
-        let fresh = recovered.is_none();
-        let recovered = recovered.unwrap_or_else(|| {
-            let voters = cfg.bootstrap.iter().copied();
-            storage::Recovered::bootstrap(storage::Membership::of_voters(voters))
-        });
+        let initial = storage::Membership::of_voters(cfg.bootstrap.iter().copied());
+        let initial = cfg.bootstrap.contains(&cfg.vm).then_some(&initial);
+        let (disk, recovered) = folder.group(id, initial)?;
         let entries = recovered.entries.len();
         let timing = &cfg.timing;
         let node_cfg = replication::Config {
@@ -84,7 +83,12 @@
         }
         events.emit(
             event::Id::StorageRecovered,
-            &[("group", &id), ("snapshot", &applied), ("entries", &entries), ("new", &fresh)],
+            &[
+                ("group", &id),
+                ("snapshot", &applied),
+                ("entries", &entries),
+                ("cut", &disk.torn_bytes()),
+            ],
         );
         let (persist, persist_rx) = mpsc::unbounded();
         Ok(Group {
@@ -139,40 +143,63 @@
 async fn run_disk(
     state: rc::Rc<state::State>,
     id: types::GroupId,
-    mut disk: disk::Group,
+    mut disk: disk::Store<disk::Folder>,
     mut rx: mpsc::UnboundedReceiver<Batch>,
 ) {
     while let Some((ticket, ops)) = rx.next().await {
-        let result = disk.persist(ops).await;
-        if state.stopped() {
-            return;
-        }
-        match result {
-            Ok(()) => persisted(&state, id, ticket, false),
-            Err(err) if err.is_full() => {
-                state.events.emit(event::Id::StorageFailed, &[("group", &id), ("reason", &err)]);
-                persisted(&state, id, ticket, true);
+        let mut result = disk::execute(disk, ops).await;
+        let mut was_full = false;
+        disk = loop {
+            if state.stopped() {
+                return;
             }
-            Err(err) => {
+            match result {
+                Ok((disk, Ok(()))) => break disk,
+                Ok((disk, Err(err @ disk::Error::Full { .. }))) => {
+                    if !was_full {
+                        storage_failed(&state, id, &err);
+                    }
+                    was_full = true;
+                    disk_full(&state, id, true);
+                    compio::time::sleep(DISK_FULL_PAUSE).await;
+                    result = disk::retry(disk).await;
+                }
                 // After a failed sync the pages may be lost although a later sync succeeds, so the
                 // process ends and recovers from what the disk really holds.
-                state.events.emit(event::Id::StorageFailed, &[("group", &id), ("reason", &err)]);
-                log::error!("storage of group {id} failed: {err}; stopping");
-                state.stop();
-                return;
+                Ok((_, Err(err))) | Err(err) => {
+                    storage_failed(&state, id, &err);
+                    state.stop();
+                    return;
+                }
             }
+        };
+        if was_full {
+            disk_full(&state, id, false);
         }
+        let now = state.clock.now();
+        with_node(&state, id, |node| node.persisted(now, ticket));
     }
 }
 
-fn persisted(state: &rc::Rc<state::State>, id: types::GroupId, ticket: u64, full: bool) {
+fn storage_failed(state: &state::State, id: types::GroupId, err: &disk::Error) {
+    state
+        .events
+        .emit(event::Id::StorageFailed, &[("group", &id), ("reason", err)]);
+}
+
+fn disk_full(state: &rc::Rc<state::State>, id: types::GroupId, full: bool) {
     let now = state.clock.now();
+    with_node(state, id, |node| node.disk_full(now, full));
+}
+
+fn with_node(
+    state: &rc::Rc<state::State>,
+    id: types::GroupId,
+    f: impl FnOnce(&mut replication::Node),
+) {
     state.with(|inner| {
         if let Some(group) = inner.groups.get_mut(&id) {
-            group.node.disk_full(now, full);
-            if !full {
-                group.node.persisted(now, ticket);
-            }
+            f(&mut group.node);
         }
     });
     pump(state, id);
@@ -258,7 +285,7 @@
 fn run(state: &rc::Rc<state::State>, id: types::GroupId, output: replication::Output) {
     match output {
         replication::Output::Send { to, msg } => {
-            let body = wire::replication::encode(id, &msg);
+            let body = wire::replication::encode(id, msg);
             state.links.send(to, 0, frames::replication(body));
         }
         replication::Output::Persist { ticket, ops } => state.with(|inner| {
@@ -307,7 +334,10 @@
     match applied {
         None => {}
         Some(Err(reason)) => {
-            state.events.emit(event::Id::StorageFailed, &[("group", &id), ("reason", &reason)]);
+            state.events.emit(
+                event::Id::StorageFailed,
+                &[("group", &id), ("reason", &reason)],
+            );
             log::error!("group {id}: command {index} cannot be applied: {reason}; stopping");
             state.stop();
         }
@@ -321,7 +351,9 @@
         }
         Some(Ok(machine::Applied::Ledger { command, reply })) => state.with(|inner| {
             if let Some(shard) = inner.groups.get_mut(&id).and_then(Group::shard_mut) {
-                shard.service.applied(now, wall, index, &command, reply, &shard.ledger);
+                shard
+                    .service
+                    .applied(now, wall, index, &command, reply, &shard.ledger);
             }
         }),
     }
@@ -349,12 +381,7 @@
     }
 }
 
-fn restore(
-    state: &rc::Rc<state::State>,
-    id: types::GroupId,
-    index: types::LogIndex,
-    data: &Bytes,
-) {
+fn restore(state: &rc::Rc<state::State>, id: types::GroupId, index: types::LogIndex, data: &Bytes) {
     let result = state.with(|inner| {
         let group = inner.groups.get_mut(&id)?;
         group.applied = index;
@@ -366,12 +393,16 @@
     });
     match result {
         Some(Err(reason)) => {
-            state.events.emit(event::Id::StorageFailed, &[("group", &id), ("reason", &reason)]);
+            state.events.emit(
+                event::Id::StorageFailed,
+                &[("group", &id), ("reason", &reason)],
+            );
             state.stop();
         }
-        _ => state
-            .events
-            .emit(event::Id::SnapshotInstalled, &[("group", &id), ("index", &index)]),
+        _ => state.events.emit(
+            event::Id::SnapshotInstalled,
+            &[("group", &id), ("index", &index)],
+        ),
     }
 }
 
@@ -384,10 +415,17 @@
     let leading = role == replication::Role::Leader;
     let now = state.clock.now();
     let wall = state.clock.wall();
-    let leader = state.leader_of(id).map_or("none".to_owned(), |vm| vm.to_string());
+    let leader = state
+        .leader_of(id)
+        .map_or("none".to_owned(), |vm| vm.to_string());
     state.events.emit(
         event::Id::RoleChanged,
-        &[("group", &id), ("role", &role), ("term", &term), ("leader", &leader)],
+        &[
+            ("group", &id),
+            ("role", &role),
+            ("term", &term),
+            ("leader", &leader),
+        ],
     );
     let was_leading = state.with(|inner| {
         let Some(group) = inner.groups.get_mut(&id) else {
@@ -454,7 +492,9 @@
         let Some(group) = inner.groups.get_mut(&group) else {
             return Err(replication::ProposeError::Busy);
         };
-        let index = group.node.propose(now, wire::records::encode_command(command))?;
+        let index = group
+            .node
+            .propose(now, wire::records::encode_command(command))?;
         group.waiters.insert(index, tx);
         Ok(())
     })?;
--- a/wagtailshunt/src/control/leader.rs
+++ b/wagtailshunt/src/control/leader.rs
@@ -39,7 +39,10 @@
 /// Returns the lease settings of a cluster.
 pub fn lease_config(timing: &settings::Timing) -> lease::Config {
     let length = time::Duration::from_millis(timing.lease_ms);
-    lease::Config { length, ..lease::Config::default() }
+    lease::Config {
+        length,
+        ..lease::Config::default()
+    }
 }
 
 impl Leader {
@@ -57,12 +60,7 @@
         let revision = registry.revision();
         Leader {
             grantor: lease::Grantor::new(cfg, now, revision, gateways.iter().copied()),
-            directory: directory::Directory::new(
-                directory::Config::default(),
-                term,
-                now,
-                gateways,
-            ),
+            directory: directory::Directory::new(directory::Config::default(), term, now, gateways),
             containment: containment::Leader::new(containment::LeaderConfig::default(), now),
             gateways: collections::BTreeMap::new(),
             waiters: Vec::new(),
@@ -116,7 +114,10 @@
     let schemas = records::SCHEMAS.to_vec();
     let registered = state.with(|inner| {
         let registry = inner.groups.get(&REGISTRY)?.registry()?;
-        registry.vms().find(|vm| vm.id == state.cfg.vm).map(|vm| vm.schemas.clone())
+        registry
+            .vms()
+            .find(|vm| vm.id == state.cfg.vm)
+            .map(|vm| vm.schemas.clone())
     });
     if registered.as_ref() == Some(&schemas) {
         return;
@@ -148,13 +149,17 @@
         wire::membership::Message::Renewal(renewal) => renew(state, peer, request, &renewal),
         wire::membership::Message::Change(change) => {
             with_leader(state, |leader| {
-                leader.directory.vouch(now, peer.vm, peer.incarnation, &change);
+                leader
+                    .directory
+                    .vouch(now, peer.vm, peer.incarnation, &change);
             });
             push(state);
         }
         wire::membership::Message::List(list) => {
             with_leader(state, |leader| {
-                leader.directory.replace(now, peer.vm, peer.incarnation, &list);
+                leader
+                    .directory
+                    .replace(now, peer.vm, peer.incarnation, &list);
             });
             push(state);
         }
@@ -287,8 +292,10 @@
     }
     if matches!(message, wire::containment::Message::Rebuild(_)) {
         let list = with_leader(state, |leader| leader.containment.list(now)).unwrap_or_default();
-        let message = wire::containment::Message::List(list);
-        state.links.send(peer.vm, 0, Body::Containment(wire::containment::encode(&message)));
+        let message = wire::containment::Message::Records(list);
+        state
+            .links
+            .send(peer.vm, 0, Body::Containment((&message).into()));
     }
     pump_containment(state);
 }
@@ -297,19 +304,29 @@
     while let Some(output) = with_leader(state, |leader| leader.containment.poll_output()).flatten()
     {
         match output {
-            containment::LeaderOutput::Reply { vm, call, reply } => {
-                let message = wire::containment::Message::Reply { call, reply };
-                let body = Body::Containment(wire::containment::encode(&message));
+            containment::LeaderOutput::Reply {
+                vm,
+                call,
+                fingerprint,
+                reply,
+            } => {
+                let permit = wire::containment::Permit {
+                    call,
+                    fingerprint,
+                    reply,
+                };
+                let message = wire::containment::Message::Permit(permit);
+                let body = Body::Containment((&message).into());
                 state.links.send(vm, 0, body);
             }
-            containment::LeaderOutput::Notice(notice) => {
+            containment::LeaderOutput::Publish(notice) => {
                 note(state, &notice);
                 let message = wire::containment::Message::Notice(notice);
                 let gateways: Vec<types::VmId> =
                     with_leader(state, |leader| leader.gateways.keys().copied().collect())
                         .unwrap_or_default();
                 for vm in gateways {
-                    let body = Body::Containment(wire::containment::encode(&message));
+                    let body = Body::Containment((&message).into());
                     state.links.send(vm, 0, body);
                 }
             }
@@ -334,7 +351,9 @@
             );
         }
         containment::Notice::Cleared(fingerprint) => {
-            state.events.emit(event::Id::BlockLifted, &[("fingerprint", fingerprint)]);
+            state
+                .events
+                .emit(event::Id::BlockLifted, &[("fingerprint", fingerprint)]);
         }
     }
 }
@@ -350,7 +369,9 @@
         return;
     }
     state.metrics.accepted.inc();
-    state.events.emit(event::Id::RecordAccepted, &[("revision", revision)]);
+    state
+        .events
+        .emit(event::Id::RecordAccepted, &[("revision", revision)]);
     lift_blocks(state);
     push(state);
     check_in_force(state);
@@ -362,7 +383,9 @@
         let Some(registry) = inner.groups.get(&REGISTRY).and_then(group::Group::registry) else {
             return Vec::new();
         };
-        let texts = registry.list().filter_map(|(_, version)| version.text.as_deref());
+        let texts = registry
+            .list()
+            .filter_map(|(_, version)| version.text.as_deref());
         let records = texts.filter_map(|text| records::parse(text).ok());
         records
             .filter_map(|record| record.service().map(|spec| spec.unblock.clone()))
@@ -413,7 +436,9 @@
 }
 
 fn send(state: &state::State, vm: types::VmId, request: u64, msg: &wire::membership::Message) {
-    state.links.send(vm, request, Body::Membership(msg.encode()));
+    state
+        .links
+        .send(vm, request, Body::Membership(msg.encode()));
 }
 
 /// Ends what has run out and reports changes that came into force.
@@ -450,7 +475,9 @@
         news.then_some(in_force)
     });
     if let Some(Some(revision)) = reported {
-        state.events.emit(event::Id::RecordInForce, &[("revision", &revision)]);
+        state
+            .events
+            .emit(event::Id::RecordInForce, &[("revision", &revision)]);
     }
 }
 
--- a/wagtailshunt/src/control/links.rs
+++ b/wagtailshunt/src/control/links.rs
@@ -24,12 +24,17 @@
     /// Sends a frame; it is lost when there is no open connection.
     pub fn send(&self, to: types::VmId, request: u64, body: Body) -> bool {
         let handles = self.handles.borrow();
-        handles.get(&to).is_some_and(|handle| handle.send(request, body))
+        handles
+            .get(&to)
+            .is_some_and(|handle| handle.send(request, body))
     }
 
     /// Returns whether a connection to the VM is open.
     pub fn is_open(&self, vm: types::VmId) -> bool {
-        self.handles.borrow().get(&vm).is_some_and(transport::Handle::is_open)
+        self.handles
+            .borrow()
+            .get(&vm)
+            .is_some_and(transport::Handle::is_open)
     }
 
     /// Closes all connections.
--- a/wagtailshunt/src/control/machine.rs
+++ b/wagtailshunt/src/control/machine.rs
@@ -24,7 +24,10 @@
 #[derive(Debug)]
 pub enum Applied {
     Registry(registry::Reply),
-    Ledger { command: ledger::Command, reply: ledger::Reply },
+    Ledger {
+        command: ledger::Command,
+        reply: ledger::Reply,
+    },
 }
 
 impl Machine {
@@ -43,8 +46,7 @@
     pub fn restore(&mut self, data: &[u8]) -> Result<(), String> {
         match self {
             Machine::Registry(registry) => {
-                **registry =
-                    registry::Registry::restore(data).map_err(|err| err.to_string())?;
+                **registry = registry::Registry::restore(data).map_err(|err| err.to_string())?;
             }
             Machine::Shard(shard) => {
                 shard.ledger = ledger::Ledger::restore(data).map_err(|err| err.to_string())?;
@@ -65,11 +67,11 @@
     ///
     /// A command that cannot be decoded was written by a newer version; to skip it would let this
     /// replica diverge, so it is an error.
-    pub fn apply(&mut self, index: types::LogIndex, command: &[u8]) -> Result<Applied, String> {
+    pub fn apply(&mut self, index: types::LogIndex, command: &Bytes) -> Result<Applied, String> {
         match self {
             Machine::Registry(registry) => {
-                let command =
-                    wire::records::decode_command(command).map_err(|err| err.to_string())?;
+                let command = wire::records::decode_command(command.clone())
+                    .map_err(|err| err.to_string())?;
                 Ok(Applied::Registry(registry.apply(index, &command)))
             }
             Machine::Shard(shard) => {
--- a/wagtailshunt/src/control/metrics.rs
+++ b/wagtailshunt/src/control/metrics.rs
@@ -24,8 +24,8 @@
 impl Metrics {
     /// Creates the metrics of one process.
     pub fn new() -> Self {
-        let registry = Registry::new_custom(Some("wagtailshunt_control".to_owned()), None)
-            .unwrap_or_default();
+        let registry =
+            Registry::new_custom(Some("wagtailshunt_control".to_owned()), None).unwrap_or_default();
         Metrics {
             accepted: metrics::counter(&registry, "accepted_total", "Records accepted as leader."),
             granted: metrics::counter(&registry, "granted_total", "Renewals that were granted."),
--- a/wagtailshunt/src/control/mod.rs
+++ b/wagtailshunt/src/control/mod.rs
@@ -85,7 +85,11 @@
         control.serve_admin(admin_listener);
         state.events.emit(
             event::Id::ProcessStarted,
-            &[("listen", &listen), ("admin", &admin_address), ("incarnation", &incarnation)],
+            &[
+                ("listen", &listen),
+                ("admin", &admin_address),
+                ("incarnation", &incarnation),
+            ],
         );
         Ok(control)
     }
@@ -116,12 +120,18 @@
     pub async fn stop(&self) -> bool {
         self.state.events.emit(event::Id::ProcessStopping, &[]);
         let limit = time::Duration::from_millis(self.state.cfg.drain_limit_ms);
-        let handed_over = compio::time::timeout(limit, group::hand_over(&self.state)).await.is_ok();
+        let handed_over = compio::time::timeout(limit, group::hand_over(&self.state))
+            .await
+            .is_ok();
         self.admin.start();
-        let drained = compio::time::timeout(limit, self.admin.drained()).await.is_ok();
+        let drained = compio::time::timeout(limit, self.admin.drained())
+            .await
+            .is_ok();
         self.abort();
         let done = handed_over && drained;
-        self.state.events.emit(event::Id::ProcessStopped, &[("drained", &done)]);
+        self.state
+            .events
+            .emit(event::Id::ProcessStopped, &[("drained", &done)]);
         done
     }
 
@@ -149,7 +159,12 @@
     fn serve_admin(&self, listener: TcpListener) {
         let state = self.state.clone();
         let handler = move |req, peer| operators::handle(state.clone(), req, peer);
-        let serve = http::serve(listener, http::Limits::default(), self.admin.clone(), handler);
+        let serve = http::serve(
+            listener,
+            http::Limits::default(),
+            self.admin.clone(),
+            handler,
+        );
         self.spawn_listener("admin", serve);
     }
 
@@ -172,5 +187,7 @@
 }
 
 async fn bind(address: net::SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|source| StartError::Bind { address, source })
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| StartError::Bind { address, source })
 }
--- a/wagtailshunt/src/control/operators.rs
+++ b/wagtailshunt/src/control/operators.rs
@@ -70,7 +70,11 @@
         (&Method::GET, "/metrics") => return admin::metrics(state.metrics.text()),
         _ => {}
     }
-    let path = req.uri().path_and_query().map(ToString::to_string).unwrap_or_default();
+    let path = req
+        .uri()
+        .path_and_query()
+        .map(ToString::to_string)
+        .unwrap_or_default();
     match route(&state, req).await {
         Ok(answer) => answer,
         Err(err) => refuse(&state, &err, &path),
@@ -79,7 +83,12 @@
 
 /// A control VM is ready when it knows a leader of every group.
 fn is_ready(state: &state::State) -> bool {
-    state.with(|inner| inner.groups.values().all(|group| group.node.leader().is_some()))
+    state.with(|inner| {
+        inner
+            .groups
+            .values()
+            .all(|group| group.node.leader().is_some())
+    })
 }
 
 async fn route(
@@ -96,9 +105,7 @@
         (&Method::GET, ["v1", "events"]) => {
             Ok(http::plain(StatusCode::OK, state.events.json_lines()))
         }
-        (&Method::GET, ["v1", "local"]) => {
-            Ok(http::json(StatusCode::OK, &reports::local(state)))
-        }
+        (&Method::GET, ["v1", "local"]) => Ok(http::json(StatusCode::OK, &reports::local(state))),
         (&Method::GET, ["v1", "status"]) => {
             lead(state)?;
             Ok(http::json(StatusCode::OK, &reports::status(state)))
@@ -114,11 +121,16 @@
         (&Method::GET, ["v1", "records", kind, name]) => {
             read(state).await?;
             let record = reports::record(state, &key(kind, name)?);
-            record.map(|record| http::json(StatusCode::OK, &record)).ok_or(Error::NotFound)
+            record
+                .map(|record| http::json(StatusCode::OK, &record))
+                .ok_or(Error::NotFound)
         }
         (&Method::GET, ["v1", "history", kind, name]) => {
             read(state).await?;
-            Ok(http::json(StatusCode::OK, &reports::history(state, &key(kind, name)?)))
+            Ok(http::json(
+                StatusCode::OK,
+                &reports::history(state, &key(kind, name)?),
+            ))
         }
         (&Method::PUT, ["v1", "records", kind, name]) => {
             let key = key(kind, name)?;
@@ -141,7 +153,9 @@
 }
 
 fn vm_id(text: &str) -> Result<types::VmId, Error> {
-    let number = text.parse().map_err(|_| Error::BadRequest(format!("{text} is no VM id")))?;
+    let number = text
+        .parse()
+        .map_err(|_| Error::BadRequest(format!("{text} is no VM id")))?;
     Ok(types::VmId(number))
 }
 
@@ -167,8 +181,12 @@
     lead(state)?;
     let query = query(&req)?;
     let request_id = request_id(&req)?;
-    let body = Limited::new(req.into_body(), MAX_BODY_BYTES).collect().await;
-    let bytes = body.map_err(|err| Error::BadRequest(err.to_string()))?.to_bytes();
+    let body = Limited::new(req.into_body(), MAX_BODY_BYTES)
+        .collect()
+        .await;
+    let bytes = body
+        .map_err(|err| Error::BadRequest(err.to_string()))?
+        .to_bytes();
     let text = String::from_utf8(bytes.to_vec())
         .map_err(|_| Error::BadRequest("the record is not valid UTF-8".to_owned()))?;
     if let Ok(heading) = records::heading(&text)
@@ -195,7 +213,9 @@
     lead(state)?;
     let query = query(req)?;
     let Some(expect) = query.expect else {
-        return Err(Error::BadRequest("a deletion must state expect=REVISION".to_owned()));
+        return Err(Error::BadRequest(
+            "a deletion must state expect=REVISION".to_owned(),
+        ));
     };
     let command = registry::Command::Delete {
         request_id: request_id(req)?,
@@ -215,8 +235,12 @@
     let reply = group::propose(state, command).await?;
     let accepted = state.clock.now();
     let Some(revision) = accepted_revision(&reply) else {
-        let changed =
-            Changed { reply: &reply, in_force: false, holding_back: Vec::new(), in_force_ms: None };
+        let changed = Changed {
+            reply: &reply,
+            in_force: false,
+            holding_back: Vec::new(),
+            in_force_ms: None,
+        };
         return Ok(http::json(status_of(&reply), &changed));
     };
     let in_force = if query.wait {
@@ -231,7 +255,11 @@
         holding_back: leader::holding_back(state, revision),
         in_force_ms: in_force.then_some(u64::try_from(elapsed).unwrap_or(u64::MAX)),
     };
-    let status = if in_force { StatusCode::OK } else { StatusCode::ACCEPTED };
+    let status = if in_force {
+        StatusCode::OK
+    } else {
+        StatusCode::ACCEPTED
+    };
     Ok(http::json(status, &changed))
 }
 
@@ -256,7 +284,10 @@
 }
 
 fn request_id(req: &Request<Incoming>) -> Result<types::RequestId, Error> {
-    let value = req.headers().get("request-id").and_then(|value| value.to_str().ok());
+    let value = req
+        .headers()
+        .get("request-id")
+        .and_then(|value| value.to_str().ok());
     let text = value.ok_or_else(|| Error::BadRequest("header Request-Id is missing".to_owned()))?;
     Ok(types::RequestId(text.to_owned()))
 }
@@ -268,7 +299,13 @@
         actor: "operator".to_owned(),
         ..Query::default()
     };
-    for pair in req.uri().query().unwrap_or_default().split('&').filter(|pair| !pair.is_empty()) {
+    for pair in req
+        .uri()
+        .query()
+        .unwrap_or_default()
+        .split('&')
+        .filter(|pair| !pair.is_empty())
+    {
         let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
         let bad = || Error::BadRequest(format!("query parameter {name}: bad value {value}"));
         match name {
@@ -296,11 +333,7 @@
 ///
 /// Adding takes two calls: the first makes the VM a learner, a later one gives it a vote once it
 /// has caught up. The operator's program repeats the call until the answer says `done`.
-fn voter(
-    state: &rc::Rc<state::State>,
-    vm: &str,
-    add: bool,
-) -> Result<Response<http::Body>, Error> {
+fn voter(state: &rc::Rc<state::State>, vm: &str, add: bool) -> Result<Response<http::Body>, Error> {
     lead(state)?;
     let vm = vm_id(vm)?;
     let now = state.clock.now();
@@ -310,7 +343,11 @@
         let step = state.with(|inner| {
             let group = inner.groups.get_mut(&id)?;
             let members = group.node.members();
-            let change = match (add, members.voters.contains(&vm), members.learners.contains(&vm)) {
+            let change = match (
+                add,
+                members.voters.contains(&vm),
+                members.learners.contains(&vm),
+            ) {
                 (true, true, _) | (false, false, false) => return None,
                 (true, false, true) => replication::MembershipChange::Promote(vm),
                 (true, false, false) => replication::MembershipChange::AddLearner(vm),
@@ -320,13 +357,25 @@
         });
         group::pump(state, id);
         match step {
-            None => steps.push(VoterStep { step: "done", index: 0 }),
-            Some(Ok(index)) => steps.push(VoterStep { step: "proposed", index: index.0 }),
+            None => steps.push(VoterStep {
+                step: "done",
+                index: 0,
+            }),
+            Some(Ok(index)) => steps.push(VoterStep {
+                step: "proposed",
+                index: index.0,
+            }),
             Some(Err(replication::ProposeError::NotLeader { .. })) => {
-                steps.push(VoterStep { step: "led by another VM", index: 0 });
+                steps.push(VoterStep {
+                    step: "led by another VM",
+                    index: 0,
+                });
             }
             Some(Err(replication::ProposeError::Busy | replication::ProposeError::NotCaughtUp)) => {
-                steps.push(VoterStep { step: "catching up", index: 0 });
+                steps.push(VoterStep {
+                    step: "catching up",
+                    index: 0,
+                });
             }
             Some(Err(err)) => return Err(group::CommandError::from(err).into()),
         }
@@ -334,14 +383,14 @@
     Ok(http::json(StatusCode::OK, &steps))
 }
 
-async fn remove_vm(
-    state: &rc::Rc<state::State>,
-    vm: &str,
-) -> Result<Response<http::Body>, Error> {
+async fn remove_vm(state: &rc::Rc<state::State>, vm: &str) -> Result<Response<http::Body>, Error> {
     lead(state)?;
     let vm = vm_id(vm)?;
     leader::end_lease(state, vm).await;
-    let command = registry::Command::RemoveVm { vm, now: state.clock.wall() };
+    let command = registry::Command::RemoveVm {
+        vm,
+        now: state.clock.wall(),
+    };
     let reply = group::propose(state, &command).await?;
     Ok(http::json(StatusCode::OK, &reply))
 }
@@ -356,21 +405,35 @@
     let (status, kind, title) = match err {
         Error::Unauthorized => return admin::unauthorized(),
         Error::NotFound => return admin::not_found(),
-        Error::BadRequest(_) => {
-            (400, "urn:wagtailshunt:problem:bad-request", "The request is malformed")
-        }
-        Error::NotLeader(_) => {
-            (503, "urn:wagtailshunt:problem:no-leader", "No leader is known at the moment")
-        }
-        Error::Command(group::CommandError::Refused(_)) => {
-            (503, "urn:wagtailshunt:problem:not-accepted", "The change was not accepted")
-        }
-        Error::Command(group::CommandError::Unknown) => {
-            (504, "urn:wagtailshunt:problem:result-unknown", "The result is not known; resend")
-        }
+        Error::BadRequest(_) => (
+            400,
+            "urn:wagtailshunt:problem:bad-request",
+            "The request is malformed",
+        ),
+        Error::NotLeader(_) => (
+            503,
+            "urn:wagtailshunt:problem:no-leader",
+            "No leader is known at the moment",
+        ),
+        Error::Command(group::CommandError::Refused(_)) => (
+            503,
+            "urn:wagtailshunt:problem:not-accepted",
+            "The change was not accepted",
+        ),
+        Error::Command(group::CommandError::Unknown) => (
+            504,
+            "urn:wagtailshunt:problem:result-unknown",
+            "The result is not known; resend",
+        ),
     };
     let detail = err.to_string();
-    http::Problem { kind, title, status, detail: &detail }.answer(None)
+    http::Problem {
+        kind,
+        title,
+        status,
+        detail: &detail,
+    }
+    .answer(None)
 }
 
 fn redirect(admin: net::SocketAddr, path: &str) -> Response<http::Body> {
--- a/wagtailshunt/src/control/reports.rs
+++ b/wagtailshunt/src/control/reports.rs
@@ -240,26 +240,31 @@
 /// Reports all current records.
 pub fn list(state: &state::State) -> Vec<RecordReport> {
     with_registry(state, |registry| {
-        registry.list().map(|(key, version)| report(key, version)).collect()
+        registry
+            .list()
+            .map(|(key, version)| report(key, version))
+            .collect()
     })
 }
 
 /// Reports one record.
 pub fn record(state: &state::State, key: &records::Key) -> Option<RecordReport> {
-    with_registry(state, |registry| registry.get(key).map(|version| report(key, version)))
+    with_registry(state, |registry| {
+        registry.get(key).map(|version| report(key, version))
+    })
 }
 
 /// Reports the kept versions of a record, oldest first.
 pub fn history(state: &state::State, key: &records::Key) -> Vec<RecordReport> {
     with_registry(state, |registry| {
-        registry.history(key).map(|version| report(key, version)).collect()
+        registry
+            .history(key)
+            .map(|version| report(key, version))
+            .collect()
     })
 }
 
-fn with_registry<R: Default>(
-    state: &state::State,
-    f: impl FnOnce(&registry::Registry) -> R,
-) -> R {
+fn with_registry<R: Default>(state: &state::State, f: impl FnOnce(&registry::Registry) -> R) -> R {
     state.with(|inner| {
         let registry = inner.groups.get(&REGISTRY).and_then(group::Group::registry);
         registry.map(f).unwrap_or_default()
--- a/wagtailshunt/src/control/state.rs
+++ b/wagtailshunt/src/control/state.rs
@@ -3,7 +3,7 @@
 use std::{cell, collections, rc};
 
 use futures_channel::oneshot;
-use wagtailshunt_core::{records, types};
+use wagtailshunt_core::{ledger, records, types};
 
 use crate::{
     clock,
@@ -24,7 +24,7 @@
     stopped: cell::Cell<bool>,
     wake: cell::RefCell<Option<oneshot::Sender<()>>>,
     /// Keeps the data folder locked for this process.
-    _lock: disk::Lock,
+    _folder: disk::DataFolder,
 }
 
 pub struct Inner {
@@ -42,6 +42,8 @@
     pub vm: types::VmId,
     pub request: u64,
     pub group: types::GroupId,
+    pub key: ledger::Key,
+    pub holder: ledger::Holder,
 }
 
 impl State {
@@ -52,11 +54,11 @@
         events: events::EventLog,
         incarnation: types::Incarnation,
     ) -> Result<State, StartError> {
-        let lock = disk::Lock::acquire(&cfg.data)?;
+        let folder = disk::DataFolder::open(&cfg.data)?;
         let mut groups = collections::BTreeMap::new();
         for number in 0..=cfg.ledger_shards {
             let id = types::GroupId(number);
-            let group = group::Group::open(&cfg, &events, clock.now(), id)?;
+            let group = group::Group::open(&cfg, &folder, &events, clock.now(), id)?;
             groups.insert(id, group);
         }
         let identity = transport::Identity {
@@ -85,7 +87,7 @@
             }),
             stopped: cell::Cell::new(false),
             wake: cell::RefCell::default(),
-            _lock: lock,
+            _folder: folder,
         })
     }
 
@@ -101,7 +103,12 @@
 
     /// Returns the leader of a group as this VM knows it.
     pub fn leader_of(&self, group: types::GroupId) -> Option<types::VmId> {
-        self.with(|inner| inner.groups.get(&group).and_then(|group| group.node.leader()))
+        self.with(|inner| {
+            inner
+                .groups
+                .get(&group)
+                .and_then(|group| group.node.leader())
+        })
     }
 
     /// Stops all tasks; what was synced stays.
--- a/wagtailshunt/src/gateway/admin.rs
+++ b/wagtailshunt/src/gateway/admin.rs
@@ -50,11 +50,9 @@
         (&Method::GET, "/readyz") => admin::readiness(state.is_ready()),
         (&Method::GET, "/metrics") => admin::metrics(state.metrics.text()),
         (&Method::POST, "/v1/announce") => announce::handle(state, req).await,
-        (&Method::GET, "/v1/status") => {
-            admin::authorized(&req, &state.cfg.keys.operator, || {
-                http::json(StatusCode::OK, &status(&state))
-            })
-        }
+        (&Method::GET, "/v1/status") => admin::authorized(&req, &state.cfg.keys.operator, || {
+            http::json(StatusCode::OK, &status(&state))
+        }),
         (&Method::GET, "/v1/events") => admin::authorized(&req, &state.cfg.keys.operator, || {
             http::plain(StatusCode::OK, state.events.json_lines())
         }),
--- a/wagtailshunt/src/gateway/announce.rs
+++ b/wagtailshunt/src/gateway/announce.rs
@@ -50,7 +50,9 @@
     match accept(&state, req).await {
         Ok(accepted) => http::json(StatusCode::OK, &accepted),
         Err(err) => {
-            state.events.emit(event::Id::AnnouncementRefused, &[("reason", &err)]);
+            state
+                .events
+                .emit(event::Id::AnnouncementRefused, &[("reason", &err)]);
             let status = err.status().as_u16();
             let detail = err.to_string();
             let problem = http::Problem {
@@ -72,7 +74,10 @@
     #[error("body cannot be read: {0}")]
     Body(String),
     #[error("{field} {fault}")]
-    Field { field: &'static str, fault: &'static str },
+    Field {
+        field: &'static str,
+        fault: &'static str,
+    },
     #[error("{0}")]
     Refused(directory::Refusal),
 }
@@ -123,17 +128,29 @@
     ];
     for (field, name) in names {
         if name.is_empty() || name.len() > MAX_NAME_BYTES {
-            return Err(Error::Field { field, fault: "must have 1 to 128 bytes" });
+            return Err(Error::Field {
+                field,
+                fault: "must have 1 to 128 bytes",
+            });
         }
         if name.chars().any(char::is_control) {
-            return Err(Error::Field { field, fault: "must not contain control characters" });
+            return Err(Error::Field {
+                field,
+                fault: "must not contain control characters",
+            });
         }
     }
     if body.slots == 0 || body.slots > MAX_SLOTS {
-        return Err(Error::Field { field: "slots", fault: "must be between 1 and 10000" });
+        return Err(Error::Field {
+            field: "slots",
+            fault: "must be between 1 and 10000",
+        });
     }
     if body.address.port() == 0 || body.address.ip().is_unspecified() {
-        return Err(Error::Field { field: "address", fault: "must name an IP address and port" });
+        return Err(Error::Field {
+            field: "address",
+            fault: "must name an IP address and port",
+        });
     }
     Ok(())
 }
@@ -141,7 +158,10 @@
 fn announcement(body: Body) -> directory::Announcement {
     directory::Announcement {
         target: directory::Target {
-            key: directory::Key { service: body.service, id: body.target },
+            key: directory::Key {
+                service: body.service,
+                id: body.target,
+            },
             incarnation: body.incarnation,
             address: body.address,
             failure_domain: body.failure_domain,
--- a/wagtailshunt/src/gateway/answer.rs
+++ b/wagtailshunt/src/gateway/answer.rs
@@ -37,7 +37,13 @@
     admitted: Option<call::Admitted>,
     retried: bool,
 ) -> Response<http::Body> {
-    let attempt::Answered { mut head, body, flight, not_run, retried_below } = answered;
+    let attempt::Answered {
+        mut head,
+        body,
+        flight,
+        not_run,
+        retried_below,
+    } = answered;
     let outcome = match head.status.as_u16() {
         _ if not_run => balance::Outcome::Shed,
         500..=599 => balance::Outcome::Error,
@@ -47,7 +53,8 @@
     head.headers.remove(headers::LOAD);
     head.headers.remove(headers::CALL);
     if retried || retried_below {
-        head.headers.insert(headers::RETRIED, header::HeaderValue::from_static("1"));
+        head.headers
+            .insert(headers::RETRIED, header::HeaderValue::from_static("1"));
     }
     let mut stream = AnswerBody {
         state: state.clone(),
@@ -78,7 +85,7 @@
             None => false,
         };
         if !whole {
-            self.fail("the answer is shorter than its stated length");
+            self.fail(&"the answer is shorter than its stated length");
             return false;
         }
         self.flight.finish(self.outcome);
--- a/wagtailshunt/src/gateway/attempt.rs
+++ b/wagtailshunt/src/gateway/attempt.rs
@@ -4,9 +4,7 @@
 
 use futures_util::future;
 use hyper::{Request, Response, Version, body::Incoming, header, http::response};
-use wagtailshunt_core::{
-    balance, connection, deadline, event, outcome, time as core_time,
-};
+use wagtailshunt_core::{balance, connection, deadline, event, outcome, time as core_time};
 
 use crate::{
     gateway::{call, headers, service, state, upstream},
@@ -76,8 +74,15 @@
         }
         let now = self.clock.now();
         let latency = now.since(self.started);
-        let finish = balance::Finish { latency, outcome, report: self.report };
-        self.service.balancer.borrow_mut().finished(now, self.key, &finish);
+        let finish = balance::Finish {
+            latency,
+            outcome,
+            report: self.report,
+        };
+        self.service
+            .balancer
+            .borrow_mut()
+            .finished(now, self.key, &finish);
         if outcome == balance::Outcome::Ok {
             self.service.hedger.borrow_mut().record(latency);
         }
@@ -160,7 +165,13 @@
                     event::Id::ConnectionSilent,
                     &[("target", &flight.target.id), ("call", &call.id)],
                 );
-                return Err((Failed { silent: true, ..timed_out() }, balance::Outcome::Timeout));
+                return Err((
+                    Failed {
+                        silent: true,
+                        ..timed_out()
+                    },
+                    balance::Outcome::Timeout,
+                ));
             }
             connection::Decision::Unknown | connection::Decision::Abort => {
                 return Err((timed_out(), balance::Outcome::Timeout));
@@ -176,8 +187,12 @@
 }
 
 fn not_sent(reason: outcome::Reason, detail: impl Into<String>) -> Failure {
-    let failed =
-        Failed { reason, proves_not_run: true, silent: false, detail: detail.into() };
+    let failed = Failed {
+        reason,
+        proves_not_run: true,
+        silent: false,
+        detail: detail.into(),
+    };
     (failed, balance::Outcome::Cancelled)
 }
 
@@ -196,7 +211,12 @@
         true => outcome::Reason::ConnectFailed,
         false => outcome::Reason::ConnectionBroken,
     };
-    let failed = Failed { reason, proves_not_run, silent: false, detail: err.to_string() };
+    let failed = Failed {
+        reason,
+        proves_not_run,
+        silent: false,
+        detail: err.to_string(),
+    };
     // A pooled connection that the target closed in the meantime says nothing about its health.
     let outcome = match err {
         upstream::Error::NotSent => balance::Outcome::Cancelled,
@@ -216,12 +236,17 @@
         false => connection::Purpose::NotIdempotent,
     };
     let now = state.now();
-    let check_out =
-        target.pool.borrow_mut().check_out(now, purpose, call.id, |conn| conn.is_usable());
+    let check_out = target
+        .pool
+        .borrow_mut()
+        .check_out(now, purpose, call.id, |conn| conn.is_usable());
     let connecting = match check_out {
         connection::CheckOut::Busy(busy) => return Ok(busy),
         connection::CheckOut::Full => {
-            return Err(not_sent(outcome::Reason::Overloaded, "all connections are busy"));
+            return Err(not_sent(
+                outcome::Reason::Overloaded,
+                "all connections are busy",
+            ));
         }
         connection::CheckOut::Open(connecting) => connecting,
     };
@@ -328,13 +353,19 @@
     if length == connection::BodyLength::UntilClose {
         return Err("the end of the answer is not marked");
     }
-    let facts = connection::Head { echoed_call: echoed, length, keep_alive: keeps_alive(head) };
+    let facts = connection::Head {
+        echoed_call: echoed,
+        length,
+        keep_alive: keeps_alive(head),
+    };
     let Some(busy) = flight.busy.as_mut() else {
         return Ok(());
     };
     // hyper reports a connection as ready only after the whole request was written.
     busy.exchange_mut().request_complete();
-    busy.exchange_mut().head(&facts).map_err(|_| "answer out of order")
+    busy.exchange_mut()
+        .head(&facts)
+        .map_err(|_| "answer out of order")
 }
 
 fn body_length(call: &call::Call, head: &response::Parts) -> connection::BodyLength {
@@ -354,7 +385,11 @@
 
 fn keeps_alive(head: &response::Parts) -> bool {
     let connection = headers::text(&head.headers, &header::CONNECTION).unwrap_or_default();
-    let names = |wanted: &str| connection.split(',').any(|n| n.trim().eq_ignore_ascii_case(wanted));
+    let names = |wanted: &str| {
+        connection
+            .split(',')
+            .any(|n| n.trim().eq_ignore_ascii_case(wanted))
+    };
     match head.version {
         Version::HTTP_11 => !names("close"),
         _ => false,
@@ -390,16 +425,14 @@
     id: event::Id,
 ) {
     if let Some(target) = service.target(key) {
-        state.events.emit(id, &[("service", &service.name), ("target", &target.id)]);
+        state
+            .events
+            .emit(id, &[("service", &service.name), ("target", &target.id)]);
     }
 }
 
 /// Sends a probe: a HEAD request to the documented path on a connection of its own.
-fn start_probe(
-    state: &state::State,
-    service: &rc::Rc<service::Service>,
-    key: balance::TargetKey,
-) {
+fn start_probe(state: &state::State, service: &rc::Rc<service::Service>, key: balance::TargetKey) {
     let Some(target) = service.target(key) else {
         return;
     };
@@ -409,7 +442,10 @@
     compio::runtime::spawn(async move {
         let probe = compio::time::timeout(CONNECT_LIMIT, probe(target.address));
         if let Ok(Some(report)) = probe.await {
-            service.balancer.borrow_mut().probe_answered(clock.now(), key, &report);
+            service
+                .balancer
+                .borrow_mut()
+                .probe_answered(clock.now(), key, &report);
         }
     })
     .detach();
--- a/wagtailshunt/src/gateway/call.rs
+++ b/wagtailshunt/src/gateway/call.rs
@@ -75,7 +75,11 @@
 
 fn note_refusal(state: &state::State, refusal: &Refusal) {
     let outcome = refusal.outcome;
-    state.metrics.refused.with_label_values(&[outcome.to_string().as_str()]).inc();
+    state
+        .metrics
+        .refused
+        .with_label_values(&[outcome.to_string().as_str()])
+        .inc();
     let id = match outcome {
         outcome::Outcome::NotRun => event::Id::CallRefused,
         outcome::Outcome::Unknown => event::Id::CallUnknown,
@@ -83,7 +87,13 @@
     };
     // Refusals come in thousands under overload and are counted by the metric instead.
     if outcome != outcome::Outcome::NotRun || log::log_enabled!(log::Level::Debug) {
-        state.events.emit(id, &[("reason", &refusal.reason.title()), ("detail", &refusal.detail)]);
+        state.events.emit(
+            id,
+            &[
+                ("reason", &refusal.reason.title()),
+                ("detail", &refusal.detail),
+            ],
+        );
     }
 }
 
@@ -93,15 +103,21 @@
     peer: net::SocketAddr,
 ) -> Result<Response<http::Body>, Refusal> {
     if let Err(err) = headers::check_head(&req) {
-        state.events.emit(event::Id::RequestRejected, &[("caller", &peer), ("reason", &err)]);
+        state.events.emit(
+            event::Id::RequestRejected,
+            &[("caller", &peer), ("reason", &err)],
+        );
         return Err(Refusal::not_run(outcome::Reason::BadRequest).detail(err.to_string()));
     }
     let (call, body) = route(state, req, peer)?;
     let earlier = outcome::Earlier::declared(call.keyed, call.declared);
-    let admitted =
-        admit(state, &call).await.map_err(|refusal| refusal.with_earlier(earlier))?;
+    let admitted = admit(state, &call)
+        .await
+        .map_err(|refusal| refusal.with_earlier(earlier))?;
     let body = replayable(body);
-    forward(state, &call, body, admitted).await.map_err(|refusal| refusal.with_earlier(earlier))
+    forward(state, &call, body, admitted)
+        .await
+        .map_err(|refusal| refusal.with_earlier(earlier))
 }
 
 fn replayable(body: Incoming) -> Replay {
@@ -125,12 +141,22 @@
         }
         let name = inner.table.lookup(host, req.uri().path());
         let service = name.and_then(|name| inner.services.get(name));
-        service.cloned().ok_or(Refusal::not_run(outcome::Reason::NoService))
+        service
+            .cloned()
+            .ok_or(Refusal::not_run(outcome::Reason::NoService))
     })?;
     let spec = service.spec();
     let (parts, body) = req.into_parts();
-    let timeout = header(&parts.headers, &headers::TIMEOUT_MS, deadline::TimeoutMs::parse)?;
-    let declared = header(&parts.headers, &headers::ATTEMPT, retry::AttemptNumber::parse)?;
+    let timeout = header(
+        &parts.headers,
+        &headers::TIMEOUT_MS,
+        deadline::TimeoutMs::parse,
+    )?;
+    let declared = header(
+        &parts.headers,
+        &headers::ATTEMPT,
+        retry::AttemptNumber::parse,
+    )?;
     let has_method = |methods: &[String]| methods.iter().any(|m| m == parts.method.as_str());
     let idempotent = has_method(&spec.idempotent_methods);
     let keyed = !idempotent && parts.headers.contains_key(&headers::IDEMPOTENCY_KEY);
@@ -162,7 +188,10 @@
     let Some(value) = map.get(name) else {
         return Ok(None);
     };
-    let parsed = value.to_str().map_err(|_| deadline::HeaderError::NotANumber).and_then(parse);
+    let parsed = value
+        .to_str()
+        .map_err(|_| deadline::HeaderError::NotANumber)
+        .and_then(parse);
     parsed.map(Some).map_err(|err| {
         Refusal::not_run(outcome::Reason::BadRequest).detail(format!("{name}: {err}"))
     })
@@ -182,7 +211,11 @@
         };
         inner.admission.offer(now, id, &offer)
     });
-    let admitted = Admitted { state: state.clone(), id, ok: false };
+    let admitted = Admitted {
+        state: state.clone(),
+        id,
+        ok: false,
+    };
     match decision {
         admission::Decision::Run => Ok(admitted),
         admission::Decision::Refuse(reason) => Err(reason.into()),
@@ -238,7 +271,13 @@
         let failed = match result {
             Ok(answered) if !answered.not_run => {
                 let retried = progress.made > 1;
-                return Ok(answer::pass_on(state, call, answered, admitted.take(), retried));
+                return Ok(answer::pass_on(
+                    state,
+                    call,
+                    answered,
+                    admitted.take(),
+                    retried,
+                ));
             }
             Ok(answered) => {
                 let failure = retry::Failure {
@@ -247,7 +286,13 @@
                 };
                 if !may_retry(state, call, &progress, &failure, &body) {
                     let retried = progress.made > 1;
-                    return Ok(answer::pass_on(state, call, answered, admitted.take(), retried));
+                    return Ok(answer::pass_on(
+                        state,
+                        call,
+                        answered,
+                        admitted.take(),
+                        retried,
+                    ));
                 }
                 continue;
             }
@@ -259,8 +304,10 @@
             progress.moves += 1;
             continue;
         }
-        let failure =
-            retry::Failure { not_run: failed.proves_not_run, retried_below: false };
+        let failure = retry::Failure {
+            not_run: failed.proves_not_run,
+            retried_below: false,
+        };
         if !may_retry(state, call, &progress, &failure, &body) {
             return Err(progress.refusal(failed.reason).detail(failed.detail));
         }
@@ -298,7 +345,11 @@
     let now = state.now();
     let mut balancer = call.service.balancer.borrow_mut();
     let local: Option<&types::FailureDomain> = Some(&call.service.local);
-    let pick = balance::Pick { avoid, local, probe_allowed: true };
+    let pick = balance::Pick {
+        avoid,
+        local,
+        probe_allowed: true,
+    };
     let key = balancer.pick(now, &pick)?;
     drop(balancer);
     attempt::run_probes(state, &call.service);
--- a/wagtailshunt/src/gateway/control_link.rs
+++ b/wagtailshunt/src/gateway/control_link.rs
@@ -7,7 +7,7 @@
 use wagtailshunt_core::{directory, lease, ledger, records, time as core_time, types};
 use wagtailshunt_wire::{
     self as wire,
-    generated::{envelope, envelope::envelope::Body},
+    generated::{envelope, envelope::envelope::Body, ledger as ledger_proto},
 };
 
 use crate::{gateway::state, transport};
@@ -33,7 +33,8 @@
     leaders: cell::RefCell<collections::BTreeMap<types::GroupId, types::VmId>>,
     heard: cell::Cell<core_time::Instant>,
     searched: cell::Cell<core_time::Instant>,
-    waiting: cell::RefCell<collections::BTreeMap<u64, oneshot::Sender<Option<ledger::ServiceReply>>>>,
+    waiting:
+        cell::RefCell<collections::BTreeMap<u64, oneshot::Sender<Option<ledger::ServiceReply>>>>,
     next_request: cell::Cell<u64>,
     wake: cell::RefCell<Option<oneshot::Sender<()>>>,
     stopped: cell::Cell<bool>,
@@ -70,7 +71,9 @@
     fn next_candidate(&self, state: &state::State, group: types::GroupId) {
         let current = self.leaders.borrow().get(&group).copied();
         let vms = || state.cfg.control.keys().copied();
-        let next = vms().find(|vm| Some(*vm) > current).or_else(|| vms().next());
+        let next = vms()
+            .find(|vm| Some(*vm) > current)
+            .or_else(|| vms().next());
         if let Some(next) = next {
             self.leaders.borrow_mut().insert(group, next);
         }
@@ -137,10 +140,7 @@
 }
 
 /// Returns the open connection to the leader of a group, opening one if there is none.
-fn connection(
-    state: &rc::Rc<state::State>,
-    group: types::GroupId,
-) -> Option<transport::Handle> {
+fn connection(state: &rc::Rc<state::State>, group: types::GroupId) -> Option<transport::Handle> {
     let leader = state.links.leaders.borrow().get(&group).copied();
     let Some(leader) = leader else {
         state.links.next_candidate(state, group);
@@ -204,14 +204,24 @@
             Err(err) => log::warn!("record changes of VM {} rejected: {err}", peer.vm),
         },
         Some(Body::Redirect(redirect)) => redirected(state, envelope.request, &redirect),
-        Some(Body::Ledger(msg)) => match wire::ledger::decode_reply(msg) {
-            Ok(reply) => answer(state, envelope.request, Some(reply)),
+        Some(Body::Ledger(msg)) => match ledger_reply(msg) {
+            Ok(Some(answered)) => answer(state, envelope.request, Some(answered.reply)),
+            Ok(None) => {}
             Err(err) => log::warn!("ledger answer of VM {} rejected: {err}", peer.vm),
         },
         _ => {}
     }
 }
 
+fn ledger_reply(
+    msg: ledger_proto::LedgerMessage,
+) -> Result<Option<wire::ledger::Answered>, wire::ledger::Error> {
+    match msg.body {
+        Some(ledger_proto::ledger_message::Body::Reply(reply)) => reply.try_into().map(Some),
+        _ => Ok(None),
+    }
+}
+
 fn renew_now(state: &state::State) {
     let now = state.now();
     state.with(|inner| inner.holder.renew_now(now));
@@ -251,7 +261,9 @@
 fn granted(state: &rc::Rc<state::State>, grant: &lease::Grant) {
     let confirmed = state.with(|inner| {
         inner.holder.granted(grant);
-        inner.view.confirm(grant.current.directory, grant.current.digest)
+        inner
+            .view
+            .confirm(grant.current.directory, grant.current.digest)
     });
     state.check_lease();
     if confirmed == directory::Confirmed::Differs {
@@ -341,11 +353,20 @@
     let id = state.links.request();
     let (tx, rx) = oneshot::channel();
     state.links.waiting.borrow_mut().insert(id, tx);
-    handle.send(id, Body::Ledger(wire::ledger::encode_request(request)));
+    let body = ledger_proto::ledger_message::Body::Request(request.into());
+    let msg = ledger_proto::LedgerMessage {
+        group: group.0,
+        body: Some(body),
+    };
+    handle.send(id, Body::Ledger(msg));
     let limit = LEADER_SILENCE.min(deadline.since(state.now()));
     let waits = matches!(request, ledger::Request::Claim { .. });
     // A claim may wait for the outcome of the first run; other requests are answered at once.
-    let limit = if waits { deadline.since(state.now()) } else { limit };
+    let limit = if waits {
+        deadline.since(state.now())
+    } else {
+        limit
+    };
     let result = wait(&handle, rx, limit).await;
     state.links.waiting.borrow_mut().remove(&id);
     match result {
--- a/wagtailshunt/src/gateway/metrics.rs
+++ b/wagtailshunt/src/gateway/metrics.rs
@@ -26,8 +26,8 @@
 impl Metrics {
     /// Creates the metrics of one process.
     pub fn new() -> Self {
-        let registry = Registry::new_custom(Some("wagtailshunt_gateway".to_owned()), None)
-            .unwrap_or_default();
+        let registry =
+            Registry::new_custom(Some("wagtailshunt_gateway".to_owned()), None).unwrap_or_default();
         let refused = metrics::vec(
             &registry,
             "refused_total",
@@ -38,9 +38,21 @@
             calls: metrics::counter(&registry, "calls_total", "Requests of callers."),
             refused,
             retries: metrics::counter(&registry, "retries_total", "Attempts after the first."),
-            hedges: metrics::counter(&registry, "hedges_total", "Second attempts beside a slow first one."),
-            probes: metrics::counter(&registry, "probes_total", "Probes for the load of a target."),
-            replayed: metrics::counter(&registry, "replayed_total", "Stored answers that were replayed."),
+            hedges: metrics::counter(
+                &registry,
+                "hedges_total",
+                "Second attempts beside a slow first one.",
+            ),
+            probes: metrics::counter(
+                &registry,
+                "probes_total",
+                "Probes for the load of a target.",
+            ),
+            replayed: metrics::counter(
+                &registry,
+                "replayed_total",
+                "Stored answers that were replayed.",
+            ),
             serving: metrics::gauge(&registry, "serving", "1 while a serving lease is held."),
             registry,
         }
--- a/wagtailshunt/src/gateway/mod.rs
+++ b/wagtailshunt/src/gateway/mod.rs
@@ -1,8 +1,8 @@
 //! Gateway daemon: callers, targets and announcements.
 
 mod admin;
-mod answer;
 mod announce;
+mod answer;
 mod attempt;
 mod call;
 mod control_link;
@@ -52,7 +52,10 @@
         let admin_listener = bind(cfg.admin).await?;
         let listen = callers_listener.local_addr().unwrap_or(cfg.listen);
         let admin_address = admin_listener.local_addr().unwrap_or(cfg.admin);
-        let limits = http::Limits { connections: cfg.max_connections, ..http::Limits::default() };
+        let limits = http::Limits {
+            connections: cfg.max_connections,
+            ..http::Limits::default()
+        };
         let incarnation = types::Incarnation(clock.wall().0);
         let state = rc::Rc::new(state::State::new(cfg, clock, events, incarnation));
         let gateway = Gateway {
@@ -68,7 +71,11 @@
         gateway.serve_admin(admin_listener);
         state.events.emit(
             event::Id::ProcessStarted,
-            &[("listen", &listen), ("admin", &admin_address), ("incarnation", &incarnation)],
+            &[
+                ("listen", &listen),
+                ("admin", &admin_address),
+                ("incarnation", &incarnation),
+            ],
         );
         Ok(gateway)
     }
@@ -105,10 +112,14 @@
         compio::time::sleep(time::Duration::from_millis(state.cfg.readiness_lead_ms)).await;
         self.callers.start();
         let limit = time::Duration::from_millis(state.cfg.drain_limit_ms);
-        let drained = compio::time::timeout(limit, self.callers.drained()).await.is_ok();
+        let drained = compio::time::timeout(limit, self.callers.drained())
+            .await
+            .is_ok();
         state.release_lease().await;
         self.admin.start();
-        state.events.emit(event::Id::ProcessStopped, &[("drained", &drained)]);
+        state
+            .events
+            .emit(event::Id::ProcessStopped, &[("drained", &drained)]);
         drained
     }
 
@@ -129,7 +140,12 @@
     fn serve_admin(&self, listener: TcpListener) {
         let state = self.state.clone();
         let handler = move |req, peer| admin::handle(state.clone(), req, peer);
-        let serve = http::serve(listener, http::Limits::default(), self.admin.clone(), handler);
+        let serve = http::serve(
+            listener,
+            http::Limits::default(),
+            self.admin.clone(),
+            handler,
+        );
         self.spawn_listener("admin", serve);
     }
 
@@ -152,5 +168,7 @@
 }
 
 async fn bind(address: net::SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|source| StartError::Bind { address, source })
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| StartError::Bind { address, source })
 }
--- a/wagtailshunt/src/gateway/refusal.rs
+++ b/wagtailshunt/src/gateway/refusal.rs
@@ -21,22 +21,35 @@
 impl Refusal {
     /// The call was not dispatched.
     pub fn not_run(reason: outcome::Reason) -> Self {
-        Refusal { reason, outcome: outcome::Outcome::NotRun, detail: borrow::Cow::Borrowed("") }
+        Refusal {
+            reason,
+            outcome: outcome::Outcome::NotRun,
+            detail: borrow::Cow::Borrowed(""),
+        }
     }
 
     /// The call may have run.
     pub fn unknown(reason: outcome::Reason) -> Self {
-        Refusal { outcome: outcome::Outcome::Unknown, ..Refusal::not_run(reason) }
+        Refusal {
+            outcome: outcome::Outcome::Unknown,
+            ..Refusal::not_run(reason)
+        }
     }
 
     /// Adds what happened in this case.
     pub fn detail(self, detail: impl Into<borrow::Cow<'static, str>>) -> Self {
-        Refusal { detail: detail.into(), ..self }
+        Refusal {
+            detail: detail.into(),
+            ..self
+        }
     }
 
     /// Combines the outcome with what is known about earlier attempts.
     pub fn with_earlier(self, earlier: outcome::Earlier) -> Self {
-        Refusal { outcome: self.outcome.with_earlier(earlier), ..self }
+        Refusal {
+            outcome: self.outcome.with_earlier(earlier),
+            ..self
+        }
     }
 
     /// Builds the answer.
@@ -49,7 +62,9 @@
         };
         let mut answer = problem.answer(Some(outcome_text(self.outcome)));
         if self.reason.status() == 503 {
-            answer.headers_mut().insert(header::RETRY_AFTER, RETRY_AFTER);
+            answer
+                .headers_mut()
+                .insert(header::RETRY_AFTER, RETRY_AFTER);
         }
         answer
     }
--- a/wagtailshunt/src/gateway/service.rs
+++ b/wagtailshunt/src/gateway/service.rs
@@ -97,7 +97,9 @@
         };
         let key = self.balancer.borrow_mut().upsert(now, &info);
         let mut targets = self.targets.borrow_mut();
-        let known = targets.get(&key).filter(|known| known.incarnation == target.incarnation);
+        let known = targets
+            .get(&key)
+            .filter(|known| known.incarnation == target.incarnation);
         if known.is_none() {
             // Connections of an earlier incarnation end with it.
             targets.insert(key, rc::Rc::new(Target::new(target)));
@@ -139,7 +141,9 @@
             incarnation: target.incarnation,
             address: target.address,
             pool: cell::RefCell::new(connection::Pool::new(connection::PoolConfig::default())),
-            health: cell::RefCell::new(connection::Health::new(connection::HealthConfig::default())),
+            health: cell::RefCell::new(
+                connection::Health::new(connection::HealthConfig::default()),
+            ),
             echoes: cell::Cell::new(false),
         }
     }
@@ -183,9 +187,15 @@
     let cap = |limit: &mut measure::Limit, per_second: u64| {
         limit.per_second = limit.per_second.min(per_second);
     };
-    cap(&mut cfg.measure.messages, 2 * u64::from(budget.probes_per_second));
+    cap(
+        &mut cfg.measure.messages,
+        2 * u64::from(budget.probes_per_second),
+    );
     cap(&mut cfg.measure.bytes, u64::from(budget.bytes_per_second));
-    cap(&mut cfg.measure.target_time_us, u64::from(budget.target_us_per_second));
+    cap(
+        &mut cfg.measure.target_time_us,
+        u64::from(budget.target_us_per_second),
+    );
     cfg
 }
 
@@ -202,8 +212,15 @@
 }
 
 fn retry_config(spec: &records::ServiceSpec) -> retry::Config {
-    let per_1000_calls = if spec.retry.enabled { spec.retry.max_permille } else { 0 };
-    retry::Config { per_1000_calls, ..retry::Config::default() }
+    let per_1000_calls = if spec.retry.enabled {
+        spec.retry.max_permille
+    } else {
+        0
+    };
+    retry::Config {
+        per_1000_calls,
+        ..retry::Config::default()
+    }
 }
 
 fn hedge_config(spec: &records::ServiceSpec) -> retry::HedgeConfig {
@@ -217,5 +234,7 @@
 
 /// FNV-1a, to spread seeds over services.
 fn fnv1a(text: &str) -> u32 {
-    text.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+    text.bytes().fold(0x811c_9dc5, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+    })
 }
--- a/wagtailshunt/src/gateway/state.rs
+++ b/wagtailshunt/src/gateway/state.rs
@@ -180,7 +180,11 @@
             (std::mem::replace(&mut inner.serving, serving), serving)
         });
         if before != after {
-            let id = if after { event::Id::LeaseGranted } else { event::Id::LeaseLost };
+            let id = if after {
+                event::Id::LeaseGranted
+            } else {
+                event::Id::LeaseLost
+            };
             self.events.emit(id, &[]);
             self.metrics.serving.set(i64::from(after));
         }
@@ -269,7 +273,8 @@
             self.view.drain_by_record(&name, &[]);
             return;
         };
-        self.admission.set_service(now, &name, service::admission_config(&spec));
+        self.admission
+            .set_service(now, &name, service::admission_config(&spec));
         self.view.drain_by_record(&name, &spec.drain);
         match self.services.get(&name) {
             Some(service) => service.set_spec(spec),
@@ -278,8 +283,11 @@
                 self.services.insert(name.clone(), service);
             }
         }
-        let targets: Vec<_> =
-            self.view.targets(&name).map(directory::TargetChange::Upsert).collect();
+        let targets: Vec<_> = self
+            .view
+            .targets(&name)
+            .map(directory::TargetChange::Upsert)
+            .collect();
         self.apply_targets(now, &targets);
     }
 
