Add the file operations of replicated groups

A store carries out the planned steps of a batch on the runtime's thread pool, one hop for each batch. A full disk keeps the batch pending; a failed sync and damage are errors that must stop the process. The folder is behind a trait so that a fake disk runs the same code.

--- /dev/null
+++ b/lab/tests/disk.rs
@@ -0,0 +1,137 @@
+//! Guards the file operations of a replicated group on a real file system.
+
+use std::{fs, path};
+
+use bytes::Bytes;
+use wagtailshunt::disk::{self, DataFolder, Error};
+use wagtailshunt_core::storage::{self, Entry, Membership, Op, Payload, Recovered, Snapshot};
+use wagtailshunt_core::types::{GroupId, LogIndex, Term, VmId};
+
+/// A fresh folder that is removed at the end.
+struct Temporary(path::PathBuf);
+
+impl Temporary {
+    fn new(name: &str) -> Temporary {
+        let path = path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let path = path.join(format!("{name}-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&path);
+        Temporary(path)
+    }
+}
+
+impl Drop for Temporary {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn append(first: u64, last: u64) -> Op {
+    let entries = (first..=last).map(|index| Entry {
+        index: LogIndex(index),
+        term: Term(1),
+        payload: Payload::Command(Bytes::from(vec![index as u8; 100])),
+    });
+    Op::Append {
+        entries: entries.collect(),
+    }
+}
+
+#[test]
+fn a_second_process_cannot_open_the_data_folder() {
+    let folder = Temporary::new("lock");
+    let held = DataFolder::open(&folder.0).unwrap();
+    assert!(matches!(
+        DataFolder::open(&folder.0),
+        Err(Error::Locked { .. })
+    ));
+    drop(held);
+    DataFolder::open(&folder.0).unwrap();
+}
+
+#[test]
+fn groups_are_recovered_apart_from_each_other() {
+    let folder = Temporary::new("groups");
+    let members = Membership::of_voters([VmId(1), VmId(2), VmId(3)]);
+    let data = DataFolder::open(&folder.0).unwrap();
+    let (mut first, recovered) = data.group(GroupId(0), Some(&members)).unwrap();
+    assert_eq!(recovered, Recovered::bootstrap(members.clone()));
+    first.set_segment_bytes(1000);
+    for index in 1..=50 {
+        first.execute(&[append(index, index)]).unwrap();
+    }
+    let snapshot = Snapshot {
+        index: LogIndex(40),
+        term: Term(1),
+        membership: members.clone(),
+        data: Bytes::from_static(b"state"),
+    };
+    let through = LogIndex(40);
+    first
+        .execute(&[Op::Snapshot(snapshot.clone()), Op::Compact { through }])
+        .unwrap();
+    let (_, joining) = data.group(GroupId(1), None).unwrap();
+    assert_eq!(joining, Recovered::default());
+    drop((first, data));
+    let data = DataFolder::open(&folder.0).unwrap();
+    let other = Membership::of_voters([VmId(7)]);
+    let (_, recovered) = data.group(GroupId(0), Some(&other)).unwrap();
+    assert_eq!(recovered.snapshot, snapshot);
+    let indices: Vec<_> = recovered.entries.iter().map(|e| e.index.0).collect();
+    assert_eq!(indices, (41..=50).collect::<Vec<_>>());
+    let left = fs::read_dir(folder.0.join("group-0")).unwrap().count();
+    assert!(left < 6, "{left} files after compaction");
+}
+
+#[test]
+fn a_torn_tail_is_cut_and_damage_names_file_and_offset() {
+    let folder = Temporary::new("torn");
+    let data = DataFolder::open(&folder.0).unwrap();
+    let (mut store, _) = data.group(GroupId(0), None).unwrap();
+    for index in 1..=3 {
+        store.execute(&[append(index, index)]).unwrap();
+    }
+    drop(store);
+    let log = folder.0.join("group-0/log-00000000000000000001.wal");
+    let whole = fs::read(&log).unwrap();
+    fs::write(&log, &whole[..whole.len() - 1]).unwrap();
+    let (mut store, recovered) = data.group(GroupId(0), None).unwrap();
+    assert_eq!(recovered.entries.len(), 2);
+    assert!(store.torn_bytes() > 0);
+    store.execute(&[append(3, 4)]).unwrap();
+    drop(store);
+    let (_, recovered) = data.group(GroupId(0), None).unwrap();
+    assert_eq!(recovered.entries.len(), 4);
+    let mut damaged = fs::read(&log).unwrap();
+    damaged[200] ^= 1;
+    fs::write(&log, damaged).unwrap();
+    match data.group(GroupId(0), None) {
+        Err(Error::Storage {
+            source: storage::Error::Damaged { file, offset, .. },
+            ..
+        }) => {
+            assert_eq!(file, "log-00000000000000000001.wal");
+            assert!(offset > 0 && offset <= 200);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn batches_run_on_the_thread_pool_in_order() {
+    let folder = Temporary::new("pool");
+    let data = DataFolder::open(&folder.0).unwrap();
+    let (mut store, _) = data.group(GroupId(0), None).unwrap();
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        for index in 1..=5 {
+            let (back, result) = disk::execute(store, vec![append(index, index)])
+                .await
+                .unwrap();
+            result.unwrap();
+            store = back;
+        }
+        drop(store);
+    });
+    let (_, recovered) = data.group(GroupId(0), None).unwrap();
+    assert_eq!(recovered.entries.len(), 5);
+}
--- /dev/null
+++ b/wagtailshunt/src/disk/store.rs
@@ -0,0 +1,151 @@
+//! Carries out storage ops on the files of one group.
+
+use std::{collections, io};
+
+use compio::runtime;
+use wagtailshunt_core::storage::{self, Step};
+
+use super::{Error, Files};
+
+/// The files of one group.
+#[derive(Debug)]
+pub struct Store<F> {
+    files: F,
+    writer: storage::Writer,
+    pending: collections::VecDeque<Step>,
+    torn_bytes: u64,
+}
+
+impl<F: Files> Store<F> {
+    /// Reads and repairs the files of a group. See [`super::DataFolder::group`] for `initial`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Storage`] when the stored state is damaged, or any error of the file system.
+    pub fn open(
+        mut files: F,
+        initial: Option<&storage::Membership>,
+    ) -> Result<(Store<F>, storage::Recovered), Error> {
+        let path = files.path().to_owned();
+        let contents = files
+            .read_all()
+            .map_err(|source| Error::io(path.clone(), source))?;
+        let mut list = Vec::new();
+        for (name, content) in &contents {
+            list.push((name.clone(), &content[..]));
+        }
+        let opened = storage::recover(&list).map_err(|source| Error::Storage {
+            folder: path,
+            source,
+        })?;
+        let mut recovered = opened.recovered;
+        let mut store = Store {
+            files,
+            writer: opened.writer,
+            pending: opened.repair.into(),
+            torn_bytes: opened.torn_bytes,
+        };
+        store.retry()?;
+        if let Some(initial) = initial
+            && recovered == storage::Recovered::default()
+        {
+            recovered = storage::Recovered::bootstrap(initial.clone());
+            store.execute(&[storage::Op::Snapshot(recovered.snapshot.clone())])?;
+        }
+        Ok((store, recovered))
+    }
+
+    /// Returns the bytes of a torn write that were cut when the group was opened.
+    pub fn torn_bytes(&self) -> u64 {
+        self.torn_bytes
+    }
+
+    /// Sets the size in bytes after which a log segment is closed.
+    pub fn set_segment_bytes(&mut self, bytes: u64) {
+        self.writer.set_segment_bytes(bytes);
+    }
+
+    /// Makes a batch durable. Blocks until it is synced.
+    ///
+    /// # Errors
+    ///
+    /// After [`Error::Full`] the batch stays pending until [`Store::retry`] succeeds. Any other
+    /// error must stop the process.
+    pub fn execute(&mut self, ops: &[storage::Op]) -> Result<(), Error> {
+        self.pending.extend(self.writer.plan(ops));
+        self.retry()
+    }
+
+    /// Continues with the steps that are pending after a full disk.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Store::execute`].
+    pub fn retry(&mut self) -> Result<(), Error> {
+        while let Some(step) = self.pending.front() {
+            carry_out(&mut self.files, step)?;
+            self.pending.pop_front();
+        }
+        Ok(())
+    }
+
+    /// Returns the files, dropping what is pending.
+    pub fn into_files(self) -> F {
+        self.files
+    }
+}
+
+fn carry_out(files: &mut impl Files, step: &Step) -> Result<(), Error> {
+    let (name, result) = match step {
+        Step::Write { file, offset, data } => (file, files.write(file, *offset, data)),
+        Step::SetLen { file, len } => (file, files.set_len(file, *len)),
+        Step::Rename { from, to } => (to, files.rename(from, to)),
+        Step::Remove { file } => (file, files.remove(file)),
+        Step::Sync { file } => {
+            let result = files.sync(file);
+            return result.map_err(|source| sync_error(files, file, source));
+        }
+        Step::SyncFolder => {
+            let result = files.sync_folder();
+            return result.map_err(|source| sync_error(files, "", source));
+        }
+    };
+    result.map_err(|source| Error::io(files.path().join(name), source))
+}
+
+fn sync_error(files: &impl Files, name: &str, source: io::Error) -> Error {
+    let path = files.path().join(name);
+    Error::Sync { path, source }
+}
+
+/// Carries out a batch on the runtime's thread pool and gives the store back.
+///
+/// # Errors
+///
+/// As for [`Store::execute`], and [`Error::Thread`] when the thread panicked; the store is lost
+/// then.
+pub async fn execute<F: Files + Send + 'static>(
+    mut store: Store<F>,
+    ops: Vec<storage::Op>,
+) -> Result<(Store<F>, Result<(), Error>), Error> {
+    let task = runtime::spawn_blocking(move || {
+        let result = store.execute(&ops);
+        (store, result)
+    });
+    task.await.map_err(|_| Error::Thread)
+}
+
+/// Continues a pending batch on the runtime's thread pool. See [`Store::retry`].
+///
+/// # Errors
+///
+/// As for [`execute`].
+pub async fn retry<F: Files + Send + 'static>(
+    mut store: Store<F>,
+) -> Result<(Store<F>, Result<(), Error>), Error> {
+    let task = runtime::spawn_blocking(move || {
+        let result = store.retry();
+        (store, result)
+    });
+    task.await.map_err(|_| Error::Thread)
+}
