--- /dev/null
+++ b/core/src/records/amend.rs
@@ -0,0 +1,47 @@
+//! Changes one field of a record's text and keeps all other bytes.
+
+use crate::records::{Fault, reader};
+
+/// Returns `text` with the field `name` of its spec set to `value`, which is JSON text.
+///
+/// All other bytes stay as they are, so unknown fields survive an amendment by an older program.
+///
+/// # Errors
+///
+/// Returns the faults of a text that is not an object with an object `spec`, or of a `value` that
+/// is not JSON.
+pub fn set_spec_field(text: &str, name: &str, value: &str) -> Result<String, Vec<Fault>> {
+    let mut report = reader::Report::default();
+    if serde_json::from_str::<&serde_json::value::RawValue>(value).is_err() {
+        report.fault(format!("$.spec.{name}"), "is not valid JSON");
+    }
+    let spec = reader::Object::read("$", text, &mut report)
+        .and_then(|mut top| top.require("spec", &mut report));
+    let fields = spec.and_then(|spec| reader::Object::read("$.spec", spec.get(), &mut report));
+    let (Some(spec), Some(mut fields), true) = (spec, fields, report.faults.is_empty()) else {
+        return Err(report.faults);
+    };
+    if let Some(old) = fields.take(name) {
+        return Ok(splice(text, old.get(), value));
+    }
+    Ok(splice(
+        text,
+        spec.get(),
+        &append_field(spec.get(), name, value),
+    ))
+}
+
+/// Replaces `part`, which is a slice of `text`.
+fn splice(text: &str, part: &str, replacement: &str) -> String {
+    let start = part.as_ptr() as usize - text.as_ptr() as usize;
+    let end = start + part.len();
+    format!("{}{replacement}{}", &text[..start], &text[end..])
+}
+
+fn append_field(object: &str, name: &str, value: &str) -> String {
+    let end = object.rfind('}').unwrap_or(object.len());
+    let head = object[..end].trim_end();
+    let comma = if head.ends_with('{') { "" } else { ", " };
+    let name = serde_json::Value::from(name);
+    format!("{head}{comma}{name}: {value}{}", &object[head.len()..])
+}
--- /dev/null
+++ b/core/src/records/reader.rs
@@ -0,0 +1,180 @@
+//! Reads JSON objects field by field and collects every fault on the way.
+
+use std::fmt;
+
+use serde::de::{self, Deserialize};
+use serde_json::value;
+
+use crate::records::{Fault, Unknown};
+
+/// Fields of one JSON object in the order of the text, each with its raw value.
+pub(crate) struct Fields<'a>(pub Vec<(String, &'a value::RawValue)>);
+
+impl<'de> Deserialize<'de> for Fields<'de> {
+    fn deserialize<D: de::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        struct Visitor;
+
+        impl<'de> de::Visitor<'de> for Visitor {
+            type Value = Fields<'de>;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("an object")
+            }
+
+            fn visit_map<A: de::MapAccess<'de>>(self, mut map: A) -> Result<Fields<'de>, A::Error> {
+                let mut fields = Vec::new();
+                while let Some(entry) = map.next_entry()? {
+                    fields.push(entry);
+                }
+                Ok(Fields(fields))
+            }
+        }
+
+        deserializer.deserialize_map(Visitor)
+    }
+}
+
+/// Faults and unknown fields found so far.
+#[derive(Default)]
+pub(crate) struct Report {
+    pub faults: Vec<Fault>,
+    pub unknown: Vec<Unknown>,
+}
+
+impl Report {
+    pub fn fault(&mut self, path: impl Into<String>, message: impl Into<String>) {
+        self.faults.push(Fault::new(path, message));
+    }
+}
+
+/// One object that is being read. Fields that nobody took are reported as unknown by `finish`.
+pub(crate) struct Object<'a> {
+    pub path: String,
+    fields: Vec<(String, &'a value::RawValue)>,
+}
+
+impl<'a> Object<'a> {
+    /// Reads `text` as an object; a fault is reported when it is none.
+    pub fn read(path: &str, text: &'a str, report: &mut Report) -> Option<Object<'a>> {
+        if !text.trim_start().starts_with('{') {
+            report.fault(path, "must be an object");
+            return None;
+        }
+        match serde_json::from_str::<Fields<'a>>(text) {
+            Ok(Fields(fields)) => {
+                let object = Object {
+                    path: path.to_owned(),
+                    fields,
+                };
+                object.report_duplicates(report);
+                Some(object)
+            }
+            Err(err) => {
+                report.fault(path, format!("is not valid JSON: {err}"));
+                None
+            }
+        }
+    }
+
+    fn report_duplicates(&self, report: &mut Report) {
+        for (at, (name, _)) in self.fields.iter().enumerate() {
+            if self.fields[..at].iter().any(|(earlier, _)| earlier == name) {
+                report.fault(self.path_of(name), "is given more than once");
+            }
+        }
+    }
+
+    /// Returns the JSON path of a field of this object.
+    pub fn path_of(&self, name: &str) -> String {
+        let plain = name.starts_with(|c: char| c.is_ascii_alphabetic() || c == '_')
+            && name.chars().all(|c| c.is_ascii_alphanumeric() || c == '_');
+        if plain {
+            format!("{}.{name}", self.path)
+        } else {
+            format!("{}[{}]", self.path, serde_json::Value::from(name))
+        }
+    }
+
+    /// Takes the raw value of a field.
+    pub fn take(&mut self, name: &str) -> Option<&'a value::RawValue> {
+        let at = self.fields.iter().position(|(field, _)| field == name)?;
+        Some(self.fields.remove(at).1)
+    }
+
+    /// Takes a field that must be present.
+    pub fn require(&mut self, name: &str, report: &mut Report) -> Option<&'a value::RawValue> {
+        let raw = self.take(name);
+        if raw.is_none() {
+            report.fault(self.path_of(name), "is missing");
+        }
+        raw
+    }
+
+    /// Takes a field as a value of type `T`; `expected` names the type in the fault.
+    pub fn value<T: de::DeserializeOwned>(
+        &mut self,
+        name: &str,
+        expected: &str,
+        report: &mut Report,
+    ) -> Option<T> {
+        let raw = self.take(name)?;
+        let value = serde_json::from_str(raw.get()).ok();
+        if value.is_none() {
+            report.fault(self.path_of(name), format!("must be {expected}"));
+        }
+        value
+    }
+
+    /// Takes a whole number within `low..=high`.
+    pub fn number(&mut self, name: &str, low: u64, high: u64, report: &mut Report) -> Option<u64> {
+        let raw = self.take(name)?;
+        match serde_json::from_str::<u64>(raw.get()) {
+            Ok(number) if (low..=high).contains(&number) => Some(number),
+            _ => {
+                let message = format!("must be a whole number from {low} to {high}");
+                report.fault(self.path_of(name), message);
+                None
+            }
+        }
+    }
+
+    /// Takes a list of strings; each element that is none is a fault of its own.
+    pub fn strings(&mut self, name: &str, report: &mut Report) -> Option<Vec<String>> {
+        let path = self.path_of(name);
+        let raw = self.take(name)?;
+        let Ok(items) = serde_json::from_str::<Vec<serde_json::Value>>(raw.get()) else {
+            report.fault(path, "must be a list of strings");
+            return None;
+        };
+        let mut strings = Vec::with_capacity(items.len());
+        for (at, item) in items.into_iter().enumerate() {
+            match item {
+                serde_json::Value::String(text) => strings.push(text),
+                _ => report.fault(format!("{path}[{at}]"), "must be a string"),
+            }
+        }
+        Some(strings)
+    }
+
+    /// Takes a nested object.
+    pub fn object(&mut self, name: &str, report: &mut Report) -> Option<Object<'a>> {
+        let raw = self.take(name)?;
+        Object::read(&self.path_of(name), raw.get(), report)
+    }
+
+    /// Returns the fields that were not taken.
+    pub fn rest(self) -> Vec<(String, &'a value::RawValue)> {
+        self.fields
+    }
+
+    /// Reports the fields that were not taken as unknown.
+    pub fn finish(self, report: &mut Report) {
+        for (name, raw) in &self.fields {
+            let value = raw.get().to_owned();
+            report.unknown.push(Unknown {
+                path: self.path_of(name),
+                value,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/core/src/records/table.rs
@@ -0,0 +1,175 @@
+//! A gateway's copy of the records, which only moves forward.
+
+use std::collections;
+
+use crate::records::{self, Key, Record, Routes, ServiceSpec};
+use crate::{registry, types};
+
+/// What one step of the copy changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Applied {
+    /// Records that were created or amended.
+    pub changed: Vec<Key>,
+    /// Records that are gone.
+    pub removed: Vec<Key>,
+}
+
+/// Why changes were not applied. The copy is then unchanged.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ApplyError {
+    /// The changes start after this copy's revision or end before it: they came too early or too
+    /// late, and applying them could undo a newer record.
+    #[error("changes from revision {from} to {through} do not continue revision {revision}")]
+    OutOfOrder {
+        /// Revision of this copy.
+        revision: types::Revision,
+        /// Revision that the changes start from.
+        from: types::Revision,
+        /// Revision that the changes lead to.
+        through: types::Revision,
+    },
+    /// A record cannot be read by this version, so this VM must not claim to enforce it.
+    #[error("record {key} is not readable by this version")]
+    Unreadable {
+        /// The record.
+        key: Key,
+    },
+}
+
+/// Records in force on one gateway.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    revision: types::Revision,
+    records: collections::BTreeMap<Key, (types::Revision, Record)>,
+    routes: Routes,
+}
+
+impl Table {
+    /// Returns the revision up to which all changes have been applied.
+    pub fn revision(&self) -> types::Revision {
+        self.revision
+    }
+
+    /// Applies changes that continue this copy.
+    ///
+    /// # Errors
+    ///
+    /// Returns why nothing was applied.
+    pub fn apply(&mut self, changes: &registry::Changes) -> Result<Applied, ApplyError> {
+        let gap = !changes.full && changes.from > self.revision;
+        if gap || changes.through < self.revision {
+            return Err(ApplyError::OutOfOrder {
+                revision: self.revision,
+                from: changes.from,
+                through: changes.through,
+            });
+        }
+        let parsed = self.parse_news(changes)?;
+        let mut applied = Applied::default();
+        if changes.full {
+            self.remove_missing(changes, &mut applied);
+        }
+        // Removals come first, so that a route can pass from one service to another.
+        for change in changes
+            .changes
+            .iter()
+            .filter(|change| change.text.is_none())
+        {
+            self.remove(&change.key, &mut applied);
+        }
+        for (revision, record) in parsed {
+            self.insert(revision, record, &mut applied);
+        }
+        self.revision = changes.through;
+        Ok(applied)
+    }
+
+    fn parse_news(
+        &self,
+        changes: &registry::Changes,
+    ) -> Result<Vec<(types::Revision, Record)>, ApplyError> {
+        let mut parsed = Vec::new();
+        for change in &changes.changes {
+            let known = self.records.get(&change.key).map(|(revision, _)| *revision);
+            let Some(text) = change
+                .text
+                .as_deref()
+                .filter(|_| known < Some(change.revision))
+            else {
+                continue;
+            };
+            let Ok(record) = records::parse(text) else {
+                return Err(ApplyError::Unreadable {
+                    key: change.key.clone(),
+                });
+            };
+            parsed.push((change.revision, record));
+        }
+        Ok(parsed)
+    }
+
+    fn remove_missing(&mut self, changes: &registry::Changes, applied: &mut Applied) {
+        let listed: collections::BTreeSet<&Key> =
+            changes.changes.iter().map(|change| &change.key).collect();
+        let gone = self.records.keys().filter(|key| !listed.contains(key));
+        for key in gone.cloned().collect::<Vec<_>>() {
+            self.remove(&key, applied);
+        }
+    }
+
+    fn insert(&mut self, revision: types::Revision, record: Record, applied: &mut Applied) {
+        if let Some(spec) = record.service() {
+            self.routes.insert(&service_name(&record.key), spec);
+        }
+        applied.changed.push(record.key.clone());
+        self.records.insert(record.key.clone(), (revision, record));
+    }
+
+    fn remove(&mut self, key: &Key, applied: &mut Applied) {
+        if self.records.remove(key).is_none() {
+            return;
+        }
+        if key.kind == records::Kind::Service {
+            self.routes.remove(&service_name(key));
+        }
+        applied.removed.push(key.clone());
+    }
+
+    /// Returns a record and its revision.
+    pub fn get(&self, key: &Key) -> Option<(types::Revision, &Record)> {
+        self.records
+            .get(key)
+            .map(|(revision, record)| (*revision, record))
+    }
+
+    /// Returns all records in the order of their keys.
+    pub fn iter(&self) -> impl Iterator<Item = &Record> {
+        self.records.values().map(|(_, record)| record)
+    }
+
+    /// Returns the spec of a service.
+    pub fn service(&self, name: &types::ServiceName) -> Option<&ServiceSpec> {
+        let key = Key::new(records::Kind::Service, name.as_str());
+        self.records
+            .get(&key)
+            .and_then(|(_, record)| record.service())
+    }
+
+    /// Returns the service of a call; see [`Routes::lookup`].
+    pub fn lookup(&self, host: &str, path: &str) -> Option<&types::ServiceName> {
+        self.routes.lookup(host, path)
+    }
+
+    /// Returns whether a record drains this VM.
+    pub fn drains_vm(&self, vm: types::VmId) -> bool {
+        let key = Key::new(records::Kind::Vm, vm.to_string());
+        let record = self.records.get(&key).map(|(_, record)| record);
+        record
+            .and_then(Record::vm)
+            .is_some_and(|(_, spec)| spec.drain)
+    }
+}
+
+fn service_name(key: &Key) -> types::ServiceName {
+    types::ServiceName(key.name.clone())
+}
--- /dev/null
+++ b/core/src/registry/changes.rs
@@ -0,0 +1,53 @@
+//! Changes for gateways.
+
+use std::sync;
+
+use crate::records::Key;
+use crate::registry::Registry;
+use crate::types;
+
+/// Last state of one record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The record.
+    pub key: Key,
+    /// Revision of its last change.
+    pub revision: types::Revision,
+    /// Its text; `None` when it was deleted.
+    pub text: Option<sync::Arc<str>>,
+}
+
+/// What leads from one revision to another.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Revision that the changes start from.
+    pub from: types::Revision,
+    /// Revision that they lead to.
+    pub through: types::Revision,
+    /// Whether these are all records; records that are not listed do not exist then.
+    pub full: bool,
+    /// One change for each record that differs, in the order of the revisions.
+    pub changes: Vec<Change>,
+}
+
+pub(super) fn since(registry: &Registry, from: types::Revision) -> Changes {
+    let full = from < registry.floor || from > registry.revision;
+    let wanted = |revision, deleted: bool| if full { !deleted } else { revision > from };
+    let mut changes: Vec<Change> = registry
+        .entries
+        .iter()
+        .filter(|(_, entry)| wanted(entry.revision(), entry.current().is_none()))
+        .map(|(key, entry)| Change {
+            key: key.clone(),
+            revision: entry.revision(),
+            text: entry.current().and_then(|version| version.text.clone()),
+        })
+        .collect();
+    changes.sort_by_key(|change| change.revision);
+    Changes {
+        from,
+        through: registry.revision,
+        full,
+        changes,
+    }
+}
--- a/core/src/registry/mod.rs
+++ b/core/src/registry/mod.rs
@@ -1,1 +1,333 @@
-//! Replicated state machine of records, request ids and registered VMs.
+//! Replicated state machine of records, request ids and VM membership.
+//!
+//! Every replica applies the same commands in the same order and reaches the same state. Time
+//! enters only through the commands.
+
+mod changes;
+mod command;
+mod ids;
+mod record;
+mod snapshot;
+mod vms;
+
+use std::{collections, sync};
+
+use crate::records::{self, Key};
+use crate::{time, types};
+
+pub use changes::{Change, Changes};
+pub use command::{Command, Reason, Reply};
+pub use ids::{Id, IdError, parse_id};
+pub use record::{Entry, Version};
+pub use snapshot::SnapshotError;
+pub use vms::Vm;
+
+/// Records that can exist at the same time; 160 services and 50 VMs are expected.
+pub const MAX_RECORDS: usize = 1024;
+
+/// Deleted records whose history is kept.
+pub const MAX_DELETED: usize = 256;
+
+/// The state machine.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Registry {
+    revision: types::Revision,
+    /// Changes up to this revision can no longer be listed one by one.
+    floor: types::Revision,
+    time: time::UnixMillis,
+    entries: collections::BTreeMap<Key, Entry>,
+    ids: ids::Ids,
+    vms: collections::BTreeMap<types::VmId, Vm>,
+    /// Snapshot lines and fields that this version does not know.
+    foreign: snapshot::Foreign,
+    routes: RouteCache,
+}
+
+/// Routes of the current records; derived state, so equality of registries ignores it.
+#[derive(Clone, Debug, Default)]
+struct RouteCache(records::Routes);
+
+impl PartialEq for RouteCache {
+    fn eq(&self, _: &RouteCache) -> bool {
+        true
+    }
+}
+
+impl Registry {
+    /// Returns the revision of the last accepted change.
+    pub fn revision(&self) -> types::Revision {
+        self.revision
+    }
+
+    /// Returns the replicated time: the latest time that a command carried.
+    pub fn time(&self) -> time::UnixMillis {
+        self.time
+    }
+
+    /// Returns the current version of a record.
+    pub fn get(&self, key: &Key) -> Option<&Version> {
+        self.entries.get(key).and_then(Entry::current)
+    }
+
+    /// Returns all current records in the order of their keys.
+    pub fn list(&self) -> impl Iterator<Item = (&Key, &Version)> {
+        self.entries
+            .iter()
+            .filter_map(|(key, entry)| Some((key, entry.current()?)))
+    }
+
+    /// Returns the kept versions of a record, oldest first; a deletion is a version without text.
+    pub fn history(&self, key: &Key) -> impl Iterator<Item = &Version> {
+        self.entries
+            .get(key)
+            .into_iter()
+            .flat_map(|entry| entry.versions.iter())
+    }
+
+    /// Returns the registered VMs.
+    pub fn vms(&self) -> impl Iterator<Item = &Vm> {
+        self.vms.values()
+    }
+
+    /// Returns the number of request ids that are kept.
+    pub fn id_count(&self) -> usize {
+        self.ids.len()
+    }
+
+    /// Returns the changes after `revision`, or all records when these are no longer known.
+    pub fn since(&self, revision: types::Revision) -> Changes {
+        changes::since(self, revision)
+    }
+
+    /// Applies a committed command. The log index becomes the revision of an accepted change.
+    pub fn apply(&mut self, index: types::LogIndex, command: &Command) -> Reply {
+        self.advance(command.now());
+        match command {
+            Command::Put {
+                request_id,
+                expect,
+                actor,
+                text,
+                ..
+            } => {
+                let digest = crc32fast::hash(text.as_bytes());
+                let write = Write {
+                    index,
+                    request_id,
+                    digest,
+                    actor,
+                    expect: *expect,
+                };
+                self.once(&write, |registry, id| registry.put(&write, id, text))
+            }
+            Command::Delete {
+                request_id,
+                key,
+                expect,
+                actor,
+                ..
+            } => {
+                let digest = crc32fast::hash(format!("delete {key}").as_bytes());
+                let write = Write {
+                    index,
+                    request_id,
+                    digest,
+                    actor,
+                    expect: Some(*expect),
+                };
+                self.once(&write, |registry, id| registry.delete(&write, id, key))
+            }
+            Command::RegisterVm {
+                vm,
+                role,
+                failure_domain,
+                schemas,
+                ..
+            } => self.register(Vm {
+                id: *vm,
+                role: *role,
+                failure_domain: failure_domain.clone(),
+                schemas: schemas.clone(),
+            }),
+            Command::RemoveVm { vm, .. } => {
+                self.vms.remove(vm);
+                Reply::Done
+            }
+        }
+    }
+
+    /// Moves the replicated time forward; it never goes back when a leader's clock does.
+    fn advance(&mut self, now: time::UnixMillis) {
+        self.time = self.time.max(now);
+        self.ids.expire(self.time);
+    }
+
+    /// Runs a write unless its request id was seen before, and keeps the result.
+    fn once(&mut self, write: &Write<'_>, run: impl FnOnce(&mut Registry, Id) -> Reply) -> Reply {
+        let id = match parse_id(write.request_id) {
+            Ok(id) => id,
+            Err(err) => {
+                return Reply::Refused {
+                    reason: Reason::Id(err),
+                };
+            }
+        };
+        match self.ids.find(id, write.digest) {
+            Some(Ok(first)) => return Reply::Repeated(Box::new(first.clone())),
+            Some(Err(reason)) => return Reply::Refused { reason },
+            None => {}
+        }
+        if let Err(reason) = self.ids.admit(id, self.time) {
+            return Reply::Refused { reason };
+        }
+        let reply = run(self, id);
+        self.ids.keep(id, write.digest, &reply);
+        reply
+    }
+
+    fn put(&mut self, write: &Write<'_>, id: Id, text: &str) -> Reply {
+        // The schema is checked before the spec is validated: a replica that does not know the
+        // schema must come to the same verdict as one that does.
+        let heading = match records::heading(text) {
+            Ok(heading) => heading,
+            Err(_) => {
+                return Reply::Invalid {
+                    faults: records::parse(text).err().unwrap_or_default(),
+                };
+            }
+        };
+        let unable = self.vms_without(heading.schema);
+        if !unable.is_empty() {
+            return Reply::Unsupported { vms: unable };
+        }
+        let record = match records::parse(text) {
+            Ok(record) => record,
+            Err(faults) => return Reply::Invalid { faults },
+        };
+        let faults = self.clashes(&record);
+        if !faults.is_empty() {
+            return Reply::Invalid { faults };
+        }
+        if let Some(conflict) = self.conflict(&record.key, write.expect) {
+            return conflict;
+        }
+        let live = self
+            .entries
+            .values()
+            .filter(|entry| entry.current().is_some())
+            .count();
+        if self.get(&record.key).is_none() && live >= MAX_RECORDS {
+            return Reply::Refused {
+                reason: Reason::TooManyRecords,
+            };
+        }
+        if let Some(spec) = record.service() {
+            let name = types::ServiceName(record.key.name.clone());
+            self.routes.0.insert(&name, spec);
+        }
+        let text = sync::Arc::from(text);
+        self.accept(write, id, record.key, record.schema, Some(text))
+    }
+
+    fn delete(&mut self, write: &Write<'_>, id: Id, key: &Key) -> Reply {
+        if let Some(conflict) = self.conflict(key, write.expect) {
+            return conflict;
+        }
+        let schema = self.get(key).map_or(0, |version| version.schema);
+        if key.kind == records::Kind::Service {
+            self.routes.0.remove(&types::ServiceName(key.name.clone()));
+        }
+        let reply = self.accept(write, id, key.clone(), schema, None);
+        self.forget_deleted();
+        reply
+    }
+
+    fn clashes(&self, record: &records::Record) -> Vec<records::Fault> {
+        let name = types::ServiceName(record.key.name.clone());
+        record
+            .service()
+            .map_or(Vec::new(), |spec| self.routes.0.clashes(&name, spec))
+    }
+
+    fn conflict(&self, key: &Key, expect: Option<types::Revision>) -> Option<Reply> {
+        let current = self.get(key).map(|version| version.revision);
+        // A revision is at least 1, so 0 also stands for "no record".
+        let expect = expect.filter(|revision| revision.0 > 0);
+        if current == expect {
+            return None;
+        }
+        let last = self
+            .entries
+            .get(key)
+            .and_then(|entry| entry.versions.back());
+        Some(Reply::Conflict {
+            current: current.unwrap_or_default(),
+            by_request: last.map(|version| version.request_id()),
+        })
+    }
+
+    fn accept(
+        &mut self,
+        write: &Write<'_>,
+        id: Id,
+        key: Key,
+        schema: u32,
+        text: Option<sync::Arc<str>>,
+    ) -> Reply {
+        let revision = types::Revision(write.index.0);
+        self.revision = revision;
+        let version = Version {
+            revision,
+            schema,
+            request: id,
+            actor: write.actor.to_owned(),
+            at: self.time,
+            text,
+        };
+        self.entries.entry(key).or_default().push(version);
+        Reply::Accepted { revision }
+    }
+
+    /// Drops the longest deleted records beyond the limit.
+    fn forget_deleted(&mut self) {
+        let deleted = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.current().is_none());
+        let mut deleted: Vec<(types::Revision, Key)> = deleted
+            .map(|(key, entry)| (entry.revision(), key.clone()))
+            .collect();
+        if deleted.len() <= MAX_DELETED {
+            return;
+        }
+        deleted.sort();
+        let surplus = deleted.len() - MAX_DELETED;
+        for (revision, key) in deleted.into_iter().take(surplus) {
+            self.entries.remove(&key);
+            self.floor = self.floor.max(revision);
+        }
+    }
+
+    fn rebuild_routes(&mut self) {
+        let mut routes = records::Routes::default();
+        for (key, version) in self.list() {
+            let record = version
+                .text
+                .as_deref()
+                .and_then(|text| records::parse(text).ok());
+            if let Some(spec) = record.as_ref().and_then(records::Record::service) {
+                routes.insert(&types::ServiceName(key.name.clone()), spec);
+            }
+        }
+        self.routes = RouteCache(routes);
+    }
+}
+
+/// What puts and deletions have in common.
+struct Write<'a> {
+    index: types::LogIndex,
+    request_id: &'a types::RequestId,
+    digest: u32,
+    actor: &'a str,
+    expect: Option<types::Revision>,
+}
--- /dev/null
+++ b/core/src/registry/vms.rs
@@ -0,0 +1,39 @@
+//! VMs and the schemas that they can enforce.
+
+use serde::{Deserialize, Serialize};
+
+use crate::registry::{Registry, Reply};
+use crate::types;
+
+/// A registered VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// Its id.
+    pub id: types::VmId,
+    /// Its role.
+    pub role: types::Role,
+    /// Its failure domain.
+    pub failure_domain: types::FailureDomain,
+    /// Record schemas that it can enforce.
+    pub schemas: Vec<u32>,
+}
+
+impl Registry {
+    /// Returns the registered VMs that cannot enforce `schema`.
+    pub(super) fn vms_without(&self, schema: u32) -> Vec<types::VmId> {
+        let unable = self.vms.values().filter(|vm| !vm.schemas.contains(&schema));
+        unable.map(|vm| vm.id).collect()
+    }
+
+    /// Registers a VM unless a current record has a schema that it cannot enforce.
+    pub(super) fn register(&mut self, vm: Vm) -> Reply {
+        let enforceable = self
+            .list()
+            .all(|(_, version)| vm.schemas.contains(&version.schema));
+        if !enforceable {
+            return Reply::Unsupported { vms: vec![vm.id] };
+        }
+        self.vms.insert(vm.id, vm);
+        Reply::Done
+    }
+}
