--- /dev/null
+++ b/core/tests/lease.rs
@@ -0,0 +1,283 @@
+//! Leases: who may serve, what is in force, and who holds a change back.
+
+use std::time::Duration;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use wagtailshunt_core::lease::{Config, Current, Grantor, Holder, Refusal, Removal, Status};
+use wagtailshunt_core::time::Instant;
+use wagtailshunt_core::types::{Incarnation, Revision, VmId};
+
+const G: VmId = VmId(1);
+const END: Duration = Duration::from_millis(2222);
+
+fn ms(at: u64) -> Instant {
+    Instant(at * 1000)
+}
+
+fn holder(incarnation: u64) -> Holder {
+    Holder::new(Config::default(), G, Incarnation(incarnation))
+}
+
+fn status(revision: u64) -> Status {
+    Status {
+        revision: Revision(revision),
+        ..Status::default()
+    }
+}
+
+fn current(revision: u64) -> Current {
+    Current {
+        revision: Revision(revision),
+        ..Current::default()
+    }
+}
+
+const FOREVER: Option<Instant> = Some(Instant(u64::MAX));
+
+/// A grantor whose start lies longer back than a lease.
+fn settled(revision: u64) -> Grantor {
+    Grantor::new(Config::default(), ms(0), Revision(revision), [G])
+}
+
+/// Guards against a gateway that serves after the leader has counted it out.
+#[test]
+fn holder_stops_before_the_grantor_counts_it_out() {
+    let mut grantor = settled(5);
+    let mut holder = holder(1);
+    assert!(holder.renewal_due(ms(10_000)));
+    let renewal = holder.sent(ms(10_000), &status(5));
+    assert!(!holder.renewal_due(ms(10_499)));
+    let grant = grantor
+        .renew(ms(10_040), FOREVER, &current(5), &renewal)
+        .expect("granted");
+    assert!(holder.granted(&grant));
+    assert!(!holder.granted(&grant));
+    assert!(holder.serving(ms(12_177)) && !holder.serving(ms(12_178)));
+    grantor.accepted(ms(10_050), Revision(6));
+    assert_eq!(grantor.holding_back(ms(12_261), Revision(6)), [G]);
+    assert_eq!(grantor.in_force(ms(12_261)), Revision(5));
+    assert_eq!(grantor.next_deadline(ms(12_261)), Some(ms(10_040) + END));
+    assert_eq!(grantor.in_force(ms(12_262)), Revision(6));
+}
+
+/// Guards against grants by a leader that may have been replaced.
+#[test]
+fn nothing_is_granted_without_a_leader_lease() {
+    let mut grantor = settled(5);
+    let renewal = holder(1).sent(ms(10_000), &status(5));
+    for lease in [None, Some(ms(10_000))] {
+        let refusal = grantor.renew(ms(10_000), lease, &current(5), &renewal);
+        assert_eq!(refusal, Err(Refusal::NotLeader));
+    }
+}
+
+/// Guards against a gateway that missed a change and prolongs its lease under the old revision.
+#[test]
+fn a_gateway_that_is_behind_is_refused_after_the_grace() {
+    let mut grantor = settled(5);
+    let mut holder = holder(1);
+    let before = holder.sent(ms(9_900), &status(5));
+    assert!(
+        grantor
+            .renew(ms(9_950), FOREVER, &current(5), &before)
+            .is_ok()
+    );
+    grantor.accepted(ms(10_000), Revision(6));
+    let first = holder.sent(ms(10_400), &status(5));
+    assert!(
+        grantor
+            .renew(ms(10_450), FOREVER, &current(6), &first)
+            .is_ok()
+    );
+    let second = holder.sent(ms(10_900), &status(5));
+    let behind = Refusal::Behind {
+        revision: Revision(6),
+    };
+    assert_eq!(
+        grantor.renew(ms(10_950), FOREVER, &current(6), &second),
+        Err(behind)
+    );
+    holder.refused(ms(10_960), &behind);
+    assert!(holder.renewal_due(ms(11_060)));
+    assert_eq!(grantor.in_force(ms(10_450) + END), Revision(6));
+}
+
+/// Guards against a change that was reported in force and is then superseded by an older one,
+/// within the grace and across a change of leader.
+#[test]
+fn no_lease_is_granted_below_what_was_in_force() {
+    let mut grantor = settled(5);
+    grantor.accepted(ms(10_000), Revision(6));
+    assert_eq!(grantor.in_force(ms(10_001)), Revision(6));
+    let late = holder(1).sent(ms(10_002), &status(5));
+    let behind = Err(Refusal::Behind {
+        revision: Revision(6),
+    });
+    assert_eq!(
+        grantor.renew(ms(10_003), FOREVER, &current(6), &late),
+        behind
+    );
+    let mut next = Grantor::new(Config::default(), ms(10_100), Revision(6), [G]);
+    let late = holder(2).sent(ms(10_102), &status(5));
+    assert_eq!(next.renew(ms(10_103), FOREVER, &current(6), &late), behind);
+}
+
+/// Guards against a new leader that forgets the leases of the one before.
+#[test]
+fn a_new_leader_waits_for_unknown_leases() {
+    let mut grantor = Grantor::new(Config::default(), ms(10_000), Revision(6), [G]);
+    let renewal = holder(1).sent(ms(10_010), &status(6));
+    assert!(
+        grantor
+            .renew(ms(10_010), FOREVER, &current(6), &renewal)
+            .is_ok()
+    );
+    assert_eq!(grantor.in_force(ms(12_221)), Revision(0));
+    assert_eq!(grantor.remove(ms(10_020), VmId(9)), Removal::Ended);
+    assert_eq!(grantor.in_force(ms(12_222)), Revision(6));
+}
+
+/// Guards against a late renewal of an earlier process that is taken for the present one, and
+/// against forgetting that the earlier process may still serve.
+#[test]
+fn renewals_of_an_earlier_incarnation_are_recognised() {
+    let mut grantor = settled(5);
+    let (mut old, mut new) = (holder(1), holder(2));
+    let (first, late) = (
+        old.sent(ms(10_000), &status(5)),
+        old.sent(ms(10_500), &status(5)),
+    );
+    assert!(
+        grantor
+            .renew(ms(10_000), FOREVER, &current(5), &first)
+            .is_ok()
+    );
+    grantor.accepted(ms(10_100), Revision(6));
+    let renewal = new.sent(ms(10_200), &status(6));
+    let grant = grantor
+        .renew(ms(10_200), FOREVER, &current(6), &renewal)
+        .expect("granted");
+    assert_eq!(grant.transitions, 2);
+    let superseded = Err(Refusal::Superseded {
+        incarnation: Incarnation(2),
+    });
+    assert_eq!(
+        grantor.renew(ms(10_510), FOREVER, &current(6), &late),
+        superseded
+    );
+    assert_eq!(
+        grantor.renew(ms(10_520), FOREVER, &current(6), &renewal),
+        Err(Refusal::Stale)
+    );
+    assert_eq!(grantor.in_force(ms(12_221)), Revision(5));
+    assert_eq!(grantor.in_force(ms(12_222)), Revision(6));
+}
+
+/// Guards against a planned stop that holds changes back, and a removal while a lease is in use.
+#[test]
+fn release_and_removal() {
+    let mut grantor = settled(5);
+    let mut holder = holder(1);
+    let renewal = holder.sent(ms(10_000), &status(5));
+    let grant = grantor
+        .renew(ms(10_000), FOREVER, &current(5), &renewal)
+        .expect("granted");
+    assert_eq!(
+        grantor.remove(ms(10_001), G),
+        Removal::Wait(ms(10_000) + END)
+    );
+    holder.granted(&grant);
+    let refused = holder.sent(ms(10_500), &status(5));
+    let refusal = grantor.renew(ms(10_500), FOREVER, &current(5), &refused);
+    assert_eq!(refusal, Err(Refusal::NotRegistered));
+    let late = holder.sent(ms(10_550), &status(5));
+    let release = holder.release(&status(5));
+    assert!(!holder.serving(ms(10_600)) && !holder.renewal_due(ms(20_000)));
+    grantor
+        .renew(ms(10_600), FOREVER, &current(5), &release)
+        .expect("noted");
+    assert_eq!(
+        grantor.renew(ms(10_610), FOREVER, &current(5), &late),
+        Err(Refusal::Stale)
+    );
+    grantor.accepted(ms(10_620), Revision(6));
+    assert_eq!(grantor.in_force(ms(10_620)), Revision(6));
+    assert_eq!(grantor.remove(ms(10_620), G), Removal::Ended);
+}
+
+/// Events of a random run: kind, gateway and delay in milliseconds.
+#[derive(Clone, Debug)]
+struct Event(u8, u8, u16);
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Event {
+        Event(
+            u8::arbitrary(g) % 8,
+            u8::arbitrary(g) % 3,
+            u16::arbitrary(g) % 400,
+        )
+    }
+}
+
+/// Gateways whose clocks run 1% fast or slow renew, lose answers, restart and fall behind.
+fn in_force_holds(events: Vec<Event>) -> bool {
+    let vms = [VmId(0), VmId(1), VmId(2)];
+    let new =
+        |vm: usize, incarnation| Holder::new(Config::default(), vms[vm], Incarnation(incarnation));
+    // Rates in thousandths; within the margin on both sides together.
+    let local = |vm: usize, at: u64| Instant(at * [995_000, 1_000_000, 1_005_000][vm] / 1000);
+    let mut now = 10_000;
+    let mut grantor = Grantor::new(Config::default(), ms(now), Revision(1), vms);
+    let mut holders: Vec<(usize, Holder, u64)> = (0..3).map(|vm| (vm, new(vm, 1), 1)).collect();
+    let (mut revision, mut reported) = (1, Revision(0));
+    for (at, Event(kind, vm, delay)) in events.into_iter().enumerate() {
+        let vm = usize::from(vm);
+        now += u64::from(delay);
+        match kind {
+            0 => {
+                revision += 1;
+                grantor.accepted(ms(now), Revision(revision));
+            }
+            1 => holders.push((vm, new(vm, at as u64 + 2), 0)),
+            _ => {
+                let last = holders
+                    .iter_mut()
+                    .rfind(|(owner, ..)| *owner == vm)
+                    .expect("holder");
+                let (_, holder, applied) = last;
+                let renewal = holder.sent(local(vm, now), &status(*applied));
+                now += 7;
+                let answer = grantor.renew(ms(now), FOREVER, &current(revision), &renewal);
+                if let (Ok(grant), true) = (answer, kind > 2) {
+                    holder.granted(&grant);
+                }
+                if kind > 3 {
+                    *applied = revision;
+                }
+            }
+        }
+        let in_force = grantor.in_force(ms(now));
+        reported = reported.max(in_force);
+        let serving = holders
+            .iter()
+            .filter(|(vm, holder, _)| holder.serving(local(*vm, now)));
+        if in_force < reported
+            || serving
+                .into_iter()
+                .any(|(.., applied)| *applied < reported.0)
+        {
+            return false;
+        }
+    }
+    true
+}
+
+/// Guards against any gateway serving under a revision older than one reported in force.
+#[test]
+fn nothing_older_than_in_force_is_served() {
+    let property: fn(Vec<Event>) -> bool = in_force_holds;
+    QuickCheck::new()
+        .rng(Gen::new(150))
+        .tests(500)
+        .quickcheck(property);
+}
