--- a/wagtailshunt/src/settings/mod.rs
+++ b/wagtailshunt/src/settings/mod.rs
@@ -1,1 +1,67 @@
 //! Settings files: JSON with comments, checked before anything starts.
+
+mod check;
+mod control;
+mod gateway;
+mod keys;
+mod source;
+
+pub use check::{Fault, Settings};
+pub use control::{Control, ControlPeer, Timing};
+pub use gateway::Gateway;
+pub use keys::Keys;
+
+use std::{fs, io, net, path};
+
+/// Errors of a settings file; nothing is started after one.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file could not be read.
+    #[error("cannot read settings file {}: {source}", path.display())]
+    Read {
+        /// File named on the command line.
+        path: path::PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// The text is not valid, or a key or value is wrong.
+    #[error("settings file {}, {fault}", path.display())]
+    Invalid {
+        /// File named on the command line.
+        path: path::PathBuf,
+        /// Key, line and cause.
+        fault: Fault,
+    },
+}
+
+/// Reads a settings file and the key files that it names.
+///
+/// Paths in the file are relative to its folder.
+pub fn load<T: Settings>(path: &path::Path) -> Result<T, Error> {
+    let text = fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    let folder = path.parent().unwrap_or(path::Path::new("."));
+    parse(&text, folder).map_err(|fault| Error::Invalid {
+        path: path.to_owned(),
+        fault,
+    })
+}
+
+/// Parses and checks settings text; paths in it are relative to `folder`.
+pub fn parse<T: Settings>(text: &str, folder: &path::Path) -> Result<T, Fault> {
+    let source = source::Source::new(text)?;
+    let mut settings: T = source.deserialize()?;
+    source.require(T::REQUIRED)?;
+    settings
+        .resolve(folder)
+        .and_then(|()| settings.check())
+        .map_err(|fault| source.locate(fault))?;
+    Ok(settings)
+}
+
+/// Address used before settings are read: an unset one.
+pub(crate) fn unset_address() -> net::SocketAddr {
+    net::SocketAddr::from(([127, 0, 0, 1], 0))
+}
