--- a/core/src/containment/gateway.rs
+++ b/core/src/containment/gateway.rs
@@ -2,14 +2,7 @@
 
 use std::{collections, time::Duration};
 
-use super::{
-    fingerprint::Fingerprint,
-    instance,
-    message::{
-        CrashReport, Notice, PermitDone, PermitReply, PermitRequest, Rebuild, Record, RunResult,
-        Suspect, Target,
-    },
-};
+use super::{fingerprint, instance, message};
 use crate::time;
 
 /// Settings of [`Gateway`].
@@ -63,9 +56,9 @@
     /// Id of the call, unique within the gateway.
     pub id: u64,
     /// Request of the call.
-    pub fingerprint: Fingerprint,
+    pub fingerprint: fingerprint::Fingerprint,
     /// Target that ran it.
-    pub target: &'a Target,
+    pub target: &'a message::Target,
     /// Time at which its connection was opened.
     pub opened: time::Instant,
     /// Time at which it was sent.
@@ -76,11 +69,11 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
     /// A target was lost.
-    Report(CrashReport),
+    Report(message::CrashReport),
     /// A suspect wants to run.
-    Ask(PermitRequest),
+    Ask(message::PermitRequest),
     /// A permit is returned, or a suspect was answered.
-    Done(PermitDone),
+    Done(message::PermitDone),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -92,26 +85,26 @@
 
 #[derive(Clone, Debug)]
 struct Known {
-    record: Record,
+    record: message::Record,
     blocked_until: Option<time::Instant>,
 }
 
 #[derive(Clone, Debug)]
 struct Permit {
-    request: PermitRequest,
+    request: message::PermitRequest,
     deadline: time::Instant,
     granted: bool,
-    target: Option<Target>,
+    target: Option<message::Target>,
 }
 
 /// Containment on a gateway.
 #[derive(Debug)]
 pub struct Gateway {
     cfg: GatewayConfig,
-    known: collections::BTreeMap<Fingerprint, Known>,
+    known: collections::BTreeMap<fingerprint::Fingerprint, Known>,
     // Suspects of this gateway that the leader has not confirmed or cleared.
-    local: collections::BTreeMap<Fingerprint, Local>,
-    targets: collections::BTreeMap<Target, instance::Instance>,
+    local: collections::BTreeMap<fingerprint::Fingerprint, Local>,
+    targets: collections::BTreeMap<message::Target, instance::Instance>,
     permits: collections::BTreeMap<u64, Permit>,
     outputs: collections::VecDeque<Output>,
 }
@@ -130,7 +123,7 @@
     }
 
     /// Decides about a call before each dispatch, also before a retry.
-    pub fn decide(&self, now: time::Instant, fingerprint: Fingerprint) -> Decision {
+    pub fn decide(&self, now: time::Instant, fingerprint: fingerprint::Fingerprint) -> Decision {
         if let Some(known) = self.known.get(&fingerprint) {
             return match known.blocked_until {
                 Some(until) if until > now => Decision::Refuse(until.since(now)),
@@ -146,8 +139,14 @@
 
     /// Asks the leader for a permit. After a change of leader the I/O layer repeats this for calls
     /// that still wait.
-    pub fn ask(&mut self, now: time::Instant, call: u64, suspect: Suspect, remaining: Duration) {
-        let request = PermitRequest {
+    pub fn ask(
+        &mut self,
+        now: time::Instant,
+        call: u64,
+        suspect: message::Suspect,
+        remaining: Duration,
+    ) {
+        let request = message::PermitRequest {
             call,
             suspect,
             remaining,
@@ -166,12 +165,12 @@
     pub fn permit_reply(
         &mut self,
         call: u64,
-        fingerprint: Fingerprint,
-        reply: PermitReply,
+        fingerprint: fingerprint::Fingerprint,
+        reply: message::PermitReply,
     ) -> Verdict {
         let Some(permit) = self.permits.get_mut(&call) else {
-            if reply == PermitReply::Granted {
-                self.done(call, fingerprint, RunResult::Inconclusive);
+            if reply == message::PermitReply::Granted {
+                self.done(call, fingerprint, message::RunResult::Inconclusive);
             }
             return Verdict::Ignored;
         };
@@ -179,18 +178,20 @@
             return Verdict::Ignored;
         }
         match reply {
-            PermitReply::Granted => {
+            message::PermitReply::Granted => {
                 permit.granted = true;
                 return Verdict::Isolated;
             }
-            PermitReply::Cleared | PermitReply::Blocked(_) | PermitReply::NoTurn => {
+            message::PermitReply::Cleared
+            | message::PermitReply::Blocked(_)
+            | message::PermitReply::NoTurn => {
                 self.permits.remove(&call);
             }
         }
         match reply {
-            PermitReply::Blocked(left) => Verdict::Refuse(left),
-            PermitReply::NoTurn => Verdict::NoTurn,
-            PermitReply::Granted | PermitReply::Cleared => Verdict::Run,
+            message::PermitReply::Blocked(left) => Verdict::Refuse(left),
+            message::PermitReply::NoTurn => Verdict::NoTurn,
+            message::PermitReply::Granted | message::PermitReply::Cleared => Verdict::Run,
         }
     }
 
@@ -198,7 +199,7 @@
     pub fn give_up(&mut self, call: u64) {
         if let Some(permit) = self.release(call) {
             let fingerprint = permit.request.suspect.fingerprint;
-            self.done(call, fingerprint, RunResult::Inconclusive);
+            self.done(call, fingerprint, message::RunResult::Inconclusive);
         }
     }
 
@@ -206,10 +207,10 @@
     pub fn isolated_target<'a>(
         &mut self,
         call: u64,
-        mut candidates: impl Iterator<Item = &'a Target>,
-    ) -> Option<&'a Target> {
+        mut candidates: impl Iterator<Item = &'a message::Target>,
+    ) -> Option<&'a message::Target> {
         let permit = self.permits.get_mut(&call).filter(|p| p.granted)?;
-        let free = |target: &&Target| match self.targets.get(*target) {
+        let free = |target: &&message::Target| match self.targets.get(*target) {
             None => true,
             Some(i) => i.in_flight == 0 && i.reserved_by.is_none() && !i.lost,
         };
@@ -220,18 +221,18 @@
     }
 
     /// Whether the target is reserved for an isolated run, so that no other call may go there.
-    pub fn is_reserved(&self, target: &Target) -> bool {
+    pub fn is_reserved(&self, target: &message::Target) -> bool {
         let instance = self.targets.get(target);
         instance.is_some_and(|instance| instance.reserved_by.is_some())
     }
 
     /// A connection to the target was opened.
-    pub fn connection_opened(&mut self, target: &Target) {
+    pub fn connection_opened(&mut self, target: &message::Target) {
         self.instance(target).open += 1;
     }
 
     /// A call was sent to the target.
-    pub fn started(&mut self, target: &Target) {
+    pub fn started(&mut self, target: &message::Target) {
         self.instance(target).in_flight += 1;
     }
 
@@ -252,7 +253,7 @@
             || self.is_known_suspect(call.fingerprint);
         if suspected {
             self.local.remove(&call.fingerprint);
-            self.done(call.id, call.fingerprint, RunResult::Answered);
+            self.done(call.id, call.fingerprint, message::RunResult::Answered);
         }
         self.forget_unused(call.target);
     }
@@ -262,7 +263,7 @@
     pub fn connection_ended(
         &mut self,
         now: time::Instant,
-        target: &Target,
+        target: &message::Target,
         opened: time::Instant,
         end: instance::End,
     ) {
@@ -279,21 +280,21 @@
     }
 
     /// A new connection to the target was refused.
-    pub fn connect_failed(&mut self, now: time::Instant, target: &Target) {
+    pub fn connect_failed(&mut self, now: time::Instant, target: &message::Target) {
         self.instance(target).connect_failed();
         self.attribute(now, target);
     }
 
     /// The incarnation ended: a newer one announced itself, or its announcement ran out.
-    pub fn incarnation_ended(&mut self, now: time::Instant, target: &Target) {
+    pub fn incarnation_ended(&mut self, now: time::Instant, target: &message::Target) {
         self.instance(target).lost = true;
         self.attribute(now, target);
     }
 
     /// Takes a change from the leader.
-    pub fn notice(&mut self, now: time::Instant, notice: &Notice) {
+    pub fn notice(&mut self, now: time::Instant, notice: &message::Notice) {
         match notice {
-            Notice::Update(record) => {
+            message::Notice::Update(record) => {
                 let known = Known {
                     record: record.clone(),
                     blocked_until: record.blocked_for.map(|left| now + left),
@@ -301,7 +302,7 @@
                 self.local.remove(&record.suspect.fingerprint);
                 self.known.insert(record.suspect.fingerprint, known);
             }
-            Notice::Cleared(fingerprint) => {
+            message::Notice::Cleared(fingerprint) => {
                 self.local.remove(fingerprint);
                 self.known.remove(fingerprint);
             }
@@ -309,27 +310,27 @@
     }
 
     /// Replaces everything known from an earlier leader by the list of this one.
-    pub fn replace(&mut self, now: time::Instant, records: &[Record]) {
+    pub fn replace(&mut self, now: time::Instant, records: &[message::Record]) {
         self.known.clear();
         for record in records {
-            self.notice(now, &Notice::Update(record.clone()));
+            self.notice(now, &message::Notice::Update(record.clone()));
         }
     }
 
     /// Reports to a new leader what this gateway knows.
-    pub fn rebuild(&self, now: time::Instant) -> Rebuild {
+    pub fn rebuild(&self, now: time::Instant) -> message::Rebuild {
         let left = |until: time::Instant| until.since(now);
-        let record = |known: &Known| Record {
+        let record = |known: &Known| message::Record {
             blocked_for: known.blocked_until.map(left),
             ..known.record.clone()
         };
         let in_force = |known: &&Known| known.blocked_until.is_none_or(|until| until > now);
         let held = self.permits.values().filter(|permit| permit.granted);
-        let request = |permit: &Permit| PermitRequest {
+        let request = |permit: &Permit| message::PermitRequest {
             remaining: left(permit.deadline),
             ..permit.request.clone()
         };
-        Rebuild {
+        message::Rebuild {
             records: self.known.values().filter(in_force).map(record).collect(),
             permits: held.map(request).collect(),
         }
@@ -342,7 +343,7 @@
             Some(broken) => now.since(broken.since) >= window,
             None => false,
         };
-        let due: Vec<Target> = self
+        let due: Vec<message::Target> = self
             .targets
             .iter()
             .filter(|(_, instance)| ended(instance))
@@ -370,11 +371,11 @@
         self.outputs.pop_front()
     }
 
-    fn attribute(&mut self, now: time::Instant, target: &Target) {
+    fn attribute(&mut self, now: time::Instant, target: &message::Target) {
         let Some(broken) = self.instance(target).take_loss() else {
             return self.forget_unused(target);
         };
-        let mut suspects: Vec<Suspect> = Vec::new();
+        let mut suspects: Vec<message::Suspect> = Vec::new();
         for (_, suspect) in &broken.calls {
             let until = now + self.cfg.report_lifetime;
             let local = Local {
@@ -389,13 +390,13 @@
                 suspects.push(suspect.clone());
             }
         }
-        self.outputs.push_back(Output::Report(CrashReport {
+        self.outputs.push_back(Output::Report(message::CrashReport {
             target: target.clone(),
             suspects,
         }));
         for (call, suspect) in broken.calls {
             if self.release(call).is_some() {
-                self.done(call, suspect.fingerprint, RunResult::Lost);
+                self.done(call, suspect.fingerprint, message::RunResult::Lost);
             }
         }
         self.forget_unused(target);
@@ -421,20 +422,25 @@
         Some(permit)
     }
 
-    fn done(&mut self, call: u64, fingerprint: Fingerprint, result: RunResult) {
-        self.outputs.push_back(Output::Done(PermitDone {
+    fn done(
+        &mut self,
+        call: u64,
+        fingerprint: fingerprint::Fingerprint,
+        result: message::RunResult,
+    ) {
+        self.outputs.push_back(Output::Done(message::PermitDone {
             call,
             fingerprint,
             result,
         }));
     }
 
-    fn is_known_suspect(&self, fingerprint: Fingerprint) -> bool {
+    fn is_known_suspect(&self, fingerprint: fingerprint::Fingerprint) -> bool {
         let known = self.known.get(&fingerprint);
         known.is_some_and(|known| known.blocked_until.is_none())
     }
 
-    fn instance(&mut self, target: &Target) -> &mut instance::Instance {
+    fn instance(&mut self, target: &message::Target) -> &mut instance::Instance {
         if !self.targets.contains_key(target) {
             self.targets
                 .insert(target.clone(), instance::Instance::default());
@@ -442,7 +448,7 @@
         self.targets.entry(target.clone()).or_default()
     }
 
-    fn forget_unused(&mut self, target: &Target) {
+    fn forget_unused(&mut self, target: &message::Target) {
         let unused = self.targets.get(target).is_some_and(|i| i.is_unused());
         if unused {
             self.targets.remove(target);
--- a/core/src/containment/leader.rs
+++ b/core/src/containment/leader.rs
@@ -2,13 +2,7 @@
 
 use std::{collections, time::Duration};
 
-use super::{
-    fingerprint::Fingerprint,
-    message::{
-        CrashReport, Notice, PermitDone, PermitReply, PermitRequest, Rebuild, Record, RunResult,
-        Suspect, Target,
-    },
-};
+use super::{fingerprint, message};
 use crate::{time, types};
 
 /// Lost targets after which a request is blocked.
@@ -53,7 +47,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaderOutput {
     /// Send to all gateways.
-    Publish(Notice),
+    Publish(message::Notice),
     /// Answer a permit request.
     Reply {
         /// Gateway that asked.
@@ -61,9 +55,9 @@
         /// Call that asked.
         call: u64,
         /// Request of the call.
-        fingerprint: Fingerprint,
+        fingerprint: fingerprint::Fingerprint,
         /// Answer.
-        reply: PermitReply,
+        reply: message::PermitReply,
     },
 }
 
@@ -77,7 +71,7 @@
 #[derive(Clone, Debug)]
 struct Entry {
     label: String,
-    losses: collections::BTreeSet<Target>,
+    losses: collections::BTreeSet<message::Target>,
     blocked_until: Option<time::Instant>,
     touched: time::Instant,
     changed: bool,
@@ -90,7 +84,7 @@
 pub struct Leader {
     cfg: LeaderConfig,
     ready: time::Instant,
-    entries: collections::BTreeMap<Fingerprint, Entry>,
+    entries: collections::BTreeMap<fingerprint::Fingerprint, Entry>,
     outputs: collections::VecDeque<LeaderOutput>,
 }
 
@@ -107,15 +101,17 @@
     }
 
     /// Takes a gateway's report of a lost target.
-    pub fn report(&mut self, now: time::Instant, report: &CrashReport) {
+    pub fn report(&mut self, now: time::Instant, report: &message::CrashReport) {
         for suspect in &report.suspects {
             self.entry(now, suspect)
                 .losses
                 .insert(report.target.clone());
         }
         // Another gateway's report of the same loss may make an earlier judgement ambiguous.
-        let shares = |(_, entry): &(&Fingerprint, &Entry)| entry.losses.contains(&report.target);
-        let sharing: Vec<Fingerprint> = self
+        let shares = |(_, entry): &(&fingerprint::Fingerprint, &Entry)| {
+            entry.losses.contains(&report.target)
+        };
+        let sharing: Vec<fingerprint::Fingerprint> = self
             .entries
             .iter()
             .filter(shares)
@@ -127,7 +123,7 @@
     }
 
     /// Takes what a gateway knows from an earlier leader.
-    pub fn rebuild(&mut self, now: time::Instant, vm: types::VmId, known: &Rebuild) {
+    pub fn rebuild(&mut self, now: time::Instant, vm: types::VmId, known: &message::Rebuild) {
         for record in &known.records {
             let entry = self.entry(now, &record.suspect);
             entry.losses.extend(record.losses.iter().cloned());
@@ -154,7 +150,7 @@
     }
 
     /// A gateway asks to run a suspect. The reply comes with the call's turn.
-    pub fn ask(&mut self, now: time::Instant, vm: types::VmId, request: &PermitRequest) {
+    pub fn ask(&mut self, now: time::Instant, vm: types::VmId, request: &message::PermitRequest) {
         let fingerprint = request.suspect.fingerprint;
         let turn = Turn {
             vm,
@@ -164,20 +160,20 @@
         let entry = self.entry(now, &request.suspect);
         let repeated = |t: &Turn| (t.vm, t.call) == (turn.vm, turn.call);
         if entry.permit.as_ref().is_some_and(repeated) {
-            return self.reply(fingerprint, turn, PermitReply::Granted);
+            return self.reply(fingerprint, turn, message::PermitReply::Granted);
         }
         if entry.waiting.iter().any(repeated) {
             return;
         }
         if entry.waiting.len() >= MAX_WAITING {
-            return self.reply(fingerprint, turn, PermitReply::NoTurn);
+            return self.reply(fingerprint, turn, message::PermitReply::NoTurn);
         }
         entry.waiting.push_back(turn);
         self.serve(now, fingerprint);
     }
 
     /// A gateway returns a permit or reports that a suspect was answered.
-    pub fn done(&mut self, now: time::Instant, vm: types::VmId, done: &PermitDone) {
+    pub fn done(&mut self, now: time::Instant, vm: types::VmId, done: &message::PermitDone) {
         let Some(entry) = self.entries.get_mut(&done.fingerprint) else {
             return;
         };
@@ -187,7 +183,7 @@
             entry.permit = None;
         }
         entry.waiting.retain(|turn| !held(turn));
-        if done.result == RunResult::Answered && entry.blocked_until.is_none() {
+        if done.result == message::RunResult::Answered && entry.blocked_until.is_none() {
             return self.clear(done.fingerprint);
         }
         self.serve(now, done.fingerprint);
@@ -198,7 +194,7 @@
     }
 
     /// An operator lifts a block.
-    pub fn lift(&mut self, fingerprint: Fingerprint) {
+    pub fn lift(&mut self, fingerprint: fingerprint::Fingerprint) {
         if self.entries.contains_key(&fingerprint) {
             self.clear(fingerprint);
         }
@@ -206,7 +202,7 @@
 
     /// Ends expired permits, waits, blocks and suspects.
     pub fn tick(&mut self, now: time::Instant) {
-        let fingerprints: Vec<Fingerprint> = self.entries.keys().copied().collect();
+        let fingerprints: Vec<fingerprint::Fingerprint> = self.entries.keys().copied().collect();
         for fingerprint in fingerprints {
             self.expire(now, fingerprint);
         }
@@ -219,8 +215,10 @@
 
     /// Everything known, for a gateway that connects and for operators, in the order of the
     /// fingerprints.
-    pub fn list(&self, now: time::Instant) -> Vec<Record> {
-        let record = |(fingerprint, entry): (&Fingerprint, &Entry)| entry.record(now, *fingerprint);
+    pub fn list(&self, now: time::Instant) -> Vec<message::Record> {
+        let record = |(fingerprint, entry): (&fingerprint::Fingerprint, &Entry)| {
+            entry.record(now, *fingerprint)
+        };
         self.entries.iter().map(record).collect()
     }
 
@@ -231,7 +229,7 @@
 
     /// Blocks the request if its losses are enough, lifts the block if they no longer are, and tells
     /// the gateways of any change.
-    fn judge(&mut self, now: time::Instant, fingerprint: Fingerprint) {
+    fn judge(&mut self, now: time::Instant, fingerprint: fingerprint::Fingerprint) {
         let guilty = self.is_guilty(fingerprint);
         let Some(entry) = self.entries.get_mut(&fingerprint) else {
             return;
@@ -248,7 +246,7 @@
         self.serve(now, fingerprint);
     }
 
-    fn is_guilty(&self, fingerprint: Fingerprint) -> bool {
+    fn is_guilty(&self, fingerprint: fingerprint::Fingerprint) -> bool {
         let Some(entry) = self.entries.get(&fingerprint) else {
             return false;
         };
@@ -257,37 +255,37 @@
         enough || losses >= MAX_LOSSES
     }
 
-    fn block(&mut self, now: time::Instant, fingerprint: Fingerprint) {
+    fn block(&mut self, now: time::Instant, fingerprint: fingerprint::Fingerprint) {
         let until = now + self.cfg.block;
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
             entry.blocked_until = entry.blocked_until.or(Some(until));
         }
     }
 
-    fn publish(&mut self, now: time::Instant, fingerprint: Fingerprint) {
+    fn publish(&mut self, now: time::Instant, fingerprint: fingerprint::Fingerprint) {
         if let Some(entry) = self.entries.get(&fingerprint) {
-            let notice = Notice::Update(entry.record(now, fingerprint));
+            let notice = message::Notice::Update(entry.record(now, fingerprint));
             self.outputs.push_back(LeaderOutput::Publish(notice));
         }
     }
 
     /// Whether another request that is not cleared was in flight at all losses of this one.
-    fn is_ambiguous(&self, fingerprint: Fingerprint, entry: &Entry) -> bool {
-        let explains = |(other, e): (&Fingerprint, &Entry)| {
+    fn is_ambiguous(&self, fingerprint: fingerprint::Fingerprint, entry: &Entry) -> bool {
+        let explains = |(other, e): (&fingerprint::Fingerprint, &Entry)| {
             *other != fingerprint && entry.losses.is_subset(&e.losses)
         };
         self.entries.iter().any(explains)
     }
 
     /// Answers waiting calls as far as possible.
-    fn serve(&mut self, now: time::Instant, fingerprint: Fingerprint) {
+    fn serve(&mut self, now: time::Instant, fingerprint: fingerprint::Fingerprint) {
         let ready = now >= self.ready;
         let grace = self.cfg.permit_grace;
         let Some(entry) = self.entries.get_mut(&fingerprint) else {
             return;
         };
         if let Some(until) = entry.blocked_until {
-            let reply = PermitReply::Blocked(until.since(now));
+            let reply = message::PermitReply::Blocked(until.since(now));
             for turn in std::mem::take(&mut entry.waiting) {
                 self.reply(fingerprint, turn, reply);
             }
@@ -303,19 +301,19 @@
             until: turn.until + grace,
             ..turn
         });
-        self.reply(fingerprint, turn, PermitReply::Granted);
+        self.reply(fingerprint, turn, message::PermitReply::Granted);
     }
 
-    fn clear(&mut self, fingerprint: Fingerprint) {
+    fn clear(&mut self, fingerprint: fingerprint::Fingerprint) {
         let entry = self.entries.remove(&fingerprint);
         for turn in entry.into_iter().flat_map(|entry| entry.waiting) {
-            self.reply(fingerprint, turn, PermitReply::Cleared);
+            self.reply(fingerprint, turn, message::PermitReply::Cleared);
         }
-        let notice = Notice::Cleared(fingerprint);
+        let notice = message::Notice::Cleared(fingerprint);
         self.outputs.push_back(LeaderOutput::Publish(notice));
     }
 
-    fn expire(&mut self, now: time::Instant, fingerprint: Fingerprint) {
+    fn expire(&mut self, now: time::Instant, fingerprint: fingerprint::Fingerprint) {
         let suspect_lifetime = self.cfg.suspect_lifetime;
         let Some(entry) = self.entries.get_mut(&fingerprint) else {
             return;
@@ -335,7 +333,7 @@
             waiting.into_iter().partition(|turn| turn.until <= now);
         entry.waiting = waiting.into();
         for turn in late {
-            self.reply(fingerprint, turn, PermitReply::NoTurn);
+            self.reply(fingerprint, turn, message::PermitReply::NoTurn);
         }
         self.serve(now, fingerprint);
     }
@@ -355,7 +353,12 @@
         due
     }
 
-    fn reply(&mut self, fingerprint: Fingerprint, turn: Turn, reply: PermitReply) {
+    fn reply(
+        &mut self,
+        fingerprint: fingerprint::Fingerprint,
+        turn: Turn,
+        reply: message::PermitReply,
+    ) {
         self.outputs.push_back(LeaderOutput::Reply {
             vm: turn.vm,
             call: turn.call,
@@ -366,7 +369,7 @@
 
     /// Returns the entry of a suspect, making room for it by dropping the entry that was not
     /// touched for longest, suspects before blocks.
-    fn entry(&mut self, now: time::Instant, suspect: &Suspect) -> &mut Entry {
+    fn entry(&mut self, now: time::Instant, suspect: &message::Suspect) -> &mut Entry {
         let known = self.entries.contains_key(&suspect.fingerprint);
         if !known && self.entries.len() >= MAX_ENTRIES {
             let age = |entry: &Entry| (entry.blocked_until.is_some(), entry.touched);
@@ -391,9 +394,9 @@
 }
 
 impl Entry {
-    fn record(&self, now: time::Instant, fingerprint: Fingerprint) -> Record {
-        Record {
-            suspect: Suspect {
+    fn record(&self, now: time::Instant, fingerprint: fingerprint::Fingerprint) -> message::Record {
+        message::Record {
+            suspect: message::Suspect {
                 fingerprint,
                 label: self.label.clone(),
             },
--- a/core/src/ledger/request.rs
+++ b/core/src/ledger/request.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use derive_more::From;
+
 use super::{answer, digest, key, machine};
 
 /// A request of a gateway.
@@ -66,9 +68,10 @@
 }
 
 /// Answer to a gateway.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, From)]
 pub enum ServiceReply {
     /// Result of the state machine.
+    #[from]
     Reply(machine::Reply),
     /// This VM does not lead the shard, or stopped leading it before the command was known to be
     /// committed. The gateway sends the same request to the new leader.
