--- a/lab/src/load/mod.rs
+++ b/lab/src/load/mod.rs
@@ -1,1 +1,3 @@
-//! Open-loop load generator with latency histograms.
+//! Load generator over real HTTP.
+
+pub mod client;
