Serve the whole path: announcement, record, lease, call, keyed call

Control daemons run replicated groups for records and idempotency keys and grant serving leases; gateways hold leases, keep the directory and forward calls. The test starts three control VMs, two gateways and two targets over loopback sockets and sends one booking twice through different gateways: it runs once and the second answer is the stored one.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Scenarios, policy comparison, fake targets and load generation.
 
+pub mod cluster;
 pub mod load;
 pub mod policy;
 pub mod scenario;
--- /dev/null
+++ b/wagtailshunt/src/bin/wagtailshunt-gateway.rs
@@ -0,0 +1,11 @@
+//! Gateway daemon: reads its settings and starts the loop.
+
+use std::process;
+
+use wagtailshunt::{daemon, gateway, settings};
+
+fn main() -> process::ExitCode {
+    daemon::main("wagtailshunt-gateway", async |cfg: settings::Gateway| {
+        Ok(gateway::Gateway::start(cfg).await?)
+    })
+}
--- a/wagtailshunt/src/control/links.rs
+++ b/wagtailshunt/src/control/links.rs
@@ -29,14 +29,6 @@
             .is_some_and(|handle| handle.send(request, body))
     }
 
-    /// Returns whether a connection to the VM is open.
-    pub fn is_open(&self, vm: types::VmId) -> bool {
-        self.handles
-            .borrow()
-            .get(&vm)
-            .is_some_and(transport::Handle::is_open)
-    }
-
     /// Closes all connections.
     pub fn stop(&self) {
         for dialer in self.dialers.borrow_mut().drain(..) {
--- a/wagtailshunt/src/control/mod.rs
+++ b/wagtailshunt/src/control/mod.rs
@@ -15,7 +15,7 @@
 use compio::net::TcpListener;
 use wagtailshunt_core::{event, types};
 
-use crate::{clock, disk, events, http, settings, transport};
+use crate::{clock, daemon, disk, events, http, settings, transport};
 
 /// A started control daemon.
 #[derive(Clone)]
@@ -191,3 +191,13 @@
         .await
         .map_err(|source| StartError::Bind { address, source })
 }
+
+impl daemon::Daemon for Control {
+    async fn stop(&self) -> bool {
+        Control::stop(self).await
+    }
+
+    fn failed(&self) -> bool {
+        self.state.stopped()
+    }
+}
--- a/wagtailshunt/src/gateway/call.rs
+++ b/wagtailshunt/src/gateway/call.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    gateway::{answer, attempt, headers, refusal::Refusal, service, state},
+    gateway::{answer, attempt, headers, keyed, refusal::Refusal, service, state},
     http,
 };
 
@@ -114,6 +114,9 @@
     let admitted = admit(state, &call)
         .await
         .map_err(|refusal| refusal.with_earlier(earlier))?;
+    if call.keyed {
+        return keyed::run(state, call, body, admitted).await;
+    }
     let body = replayable(body);
     forward(state, &call, body, admitted)
         .await
--- a/wagtailshunt/src/gateway/control_link.rs
+++ b/wagtailshunt/src/gateway/control_link.rs
@@ -10,7 +10,10 @@
     generated::{envelope, envelope::envelope::Body, ledger as ledger_proto},
 };
 
-use crate::{gateway::state, transport};
+use crate::{
+    gateway::{keyed, state},
+    transport,
+};
 
 const REGISTRY: types::GroupId = types::GroupId(0);
 
@@ -24,7 +27,7 @@
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(500);
 
 /// Pause between two attempts of a ledger request.
-const LEDGER_RETRY: time::Duration = time::Duration::from_millis(20);
+pub const LEDGER_RETRY: time::Duration = time::Duration::from_millis(20);
 
 /// Connections of a gateway to the control VMs. A connection is opened when it is first needed.
 #[derive(Default)]
@@ -46,6 +49,11 @@
         self.leaders.borrow().get(&REGISTRY).copied()
     }
 
+    /// Returns whether the connections were closed for good.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped.get()
+    }
+
     /// Closes all connections.
     pub fn stop(&self) {
         self.stopped.set(true);
@@ -205,7 +213,7 @@
         },
         Some(Body::Redirect(redirect)) => redirected(state, envelope.request, &redirect),
         Some(Body::Ledger(msg)) => match ledger_reply(msg) {
-            Ok(Some(answered)) => answer(state, envelope.request, Some(answered.reply)),
+            Ok(Some(answered)) => ledger_answered(state, envelope.request, answered),
             Ok(None) => {}
             Err(err) => log::warn!("ledger answer of VM {} rejected: {err}", peer.vm),
         },
@@ -222,6 +230,20 @@
     }
 }
 
+fn ledger_answered(state: &rc::Rc<state::State>, request: u64, answered: wire::ledger::Answered) {
+    let waits = state.links.waiting.borrow().contains_key(&request);
+    if waits {
+        return answer(state, request, Some(answered.reply));
+    }
+    // Nobody waits any more: a grant that comes late is released, so that a resend can claim.
+    if let ledger::ServiceReply::Reply(reply) = &answered.reply {
+        let release = state.late_grants.borrow().reply(answered.holder, reply);
+        if let Some(release) = release {
+            keyed::tell(state, release);
+        }
+    }
+}
+
 fn renew_now(state: &state::State) {
     let now = state.now();
     state.with(|inner| inner.holder.renew_now(now));
--- /dev/null
+++ b/wagtailshunt/src/gateway/keyed.rs
@@ -0,0 +1,323 @@
+//! Calls with an idempotency key: claim, run, commit, answer.
+
+use std::{rc, time};
+
+use bytes::Bytes;
+use futures_channel::oneshot;
+use http_body_util::{BodyExt, Limited};
+use hyper::{Response, StatusCode, body::Incoming, header, http::response};
+use wagtailshunt_core::{event, ledger, ledger::claim, outcome};
+
+use crate::{
+    gateway::{call, control_link, headers, refusal::Refusal, state},
+    http,
+};
+
+/// Largest request body of a keyed call in bytes. It is read whole before the claim, so that the
+/// digest that recognises a different request is durable before the call is sent.
+const MAX_REQUEST_BYTES: usize = 64 * 1024;
+
+/// Largest answer of a keyed call in bytes; it is held until its outcome is committed.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Time after the caller's deadline in which an outcome is still committed; the claim of the call
+/// expires then.
+const COMMIT_GRACE: time::Duration = time::Duration::from_secs(2);
+
+/// Time in which a release or a failure is passed to the ledger. After it the claim expires.
+const RELEASE_WINDOW: time::Duration = time::Duration::from_secs(10);
+
+/// Runs a keyed call. The work goes on when the caller leaves, so that a resend finds the outcome.
+pub async fn run(
+    state: &rc::Rc<state::State>,
+    call: call::Call,
+    body: Incoming,
+    admitted: call::Admitted,
+) -> Result<Response<http::Body>, Refusal> {
+    let (tx, rx) = oneshot::channel();
+    let task_state = state.clone();
+    compio::runtime::spawn(async move {
+        let result = claim_and_run(&task_state, &call, body, admitted).await;
+        // The caller may have left; the outcome is stored for its resend.
+        let _ = tx.send(result);
+    })
+    .detach();
+    let unknown = || Refusal::unknown(outcome::Reason::KeyUnknown);
+    rx.await.unwrap_or_else(|_| Err(unknown()))
+}
+
+async fn claim_and_run(
+    state: &rc::Rc<state::State>,
+    call: &call::Call,
+    body: Incoming,
+    admitted: call::Admitted,
+) -> Result<Response<http::Body>, Refusal> {
+    let earlier = outcome::Earlier::declared(true, call.declared);
+    let key = parse_key(state, call).map_err(|refusal| refusal.with_earlier(earlier))?;
+    let bytes = read_body(body)
+        .await
+        .map_err(|refusal| refusal.with_earlier(earlier))?;
+    let path = call.uri.path_and_query().map_or("/", |path| path.as_str());
+    let digest = ledger::Digest::of_request(
+        call.service.name.as_str(),
+        call.method.as_str(),
+        path,
+        &bytes,
+    );
+    let holder = ledger::Holder {
+        vm: state.cfg.vm,
+        incarnation: state.incarnation,
+        claim: call.id,
+    };
+    let claim = claim::Claim::new(key, digest, holder, call.deadline.0);
+    match obtain(state, call, claim).await? {
+        Obtained::Granted(granted) => dispatch(state, call, bytes, granted, admitted).await,
+        Obtained::Replay(answer) => {
+            state.metrics.replayed.inc();
+            state.events.emit(event::Id::CallReplayed, &[("key", &key)]);
+            replay(answer)
+        }
+    }
+}
+
+fn parse_key(state: &state::State, call: &call::Call) -> Result<ledger::Key, Refusal> {
+    let values = call
+        .headers
+        .get_all(&headers::IDEMPOTENCY_KEY)
+        .iter()
+        .count();
+    let text = headers::text(&call.headers, &headers::IDEMPOTENCY_KEY).filter(|_| values == 1);
+    let invalid = |detail: String| Refusal::not_run(outcome::Reason::KeyInvalid).detail(detail);
+    let text = text.ok_or_else(|| invalid("exactly one key is required".to_owned()))?;
+    let key = ledger::Key::parse(text).map_err(|err| invalid(err.to_string()))?;
+    let future = u64::try_from(ledger::FUTURE_LIMIT.as_millis()).unwrap_or(u64::MAX);
+    if key.created().0 > state.clock.wall().0.saturating_add(future) {
+        return Err(Refusal::not_run(outcome::Reason::KeyFromFuture));
+    }
+    Ok(key)
+}
+
+/// Reads the whole request, so that a caller that leaves in the middle runs nothing.
+async fn read_body(body: Incoming) -> Result<Bytes, Refusal> {
+    match Limited::new(body, MAX_REQUEST_BYTES).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(err) if err.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::not_run(outcome::Reason::BodyTooLarge))
+        }
+        Err(err) => Err(Refusal::not_run(outcome::Reason::BadRequest).detail(err.to_string())),
+    }
+}
+
+enum Obtained {
+    Granted(claim::Claim<claim::Granted>),
+    Replay(ledger::Answer),
+}
+
+/// Asks the ledger until the key is granted, its answer is known, or the deadline is near.
+async fn obtain(
+    state: &rc::Rc<state::State>,
+    call: &call::Call,
+    claim: claim::Claim<claim::Requested>,
+) -> Result<Obtained, Refusal> {
+    let earlier = outcome::Earlier::declared(true, call.declared);
+    let until = call.deadline.0.saturating_sub(call::ANSWER_RESERVE);
+    loop {
+        let request = claim.request(state.now());
+        match control_link::ask_ledger(state, &request, until).await {
+            Some(ledger::ServiceReply::Reply(reply)) => match claim.reply(&reply) {
+                claim::Answered::Granted(granted) => {
+                    state
+                        .events
+                        .emit(event::Id::ClaimGranted, &[("key", &granted.key())]);
+                    return Ok(Obtained::Granted(granted));
+                }
+                claim::Answered::Replay(answer) => return Ok(Obtained::Replay(answer)),
+                claim::Answered::Refused(reason, outcome) => {
+                    return Err(Refusal {
+                        outcome,
+                        ..Refusal::not_run(reason)
+                    });
+                }
+                claim::Answered::Waiting(waiting) => {
+                    // The leader answers "running" at the deadline of the resend; the first run
+                    // may still end.
+                    give_up(state, waiting);
+                    return Err(Refusal::unknown(outcome::Reason::KeyRunning));
+                }
+            },
+            Some(ledger::ServiceReply::Busy) => {
+                give_up(state, claim);
+                return Err(Refusal::not_run(outcome::Reason::Overloaded).with_earlier(earlier));
+            }
+            Some(ledger::ServiceReply::NotLeader) => {
+                // A change of leader; the same request goes to the next one.
+                compio::time::sleep(control_link::LEDGER_RETRY).await;
+            }
+            None => {
+                give_up(state, claim);
+                let refusal = Refusal::not_run(outcome::Reason::LedgerUnavailable);
+                return Err(refusal.with_earlier(earlier));
+            }
+        }
+    }
+}
+
+fn give_up(state: &rc::Rc<state::State>, claim: claim::Claim<claim::Requested>) {
+    let request = claim.give_up(&mut state.late_grants.borrow_mut());
+    tell(state, request);
+}
+
+/// Passes the end of a claim to the ledger in the background.
+pub fn tell(state: &rc::Rc<state::State>, request: ledger::Request) {
+    let state = state.clone();
+    let until = state.now() + RELEASE_WINDOW;
+    compio::runtime::spawn(async move {
+        control_link::ask_ledger(&state, &request, until).await;
+    })
+    .detach();
+}
+
+async fn dispatch(
+    state: &rc::Rc<state::State>,
+    call: &call::Call,
+    bytes: Bytes,
+    granted: claim::Claim<claim::Granted>,
+    admitted: call::Admitted,
+) -> Result<Response<http::Body>, Refusal> {
+    let dispatched = match granted.dispatch(state.now()) {
+        Ok(dispatched) => dispatched,
+        Err(granted) => {
+            let request = granted.release(&mut state.late_grants.borrow_mut());
+            tell(state, request);
+            return Err(Refusal::not_run(outcome::Reason::DeadlineUnreachable));
+        }
+    };
+    let body = call::Replay::Bytes(bytes);
+    match call::forward(state, call, body, admitted).await {
+        Ok(answer) if answer.headers().contains_key(&headers::NOT_RUN) => {
+            let marked = outcome::Attempt::Answered {
+                not_run_marker: true,
+            };
+            release(state, dispatched, marked);
+            Ok(answer)
+        }
+        Ok(answer) => commit(state, call, dispatched, answer).await,
+        Err(refusal) if refusal.outcome == outcome::Outcome::NotRun => {
+            release(state, dispatched, outcome::Attempt::NotSent);
+            Err(refusal)
+        }
+        Err(refusal) => {
+            fail(state, dispatched);
+            Err(refusal)
+        }
+    }
+}
+
+/// Frees the key after a proof that the call did not run.
+fn release(
+    state: &rc::Rc<state::State>,
+    dispatched: claim::Claim<claim::Dispatched>,
+    attempt: outcome::Attempt,
+) {
+    let request = match outcome::NotRunProof::of(attempt) {
+        Some(proof) => dispatched.not_run(proof, &mut state.late_grants.borrow_mut()),
+        None => dispatched.unknown(),
+    };
+    tell(state, request);
+}
+
+fn fail(state: &rc::Rc<state::State>, dispatched: claim::Claim<claim::Dispatched>) {
+    state
+        .events
+        .emit(event::Id::ClaimUnknown, &[("key", &dispatched.key())]);
+    tell(state, dispatched.unknown());
+}
+
+/// Stores the answer and passes it on once it is durable.
+async fn commit(
+    state: &rc::Rc<state::State>,
+    call: &call::Call,
+    dispatched: claim::Claim<claim::Dispatched>,
+    answer: Response<http::Body>,
+) -> Result<Response<http::Body>, Refusal> {
+    let (head, body) = answer.into_parts();
+    let body = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+        Ok(body) => Some(body.to_bytes()),
+        // The call ran, but its answer cannot be held.
+        Err(err) if err.is::<http_body_util::LengthLimitError>() => None,
+        Err(err) => {
+            fail(state, dispatched);
+            let refusal = Refusal::unknown(outcome::Reason::ConnectionBroken);
+            return Err(refusal.detail(err.to_string()));
+        }
+    };
+    let key = dispatched.key();
+    let completing = dispatched.completed(stored(&head, body));
+    let until = call.deadline.0 + COMMIT_GRACE;
+    let reply = control_link::ask_ledger(state, &completing.request(), until).await;
+    let Some(ledger::ServiceReply::Reply(reply)) = reply else {
+        state.events.emit(event::Id::ClaimUnknown, &[("key", &key)]);
+        return Err(Refusal::unknown(outcome::Reason::LedgerUnavailable));
+    };
+    match completing.reply(&reply) {
+        claim::Committed::Answer(answer) => {
+            state
+                .events
+                .emit(event::Id::ClaimCompleted, &[("key", &key)]);
+            rebuild(answer)
+        }
+        claim::Committed::Unknown => {
+            state.events.emit(event::Id::ClaimUnknown, &[("key", &key)]);
+            Err(Refusal::unknown(outcome::Reason::KeyUnknown))
+        }
+    }
+}
+
+fn stored(head: &response::Parts, body: Option<Bytes>) -> ledger::Answer {
+    let headers = head
+        .headers
+        .iter()
+        .filter(|(name, _)| !is_connection_field(name))
+        .map(|(name, value)| (name.to_string(), Bytes::copy_from_slice(value.as_bytes())))
+        .collect();
+    ledger::Answer {
+        status: head.status.as_u16(),
+        headers,
+        body,
+    }
+}
+
+/// Fields that are made anew for each answer.
+fn is_connection_field(name: &header::HeaderName) -> bool {
+    matches!(
+        *name,
+        header::CONTENT_LENGTH | header::TRANSFER_ENCODING | header::DATE
+    )
+}
+
+/// Answers a resend with the stored answer of the first run.
+fn replay(answer: ledger::Answer) -> Result<Response<http::Body>, Refusal> {
+    let mut answer = rebuild(answer)?;
+    let value = header::HeaderValue::from_static("completed");
+    answer.headers_mut().insert("wagtailshunt-outcome", value);
+    Ok(answer)
+}
+
+fn rebuild(answer: ledger::Answer) -> Result<Response<http::Body>, Refusal> {
+    let Some(body) = answer.body else {
+        return Err(Refusal {
+            outcome: outcome::Outcome::Completed,
+            ..Refusal::not_run(outcome::Reason::AnswerNotStored)
+        });
+    };
+    let mut response = Response::new(http::full(body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    for (name, value) in answer.headers {
+        let name = header::HeaderName::from_bytes(name.as_bytes());
+        let value = header::HeaderValue::from_maybe_shared(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    Ok(response)
+}
--- a/wagtailshunt/src/gateway/mod.rs
+++ b/wagtailshunt/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod call;
 mod control_link;
 mod headers;
+mod keyed;
 mod metrics;
 mod refusal;
 mod service;
@@ -18,7 +19,7 @@
 use compio::net::TcpListener;
 use wagtailshunt_core::{event, types};
 
-use crate::{clock, events, http, settings};
+use crate::{clock, daemon, events, http, settings};
 
 /// A started gateway.
 #[derive(Clone)]
@@ -172,3 +173,13 @@
         .await
         .map_err(|source| StartError::Bind { address, source })
 }
+
+impl daemon::Daemon for Gateway {
+    async fn stop(&self) -> bool {
+        Gateway::stop(self).await
+    }
+
+    fn failed(&self) -> bool {
+        self.state.links.is_stopped()
+    }
+}
--- a/wagtailshunt/src/gateway/state.rs
+++ b/wagtailshunt/src/gateway/state.rs
@@ -3,7 +3,9 @@
 use std::{cell, collections, rc, time};
 
 use futures_channel::oneshot;
-use wagtailshunt_core::{admission, directory, event, lease, records, time as core_time, types};
+use wagtailshunt_core::{
+    admission, directory, event, lease, ledger, records, time as core_time, types,
+};
 
 use crate::{
     clock, events,
@@ -22,6 +24,8 @@
     pub incarnation: types::Incarnation,
     pub metrics: metrics::Metrics,
     pub links: control_link::Links,
+    /// Claims that were given up and whose grant may still arrive.
+    pub late_grants: cell::RefCell<ledger::claim::LateGrants>,
     inner: cell::RefCell<Inner>,
 }
 
@@ -63,6 +67,7 @@
         };
         State {
             links: control_link::Links::default(),
+            late_grants: cell::RefCell::default(),
             metrics: metrics::Metrics::new(),
             cfg,
             clock,
@@ -243,6 +248,7 @@
             }
             inner.vouched.expire(now)
         });
+        self.late_grants.borrow_mut().expire(now);
         for change in changes {
             control_link::send_change(self, &change);
         }
--- a/wagtailshunt/src/lib.rs
+++ b/wagtailshunt/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod clock;
 pub mod control;
+pub mod daemon;
 pub mod disk;
 pub mod events;
 pub mod gateway;
