Add the demo and the bench of the request path

The demo runs control, a gateway and three targets in one process and shows announcement, record, answers, a booking sent twice and a drain. The bench measures calls through a gateway against direct calls in one run.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,8 +1,10 @@
 //! Scenarios, policy comparison, fake targets and load generation.
 
 pub mod cluster;
+pub mod demo;
 pub mod load;
 pub mod policy;
+pub mod request_path;
 pub mod scenario;
 pub mod target;
 pub mod worlds;
