Add the world of replicated groups with random faults

Nodes run on a fake network and fake disks in virtual time; a checker compares the history that they show. Equal election timeouts for seeds that already contain the VM id are avoided too.

--- a/core/src/replication/leader.rs
+++ b/core/src/replication/leader.rs
@@ -289,9 +289,12 @@
         peer.heard = Some(now);
         peer.round = peer.round.max(reply.round);
         peer.matched = peer.matched.max(reply.durable);
-        if let Mode::Snapshot(_) = &peer.mode {
+        if let Mode::Snapshot(transfer) = &peer.mode {
             if reply.verified >= base {
                 peer.probe(types::LogIndex(reply.verified.0 + 1));
+            } else if reply.verified >= transfer.snapshot.index {
+                // The log was compacted beyond that snapshot while it was being sent.
+                self.begin_snapshot(from);
             }
         } else if let Some(conflict) = reply.conflict {
             if conflict.refused > peer.matched && conflict.refused.0 < peer.next.0 {
--- a/core/src/replication/node.rs
+++ b/core/src/replication/node.rs
@@ -162,7 +162,10 @@
     /// answer from before the restart for its lease.
     pub fn new(cfg: Config, recovered: storage::Recovered, now: time::Instant) -> Node {
         let snapshot = recovered.snapshot;
-        let seed = cfg.seed ^ (u64::from(cfg.id.0) << 32) ^ u64::from(cfg.group.0);
+        // Rotated, so that a seed which already contains the id does not cancel it: nodes with equal
+        // timeouts would split the votes again and again.
+        let own = (u64::from(cfg.id.0) << 32) | u64::from(cfg.group.0);
+        let seed = cfg.seed.rotate_left(17) ^ own;
         let mut node = Node {
             rng: rngs::SmallRng::seed_from_u64(seed),
             hard_state: recovered.hard_state,
--- /dev/null
+++ b/lab/src/worlds/replication/disk.rs
@@ -0,0 +1,304 @@
+//! Fake disk: drops what was not synced and can crash at every operation.
+
+use std::{cell, collections, io, path, rc};
+
+use rand::{Rng, SeedableRng, rngs};
+use wagtailshunt::disk;
+
+/// Kind of a file operation, for crash points.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Operation {
+    Write,
+    Sync,
+    SetLen,
+    Rename,
+    Remove,
+    SyncFolder,
+}
+
+impl Operation {
+    pub(super) fn parse(name: &str) -> Option<Operation> {
+        match name {
+            "write" => Some(Operation::Write),
+            "sync" => Some(Operation::Sync),
+            "set_len" => Some(Operation::SetLen),
+            "rename" => Some(Operation::Rename),
+            "remove" => Some(Operation::Remove),
+            "sync_folder" => Some(Operation::SyncFolder),
+            _ => None,
+        }
+    }
+}
+
+/// What a disk does wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Faults {
+    /// Writes fail for lack of space.
+    pub(super) full: bool,
+    /// The next sync fails.
+    pub(super) failed_sync: bool,
+    /// Syncs of files report success and do nothing.
+    pub(super) ignored_sync: bool,
+    /// Syncs of the folder report success and do nothing.
+    pub(super) ignored_folder_sync: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Inode {
+    content: Vec<u8>,
+    synced: Vec<u8>,
+}
+
+/// A change of names that is not yet durable.
+#[derive(Clone, Debug)]
+enum NameChange {
+    Create(String, usize),
+    Rename(String, String),
+    Remove(String),
+}
+
+type Names = collections::BTreeMap<String, usize>;
+
+#[derive(Debug)]
+struct Inner {
+    rng: rngs::SmallRng,
+    inodes: Vec<Inode>,
+    names: Names,
+    durable_names: Names,
+    changes: Vec<NameChange>,
+    faults: Faults,
+    /// Crash at the n-th operation from now, of one kind or any.
+    fuse: Option<(Option<Operation>, u64)>,
+    crashed: bool,
+}
+
+/// A disk that survives the crash of its VM. Clones share the content.
+#[derive(Clone, Debug)]
+pub(super) struct FakeDisk(rc::Rc<cell::RefCell<Inner>>);
+
+fn apply(names: &mut Names, change: &NameChange) {
+    match change {
+        NameChange::Create(name, inode) => {
+            names.insert(name.clone(), *inode);
+        }
+        NameChange::Rename(from, to) => {
+            if let Some(inode) = names.remove(from) {
+                names.insert(to.clone(), inode);
+            }
+        }
+        NameChange::Remove(name) => {
+            names.remove(name);
+        }
+    }
+}
+
+fn crash_error() -> io::Error {
+    io::Error::other("the VM crashed")
+}
+
+impl Inner {
+    /// Returns whether the crash point is reached by this operation.
+    fn burn(&mut self, operation: Operation) -> bool {
+        if let Some((kind, left)) = &mut self.fuse
+            && kind.is_none_or(|kind| kind == operation)
+        {
+            *left = left.saturating_sub(1);
+            if *left == 0 {
+                self.fuse = None;
+                self.crashed = true;
+            }
+        }
+        self.crashed
+    }
+
+    fn inode(&mut self, file: &str) -> usize {
+        if let Some(inode) = self.names.get(file) {
+            return *inode;
+        }
+        let inode = self.inodes.len();
+        self.inodes.push(Inode::default());
+        self.change(NameChange::Create(file.to_owned(), inode));
+        inode
+    }
+
+    fn change(&mut self, change: NameChange) {
+        apply(&mut self.names, &change);
+        self.changes.push(change);
+    }
+
+    /// Keeps what was synced and a random part of the rest.
+    fn crash(&mut self) {
+        let kept = self.rng.random_range(0..=self.changes.len());
+        for change in &self.changes[..kept] {
+            apply(&mut self.durable_names, change);
+        }
+        self.changes.clear();
+        self.names = self.durable_names.clone();
+        for inode in &mut self.inodes {
+            let grown = inode.content.starts_with(&inode.synced);
+            if grown && inode.content.len() > inode.synced.len() {
+                let synced = inode.synced.len();
+                let len = self.rng.random_range(synced..=inode.content.len());
+                inode.content.truncate(len);
+                if len > synced && self.rng.random_bool(0.3) {
+                    let torn = self.rng.random_range(synced..len);
+                    inode.content[torn..].fill(0);
+                }
+            } else if self.rng.random_bool(0.5) {
+                inode.content.clone_from(&inode.synced);
+            }
+            inode.synced.clone_from(&inode.content);
+        }
+        self.fuse = None;
+        self.crashed = false;
+        self.faults.failed_sync = false;
+    }
+}
+
+impl FakeDisk {
+    pub(super) fn new(seed: u64) -> FakeDisk {
+        FakeDisk(rc::Rc::new(cell::RefCell::new(Inner {
+            rng: rngs::SmallRng::seed_from_u64(seed),
+            inodes: Vec::new(),
+            names: Names::new(),
+            durable_names: Names::new(),
+            changes: Vec::new(),
+            faults: Faults::default(),
+            fuse: None,
+            crashed: false,
+        })))
+    }
+
+    /// Loses what was not synced, as a power loss does.
+    pub(super) fn crash(&self) {
+        self.0.borrow_mut().crash();
+    }
+
+    /// Crashes at the `count`-th operation from now, of `kind` or any.
+    pub(super) fn set_fuse(&self, kind: Option<Operation>, count: u64) {
+        self.0.borrow_mut().fuse = Some((kind, count));
+    }
+
+    /// Removes the crash point.
+    pub(super) fn clear_fuse(&self) {
+        self.0.borrow_mut().fuse = None;
+    }
+
+    pub(super) fn faults(&self) -> Faults {
+        self.0.borrow().faults
+    }
+
+    pub(super) fn set_faults(&self, faults: Faults) {
+        self.0.borrow_mut().faults = faults;
+    }
+
+    /// Flips a bit in the middle of the first file whose name begins with `prefix`.
+    pub(super) fn damage(&self, prefix: &str) -> bool {
+        let mut inner = self.0.borrow_mut();
+        let found = inner
+            .names
+            .iter()
+            .find(|(name, _)| name.starts_with(prefix));
+        let Some(inode) = found.map(|(_, inode)| *inode) else {
+            return false;
+        };
+        let content = &mut inner.inodes[inode].content;
+        let middle = content.len() / 2;
+        if let Some(byte) = content.get_mut(middle) {
+            *byte ^= 0x10;
+        }
+        true
+    }
+}
+
+impl disk::Files for FakeDisk {
+    fn path(&self) -> &path::Path {
+        path::Path::new("fake")
+    }
+
+    fn read_all(&mut self) -> io::Result<Vec<(String, Vec<u8>)>> {
+        let inner = self.0.borrow();
+        let files = inner.names.iter();
+        let files = files.map(|(name, inode)| (name.clone(), inner.inodes[*inode].content.clone()));
+        Ok(files.collect())
+    }
+
+    fn write(&mut self, file: &str, offset: u64, data: &[u8]) -> io::Result<()> {
+        let mut inner = self.0.borrow_mut();
+        let inode = inner.inode(file);
+        let interrupted = inner.burn(Operation::Write);
+        let full = inner.faults.full;
+        let len = if interrupted || full {
+            inner.rng.random_range(0..=data.len())
+        } else {
+            data.len()
+        };
+        let content = &mut inner.inodes[inode].content;
+        let (begin, end) = (offset as usize, offset as usize + len);
+        content.resize(content.len().max(end), 0);
+        content[begin..end].copy_from_slice(&data[..len]);
+        if interrupted {
+            return Err(crash_error());
+        }
+        if full {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+
+    fn sync(&mut self, file: &str) -> io::Result<()> {
+        let mut inner = self.0.borrow_mut();
+        if inner.burn(Operation::Sync) {
+            return Err(crash_error());
+        }
+        if inner.faults.failed_sync {
+            return Err(io::Error::other("input/output error"));
+        }
+        if !inner.faults.ignored_sync {
+            let inode = inner.inode(file);
+            let inode = &mut inner.inodes[inode];
+            inode.synced.clone_from(&inode.content);
+        }
+        Ok(())
+    }
+
+    fn set_len(&mut self, file: &str, len: u64) -> io::Result<()> {
+        let mut inner = self.0.borrow_mut();
+        if inner.burn(Operation::SetLen) {
+            return Err(crash_error());
+        }
+        let inode = inner.inode(file);
+        inner.inodes[inode].content.truncate(len as usize);
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        let mut inner = self.0.borrow_mut();
+        if inner.burn(Operation::Rename) {
+            return Err(crash_error());
+        }
+        inner.change(NameChange::Rename(from.to_owned(), to.to_owned()));
+        Ok(())
+    }
+
+    fn remove(&mut self, file: &str) -> io::Result<()> {
+        let mut inner = self.0.borrow_mut();
+        if inner.burn(Operation::Remove) {
+            return Err(crash_error());
+        }
+        inner.change(NameChange::Remove(file.to_owned()));
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        let mut inner = self.0.borrow_mut();
+        if inner.burn(Operation::SyncFolder) {
+            return Err(crash_error());
+        }
+        if !inner.faults.ignored_folder_sync {
+            inner.changes.clear();
+            inner.durable_names = inner.names.clone();
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lab/src/worlds/replication/group.rs
@@ -0,0 +1,460 @@
+//! The nodes of a group, their network and disks, in virtual time.
+
+use std::{collections, time::Duration};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use rand::{SeedableRng, rngs};
+use wagtailshunt::disk;
+use wagtailshunt_core::replication::{
+    AppendReply, MembershipChange, Message, Output, ProposeError, Role,
+};
+use wagtailshunt_core::types::{LogIndex, VmId};
+use wagtailshunt_core::{storage, time};
+
+use super::checker::{Checker, Machine};
+use super::network::Network;
+use super::settings::Settings;
+use super::vm::Vm;
+use crate::scenario::Line;
+
+/// Pause before a batch is repeated that met a full disk.
+const FULL_DISK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause between two attempts of an operator's membership change.
+const PLAN_PAUSE: Duration = Duration::from_millis(50);
+
+/// Something that happens later.
+#[derive(Debug)]
+enum Event {
+    Deliver {
+        from: VmId,
+        to: VmId,
+        msg: Message,
+    },
+    Write {
+        vm: VmId,
+        incarnation: u64,
+        ticket: Option<u64>,
+        ops: Vec<storage::Op>,
+    },
+    Plan,
+}
+
+/// A group of VMs.
+#[derive(Debug)]
+pub(super) struct Group {
+    pub(super) settings: Settings,
+    pub(super) seed: u64,
+    pub(super) rng: rngs::SmallRng,
+    pub(super) network: Network,
+    pub(super) vms: collections::BTreeMap<VmId, Vm>,
+    pub(super) checker: Checker,
+    pub(super) lines: Vec<Line>,
+    /// Membership changes that an operator wants, in order.
+    pub(super) plan: collections::VecDeque<MembershipChange>,
+    events: collections::BTreeMap<(time::Instant, u64), Event>,
+    sequence: u64,
+    commands: u64,
+}
+
+impl Group {
+    pub(super) fn new(settings: Settings, seed: u64) -> Group {
+        let mut group = Group {
+            seed,
+            rng: rngs::SmallRng::seed_from_u64(seed),
+            network: settings.network.clone(),
+            vms: collections::BTreeMap::new(),
+            checker: Checker::default(),
+            lines: Vec::new(),
+            plan: collections::VecDeque::new(),
+            events: collections::BTreeMap::new(),
+            sequence: 0,
+            commands: 0,
+            settings,
+        };
+        let total = group.settings.nodes + group.settings.spares;
+        let voters = storage::Membership::of_voters((1..=group.settings.nodes).map(VmId));
+        for number in 1..=total {
+            let steps = u64::from(total.saturating_sub(1).max(1));
+            let drift = group.settings.drift_permille * u64::from(number - 1) / steps;
+            let initial = (number <= group.settings.nodes).then(|| voters.clone());
+            let vm = Vm::new(VmId(number), seed, drift, initial);
+            group.vms.insert(VmId(number), vm);
+        }
+        for number in 1..=group.settings.nodes {
+            group.start(time::Instant(0), VmId(number));
+        }
+        group
+    }
+
+    pub(super) fn line(&mut self, at: time::Instant, text: String) {
+        self.lines.push(Line { at, text });
+    }
+
+    fn schedule(&mut self, at: time::Instant, event: Event) {
+        self.sequence += 1;
+        self.events.insert((at, self.sequence), event);
+    }
+
+    pub(super) fn next_event(&self) -> Option<time::Instant> {
+        let event = self.events.first_key_value().map(|((at, _), _)| *at);
+        let timers = self.vms.values().filter_map(Vm::deadline);
+        timers.chain(event).min()
+    }
+
+    pub(super) fn advance(&mut self, now: time::Instant) {
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > now {
+                break;
+            }
+            let event = entry.remove();
+            self.handle(now, event);
+        }
+        let due = self
+            .vms
+            .values()
+            .filter(|vm| vm.deadline().is_some_and(|at| at <= now));
+        for id in due.map(|vm| vm.id).collect::<Vec<_>>() {
+            self.with_node(now, id, |node, local| node.tick(local));
+        }
+        self.check_leases(now);
+    }
+
+    fn handle(&mut self, now: time::Instant, event: Event) {
+        match event {
+            Event::Deliver { from, to, msg } => {
+                self.with_node(now, to, |node, local| node.step(local, from, msg));
+            }
+            Event::Write {
+                vm,
+                incarnation,
+                ticket,
+                ops,
+            } => self.write(now, vm, incarnation, ticket, &ops),
+            Event::Plan => self.advance_plan(now),
+        }
+    }
+
+    /// Calls `f` on a running node with its clock, then carries out its outputs.
+    pub(super) fn with_node<T>(
+        &mut self,
+        now: time::Instant,
+        id: VmId,
+        f: impl FnOnce(&mut wagtailshunt_core::replication::Node, time::Instant) -> T,
+    ) -> Option<T> {
+        let vm = self.vms.get_mut(&id)?;
+        let local = vm.clock(now);
+        let result = f(&mut vm.process.as_mut()?.node, local);
+        self.pump(now, id);
+        Some(result)
+    }
+
+    pub(super) fn start(&mut self, now: time::Instant, id: VmId) {
+        let seed = self.seed;
+        let Some(vm) = self.vms.get_mut(&id) else {
+            return;
+        };
+        if vm.process.is_some() {
+            return;
+        }
+        if vm.start(now, &self.settings, seed) {
+            self.line(now, format!("vm{id} starts"));
+            self.pump(now, id);
+        } else {
+            let reason = vm.refused.clone().unwrap_or_default();
+            vm.crash();
+            self.line(now, format!("vm{id} does not start: {reason}"));
+        }
+    }
+
+    pub(super) fn crash(&mut self, now: time::Instant, id: VmId, reason: &str) {
+        if let Some(vm) = self.vms.get_mut(&id)
+            && vm.process.is_some()
+        {
+            vm.crash();
+            self.checker.crashed(id);
+            self.line(now, format!("vm{id} stops: {reason}"));
+        }
+    }
+
+    /// Carries out the outputs of a node.
+    fn pump(&mut self, now: time::Instant, id: VmId) {
+        while let Some(vm) = self.vms.get_mut(&id) {
+            let Some(process) = vm.process.as_mut() else {
+                return;
+            };
+            let Some(output) = process.node.poll_output() else {
+                return;
+            };
+            match output {
+                Output::Send { to, msg } => self.send(now, id, to, msg),
+                Output::Persist { ticket, ops } => self.persist(now, id, ticket, ops),
+                Output::Apply {
+                    index,
+                    term,
+                    command,
+                } => {
+                    let machine = &mut process.machine;
+                    self.checker.applied(id, machine, index, term, &command);
+                    self.maybe_snapshot(now, id);
+                }
+                Output::Restore { index, data } => {
+                    process.machine = Machine::restore(data);
+                    process.snapshot_at = index;
+                    self.checker.restored(id, index, &process.machine);
+                }
+                Output::ReadReady { token, .. } => {
+                    let machine = process.machine;
+                    self.checker.read_ends(id, token, &machine);
+                }
+                Output::ReadFailed { .. } => {}
+                Output::Rejected { index } => self.checker.rejected(id, index),
+                Output::Role { role, term } => {
+                    if role == Role::Leader {
+                        self.line(now, format!("vm{id} leads in term {term}"));
+                    }
+                }
+            }
+        }
+    }
+
+    fn maybe_snapshot(&mut self, now: time::Instant, id: VmId) {
+        let every = self.settings.snapshot_every;
+        let Some(vm) = self.vms.get_mut(&id) else {
+            return;
+        };
+        let local = vm.clock(now);
+        let Some(process) = &mut vm.process else {
+            return;
+        };
+        let index = process.machine.index;
+        if every > 0 && index.0 >= process.snapshot_at.0 + every {
+            process.snapshot_at = index;
+            let data = process.machine.snapshot();
+            process.node.snapshot_taken(local, index, data);
+        }
+    }
+
+    fn send(&mut self, now: time::Instant, from: VmId, to: VmId, mut msg: Message) {
+        let protections = self.settings.protections;
+        match &mut msg {
+            Message::PreVote(vote) if !(protections.pre_vote && protections.vote_silence) => {
+                let reply = Message::PreVoteReply {
+                    term: vote.term,
+                    granted: true,
+                };
+                let at = now + self.network.latency;
+                self.schedule(
+                    at,
+                    Event::Deliver {
+                        from: to,
+                        to: from,
+                        msg: reply,
+                    },
+                );
+                return;
+            }
+            Message::Vote(vote) if !protections.vote_silence => vote.transfer = true,
+            Message::Append(append)
+                if !protections.check_quorum && self.network.cuts.contains(&(from, to)) =>
+            {
+                let reply = Message::AppendReply(AppendReply {
+                    term: append.term,
+                    round: append.round,
+                    verified: LogIndex(0),
+                    durable: LogIndex(0),
+                    conflict: None,
+                });
+                let at = now + self.network.latency;
+                self.schedule(
+                    at,
+                    Event::Deliver {
+                        from: to,
+                        to: from,
+                        msg: reply,
+                    },
+                );
+            }
+            _ => {}
+        }
+        for delay in self.network.route(&mut self.rng, from, to) {
+            let msg = msg.clone();
+            self.schedule(now + delay, Event::Deliver { from, to, msg });
+        }
+    }
+
+    fn persist(&mut self, now: time::Instant, id: VmId, ticket: u64, ops: Vec<storage::Op>) {
+        let Some(vm) = self.vms.get_mut(&id) else {
+            return;
+        };
+        let incarnation = vm.incarnation;
+        let at = now + self.settings.disk + vm.slow;
+        let early = !self.settings.protections.ack_after_sync;
+        let write = Event::Write {
+            vm: id,
+            incarnation,
+            ticket: (!early).then_some(ticket),
+            ops,
+        };
+        self.schedule(at, write);
+        if early {
+            self.with_node(now, id, |node, local| node.persisted(local, ticket));
+        }
+    }
+
+    /// Writes a batch, or repeats one that met a full disk when `ops` is empty.
+    fn write(
+        &mut self,
+        now: time::Instant,
+        id: VmId,
+        incarnation: u64,
+        ticket: Option<u64>,
+        ops: &[storage::Op],
+    ) {
+        let Some(vm) = self.vms.get_mut(&id) else {
+            return;
+        };
+        let Some(process) = vm
+            .process
+            .as_mut()
+            .filter(|_| vm.incarnation == incarnation)
+        else {
+            return;
+        };
+        match process.store.execute(ops) {
+            Ok(()) => {
+                self.with_node(now, id, |node, local| {
+                    node.disk_full(local, false);
+                    if let Some(ticket) = ticket {
+                        node.persisted(local, ticket);
+                    }
+                });
+            }
+            Err(disk::Error::Full { .. }) => {
+                self.with_node(now, id, |node, local| node.disk_full(local, true));
+                let retry = Event::Write {
+                    vm: id,
+                    incarnation,
+                    ticket,
+                    ops: Vec::new(),
+                };
+                self.schedule(now + FULL_DISK_PAUSE, retry);
+            }
+            Err(err) => self.crash(now, id, &err.to_string()),
+        }
+    }
+
+    /// Proposes one command on every node that believes to lead, or on one VM.
+    pub(super) fn propose(&mut self, now: time::Instant, only: Option<VmId>, size: usize) {
+        let leaders: Vec<_> = self.vms.values().filter(|vm| vm.is_leader()).collect();
+        let leaders: Vec<_> = leaders.iter().map(|vm| vm.id).collect();
+        for id in leaders {
+            if only.is_some_and(|only| only != id) {
+                continue;
+            }
+            self.commands += 1;
+            let number = self.commands;
+            let mut buf = BytesMut::new();
+            buf.put_u64(number);
+            buf.put_bytes(0, size);
+            let command: Bytes = buf.freeze();
+            let proposed = self.vms.get_mut(&id).and_then(|vm| {
+                let local = vm.clock(now);
+                let node = &mut vm.process.as_mut()?.node;
+                let term = node.term();
+                Some((node.propose(local, command).ok()?, term))
+            });
+            if let Some((index, term)) = proposed {
+                self.checker.proposed(id, index, term, number);
+            }
+            self.pump(now, id);
+        }
+    }
+
+    /// Reads on every node that believes to lead.
+    pub(super) fn read(&mut self, now: time::Instant) {
+        let leaders = self.vms.values().filter(|vm| vm.is_leader());
+        for id in leaders.map(|vm| vm.id).collect::<Vec<_>>() {
+            self.commands += 1;
+            let token = self.commands;
+            self.checker.read_begins(token);
+            self.with_node(now, id, |node, local| {
+                // Refused when the node has just stepped down; the read is never answered then.
+                let _ = node.read_index(local, token);
+            });
+        }
+    }
+
+    /// Returns the leader of the highest term.
+    pub(super) fn leader(&self) -> Option<VmId> {
+        let leaders = self.vms.values().filter(|vm| vm.is_leader());
+        let term = |vm: &&Vm| vm.process.as_ref().map(|process| process.node.term());
+        leaders.max_by_key(term).map(|vm| vm.id)
+    }
+
+    pub(super) fn begin_plan(&mut self, now: time::Instant) {
+        self.schedule(now, Event::Plan);
+    }
+
+    /// Attempts the next membership change until the leader's membership shows it.
+    fn advance_plan(&mut self, now: time::Instant) {
+        let Some(change) = self.plan.front().copied() else {
+            return;
+        };
+        self.schedule(now + PLAN_PAUSE, Event::Plan);
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let result = self.with_node(now, leader, |node, local| {
+            let members = node.members();
+            let done = match change {
+                MembershipChange::AddLearner(vm) => members.contains(vm),
+                MembershipChange::Promote(vm) => members.voters.contains(&vm),
+                MembershipChange::Remove(vm) => !members.contains(vm),
+            };
+            if done {
+                return Ok(None);
+            }
+            node.propose_membership(local, change).map(Some)
+        });
+        match result {
+            Some(Ok(None)) => {
+                self.plan.pop_front();
+                self.line(now, format!("membership change done: {change:?}"));
+            }
+            Some(Err(ProposeError::InvalidChange)) => {
+                self.line(now, format!("membership change refused: {change:?}"));
+            }
+            _ => {}
+        }
+    }
+
+    /// At most one node holds a lease, and no other leads in a later term meanwhile.
+    fn check_leases(&mut self, now: time::Instant) {
+        let mut highest = None;
+        let mut holder = None;
+        for vm in self.vms.values() {
+            let Some(process) = &vm.process else {
+                continue;
+            };
+            if process.node.role() != Role::Leader {
+                continue;
+            }
+            let leads = Some((process.node.term(), vm.id));
+            highest = highest.max(leads);
+            if process.node.lease_valid_until(vm.clock(now)).is_some() {
+                let first = holder.get_or_insert(leads);
+                if *first != leads {
+                    self.checker
+                        .fail("two nodes hold a leader lease".to_owned());
+                }
+            }
+        }
+        if let Some(Some((_, id))) = holder
+            && holder != Some(highest)
+        {
+            self.checker
+                .fail(format!("vm{id} holds a lease although another leads"));
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/worlds/replication/settings.rs
@@ -0,0 +1,126 @@
+//! Settings of the world.
+
+use std::time;
+
+use wagtailshunt_core::replication;
+
+use super::network::Network;
+use crate::scenario::{Arg, WorldError};
+
+/// Protections that a script can switch off to show that it notices their loss. The fakes around
+/// the nodes misbehave then; the nodes themselves are the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Protections {
+    /// Off: every pre-vote is granted by the network at once.
+    pub(super) pre_vote: bool,
+    /// Off: as without `pre_vote`, and every vote request claims to come from the leader's wish.
+    pub(super) vote_silence: bool,
+    /// Off: a node starts as if it had been silent for a long time.
+    pub(super) start_silence: bool,
+    /// Off: the network answers heartbeats on cut links.
+    pub(super) check_quorum: bool,
+    /// Off: batches are reported as synced before they are written.
+    pub(super) ack_after_sync: bool,
+    /// Off: the disk ignores syncs of files.
+    pub(super) sync: bool,
+    /// Off: the disk ignores syncs of the folder.
+    pub(super) folder_sync: bool,
+    /// Off: a torn tail keeps a node from starting.
+    pub(super) torn_tail: bool,
+    /// Off: a learner may become a voter whatever it lacks.
+    pub(super) catch_up: bool,
+}
+
+impl Default for Protections {
+    fn default() -> Protections {
+        Protections {
+            pre_vote: true,
+            vote_silence: true,
+            start_silence: true,
+            check_quorum: true,
+            ack_after_sync: true,
+            sync: true,
+            folder_sync: true,
+            torn_tail: true,
+            catch_up: true,
+        }
+    }
+}
+
+/// Settings of the world.
+#[derive(Clone, Debug)]
+pub(super) struct Settings {
+    pub(super) nodes: u32,
+    pub(super) spares: u32,
+    pub(super) network: Network,
+    /// Time that a batch takes on disk.
+    pub(super) disk: time::Duration,
+    /// Applied commands after which a node takes a snapshot; 0 for never.
+    pub(super) snapshot_every: u64,
+    pub(super) segment_bytes: u64,
+    /// Difference in rate between the fastest and the slowest clock, in thousandths.
+    pub(super) drift_permille: u64,
+    pub(super) protections: Protections,
+    pub(super) node: replication::Config,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            nodes: 5,
+            spares: 0,
+            network: Network::default(),
+            disk: time::Duration::from_millis(2),
+            snapshot_every: 0,
+            segment_bytes: 4096,
+            drift_permille: 0,
+            protections: Protections::default(),
+            node: replication::Config {
+                retained_entries: 16,
+                snapshot_chunk_bytes: 100,
+                ..replication::Config::default()
+            },
+        }
+    }
+}
+
+impl Settings {
+    pub(super) fn set(&mut self, key: &str, value: &Arg) -> Result<(), WorldError> {
+        let protections = &mut self.protections;
+        match key {
+            "nodes" => self.nodes = value.as_u64()? as u32,
+            "spares" => self.spares = value.as_u64()? as u32,
+            "latency" => self.network.latency = value.as_duration()?,
+            "jitter" => self.network.jitter = value.as_duration()?,
+            "loss" => self.network.loss = probability(value)?,
+            "duplicate" => self.network.duplicate = probability(value)?,
+            "reorder" => self.network.reorder = probability(value)?,
+            "disk" => self.disk = value.as_duration()?,
+            "snapshot_every" => self.snapshot_every = value.as_u64()?,
+            "segment_bytes" => self.segment_bytes = value.as_u64()?,
+            "retained_entries" => self.node.retained_entries = value.as_u64()?,
+            "drift_permille" => self.drift_permille = value.as_u64()?,
+            "clock_margin_permille" => self.node.clock_margin_permille = value.as_u64()? as u32,
+            "pre_vote" => protections.pre_vote = value.as_bool()?,
+            "vote_silence" => protections.vote_silence = value.as_bool()?,
+            "start_silence" => protections.start_silence = value.as_bool()?,
+            "check_quorum" => protections.check_quorum = value.as_bool()?,
+            "ack_after_sync" => protections.ack_after_sync = value.as_bool()?,
+            "sync" => protections.sync = value.as_bool()?,
+            "folder_sync" => protections.folder_sync = value.as_bool()?,
+            "torn_tail" => protections.torn_tail = value.as_bool()?,
+            "catch_up" => protections.catch_up = value.as_bool()?,
+            _ => return Err(WorldError::UnknownSetting(key.to_owned())),
+        }
+        Ok(())
+    }
+}
+
+/// Reads a probability between 0 and 1.
+pub(super) fn probability(value: &Arg) -> Result<f64, WorldError> {
+    let value = value.as_f64()?;
+    if !(0.0..=1.0).contains(&value) {
+        return Err(WorldError::Invalid(format!("{value} is no probability")));
+    }
+    Ok(value)
+}
--- /dev/null
+++ b/lab/src/worlds/replication/vm.rs
@@ -0,0 +1,136 @@
+//! One VM: a disk that lasts, and a process that may be running.
+
+use wagtailshunt::disk;
+use wagtailshunt_core::{replication, storage, time, types};
+
+use super::checker::Machine;
+use super::disk::FakeDisk;
+use super::settings::Settings;
+
+/// Reading of each VM's clock at the start of the run, in microseconds.
+const CLOCK_ORIGIN: u64 = 1_000_000_000;
+
+/// How long a node seems to have been silent when its silence at start is switched off.
+const LONG_SILENCE: std::time::Duration = std::time::Duration::from_secs(60);
+
+/// A running process.
+#[derive(Debug)]
+pub(super) struct Process {
+    pub(super) node: replication::Node,
+    pub(super) store: disk::Store<FakeDisk>,
+    pub(super) machine: Machine,
+    /// Index of the last command when the last snapshot was taken.
+    pub(super) snapshot_at: types::LogIndex,
+}
+
+/// A VM.
+#[derive(Debug)]
+pub(super) struct Vm {
+    pub(super) id: types::VmId,
+    pub(super) disk: FakeDisk,
+    /// Extra time of each batch.
+    pub(super) slow: std::time::Duration,
+    /// Start counter of the process.
+    pub(super) incarnation: u64,
+    pub(super) process: Option<Process>,
+    /// Why the last start failed.
+    pub(super) refused: Option<String>,
+    /// Clock rate above that of virtual time, in thousandths.
+    drift_permille: u64,
+    /// Membership of a new group; `None` for a VM that joins later.
+    initial: Option<storage::Membership>,
+}
+
+impl Vm {
+    pub(super) fn new(
+        id: types::VmId,
+        seed: u64,
+        drift_permille: u64,
+        initial: Option<storage::Membership>,
+    ) -> Vm {
+        Vm {
+            id,
+            disk: FakeDisk::new(seed ^ u64::from(id.0)),
+            slow: std::time::Duration::ZERO,
+            incarnation: 0,
+            process: None,
+            refused: None,
+            drift_permille,
+            initial,
+        }
+    }
+
+    /// Returns the reading of this VM's clock.
+    pub(super) fn clock(&self, now: time::Instant) -> time::Instant {
+        time::Instant(CLOCK_ORIGIN + now.0 + now.0 * self.drift_permille / 1000)
+    }
+
+    /// Returns the first virtual time at which the clock reads at least `local`.
+    fn virtual_time(&self, local: time::Instant) -> time::Instant {
+        let elapsed = local.0.saturating_sub(CLOCK_ORIGIN);
+        time::Instant((elapsed * 1000).div_ceil(1000 + self.drift_permille))
+    }
+
+    /// Returns when the node's timers are due.
+    pub(super) fn deadline(&self) -> Option<time::Instant> {
+        let process = self.process.as_ref()?;
+        let local = process.node.next_deadline()?;
+        Some(self.virtual_time(local))
+    }
+
+    pub(super) fn is_leader(&self) -> bool {
+        let node = self.process.as_ref().map(|process| &process.node);
+        node.is_some_and(|node| node.role() == replication::Role::Leader)
+    }
+
+    /// Starts the process; returns false when the stored state is refused.
+    pub(super) fn start(&mut self, now: time::Instant, settings: &Settings, seed: u64) -> bool {
+        let protections = &settings.protections;
+        self.disk.set_faults(super::disk::Faults {
+            ignored_sync: !protections.sync,
+            ignored_folder_sync: !protections.folder_sync,
+            ..self.disk.faults()
+        });
+        let opened = disk::Store::open(self.disk.clone(), self.initial.as_ref());
+        let (mut store, recovered) = match opened {
+            Ok(opened) => opened,
+            Err(err) => {
+                self.refused = Some(err.to_string());
+                return false;
+            }
+        };
+        if store.torn_bytes() > 0 && !settings.protections.torn_tail {
+            self.refused = Some("torn tail".to_owned());
+            return false;
+        }
+        store.set_segment_bytes(settings.segment_bytes);
+        self.incarnation += 1;
+        let mut cfg = replication::Config {
+            id: self.id,
+            seed: seed.rotate_left(8) ^ self.incarnation,
+            ..settings.node.clone()
+        };
+        if !settings.protections.catch_up {
+            cfg.promotion_lag = u64::MAX;
+        }
+        let mut since = self.clock(now);
+        if !settings.protections.start_silence {
+            since = since.saturating_sub(LONG_SILENCE);
+        }
+        let snapshot_at = recovered.snapshot.index;
+        self.refused = None;
+        self.process = Some(Process {
+            node: replication::Node::new(cfg, recovered, since),
+            store,
+            machine: Machine::default(),
+            snapshot_at,
+        });
+        true
+    }
+
+    /// Ends the process and loses what was not synced.
+    pub(super) fn crash(&mut self) {
+        self.process = None;
+        self.disk.crash();
+    }
+}
--- /dev/null
+++ b/lab/tests/replication.rs
@@ -0,0 +1,66 @@
+//! Guards the replicated log with random schedules of faults, from fixed seeds.
+//!
+//! `REPLICATION_SEEDS=FROM..TO` runs other seeds, for a longer search.
+
+use std::{env, fs, path, thread};
+
+use wagtailshunt_lab::{scenario, worlds};
+
+fn script(name: &str) -> scenario::Script {
+    let folder = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../scenarios");
+    let text = fs::read_to_string(folder.join(name)).unwrap();
+    scenario::parse(&text).unwrap()
+}
+
+fn run(script: &scenario::Script, seed: u64) -> scenario::Report {
+    let options = scenario::Options {
+        seed: Some(seed),
+        ..scenario::Options::default()
+    };
+    let mut world = worlds::create(&script.world).unwrap();
+    scenario::run(script, &options, world.as_mut()).unwrap()
+}
+
+/// Runs a script with many seeds on all cores and returns the seeds that fail, with their reports.
+fn failing(script: &scenario::Script, seeds: std::ops::Range<u64>) -> Vec<(u64, String)> {
+    let workers = thread::available_parallelism().map_or(1, |n| n.get() as u64);
+    thread::scope(|scope| {
+        let handles: Vec<_> = (0..workers)
+            .map(|worker| {
+                let seeds = seeds
+                    .clone()
+                    .skip(worker as usize)
+                    .step_by(workers as usize);
+                scope.spawn(move || {
+                    let reports = seeds.map(|seed| (seed, run(script, seed)));
+                    let failed = reports.filter(|(_, report)| !report.passed());
+                    failed
+                        .map(|(seed, r)| (seed, format!("{:?}", r.failures)))
+                        .collect()
+                })
+            })
+            .collect();
+        let results = handles.into_iter().map(|handle| handle.join().unwrap());
+        results.flat_map(|failed: Vec<_>| failed).collect()
+    })
+}
+
+fn seeds(default: std::ops::Range<u64>) -> std::ops::Range<u64> {
+    let Ok(text) = env::var("REPLICATION_SEEDS") else {
+        return default;
+    };
+    let (from, to) = text.split_once("..").expect("FROM..TO");
+    from.parse().unwrap()..to.parse().unwrap()
+}
+
+#[test]
+fn random_faults_lose_nothing() {
+    let script = script("replication_chaos.scn");
+    let failed = failing(&script, seeds(0..1000));
+    assert!(
+        failed.is_empty(),
+        "{} seeds fail: {:#?}",
+        failed.len(),
+        &failed[..failed.len().min(5)]
+    );
+}
--- a/wagtailshunt/src/disk/error.rs
+++ b/wagtailshunt/src/disk/error.rs
@@ -50,6 +50,11 @@
 }
 
 impl Error {
+    /// Returns whether the disk is full; any other error must stop the process.
+    pub fn is_full(&self) -> bool {
+        matches!(self, Error::Full { .. })
+    }
+
     /// Converts the error of an operation other than a sync.
     pub(super) fn io(path: path::PathBuf, source: io::Error) -> Error {
         match source.kind() {
