--- /dev/null
+++ b/cli/src/options.rs
@@ -0,0 +1,303 @@
+//! Options and commands.
+
+use std::{net, path};
+
+use gumdrop::Options;
+
+/// Options that every command accepts, before or after its name.
+const GLOBAL_WITH_VALUE: &[&str] = &["--control", "--key-file", "--timeout-ms"];
+const GLOBAL_FLAGS: &[&str] = &["--json"];
+
+/// The program.
+#[derive(Debug, Options)]
+pub struct Program {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(
+        help = "admin address of a control daemon; several are tried in turn",
+        no_short
+    )]
+    pub control: Vec<net::SocketAddr>,
+    #[options(help = "file with the operator key", meta = "FILE", no_short)]
+    pub key_file: Option<path::PathBuf>,
+    #[options(
+        help = "time for all attempts of a request",
+        default = "15000",
+        no_short
+    )]
+    pub timeout_ms: u64,
+    #[options(help = "print JSON", no_short)]
+    pub json: bool,
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// The commands.
+#[derive(Debug, Options)]
+#[expect(clippy::large_enum_variant, reason = "parsed once in a process")]
+pub enum Command {
+    #[options(help = "check files of records or settings without submitting them")]
+    Check(Check),
+    #[options(help = "create or amend a record")]
+    Put(Put),
+    #[options(help = "print a record")]
+    Get(Get),
+    #[options(help = "list all records")]
+    List(Plain),
+    #[options(help = "list the kept versions of a record")]
+    History(Get),
+    #[options(help = "drain a VM or a target, or end its drain")]
+    Drain(Drain),
+    #[options(help = "print the state of the cluster")]
+    Status(Status),
+    #[options(help = "merge the events of several processes into one order")]
+    Timeline(Timeline),
+    #[options(help = "run a measurement")]
+    Bench(Bench),
+    #[options(help = "run a small cluster on this machine")]
+    Demo(Plain),
+    #[options(help = "run a scenario")]
+    Scenario(Scenario),
+}
+
+/// A command without options.
+#[derive(Debug, Options)]
+pub struct Plain {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+}
+
+/// Options of `check`.
+#[derive(Debug, Options)]
+pub struct Check {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(
+        help = "the files are settings of a `gateway` or `control` daemon",
+        meta = "DAEMON"
+    )]
+    pub settings: Option<String>,
+    #[options(free, help = "files to check")]
+    pub files: Vec<path::PathBuf>,
+}
+
+/// Options of `put`.
+#[derive(Debug, Options)]
+pub struct Put {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(
+        help = "revision that is amended; absent for a new record",
+        meta = "REVISION"
+    )]
+    pub expect: Option<u64>,
+    #[options(
+        help = "wait until the change is in force on every VM (the default)",
+        no_short
+    )]
+    pub wait: bool,
+    #[options(help = "return once the change is durable", no_short)]
+    pub no_wait: bool,
+    #[options(
+        help = "resend a request whose answer was lost",
+        meta = "UUID",
+        no_short
+    )]
+    pub request_id: Option<String>,
+    #[options(help = "name of the operator in the history", meta = "NAME", no_short)]
+    pub actor: Option<String>,
+    #[options(free, required, help = "file with the record")]
+    pub file: path::PathBuf,
+}
+
+/// Options of `get` and `history`.
+#[derive(Debug, Options)]
+pub struct Get {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(free, required, help = "KIND/NAME, such as service/bookings")]
+    pub record: String,
+}
+
+/// Options of `drain`.
+#[derive(Debug, Options)]
+pub struct Drain {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(help = "end the drain", no_short)]
+    pub undo: bool,
+    #[options(help = "return once the change is durable", no_short)]
+    pub no_wait: bool,
+    #[options(help = "name of the operator in the history", meta = "NAME", no_short)]
+    pub actor: Option<String>,
+    #[options(free, help = "vm ID, or target SERVICE TARGET")]
+    pub what: Vec<String>,
+}
+
+/// Options of `status`.
+#[derive(Debug, Options)]
+pub struct Status {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(
+        help = "of the asked control VM alone, also without a leader",
+        no_short
+    )]
+    pub local: bool,
+}
+
+/// Options of `timeline`.
+#[derive(Debug, Options)]
+pub struct Timeline {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(help = "admin address of a process whose events are fetched", no_short)]
+    pub from: Vec<net::SocketAddr>,
+    #[options(free, help = "files with JSON lines")]
+    pub files: Vec<path::PathBuf>,
+}
+
+/// Options of `scenario`.
+#[derive(Debug, Options)]
+pub struct Scenario {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(help = "seed in place of the script's own", no_short)]
+    pub seed: Option<u64>,
+    #[options(
+        help = "setting applied after the script's own",
+        meta = "KEY=VALUE",
+        no_short
+    )]
+    pub set: Vec<String>,
+    #[options(free, required, help = "the script")]
+    pub file: path::PathBuf,
+}
+
+/// Options of `bench`.
+#[derive(Debug, Options)]
+pub struct Bench {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(command)]
+    pub command: Option<BenchCommand>,
+}
+
+/// The measurements.
+#[derive(Debug, Options)]
+#[expect(clippy::large_enum_variant, reason = "parsed once in a process")]
+pub enum BenchCommand {
+    #[options(help = "compare policies on one generated load")]
+    Policy(Plain),
+    #[options(help = "latency of calls, direct and through gateways")]
+    RequestPath(RequestPath),
+    #[options(help = "cost of control")]
+    Control(Plain),
+    #[options(help = "throughput and latency of the replicated log")]
+    Log(Plain),
+    #[options(help = "throughput and memory of the idempotency ledger")]
+    Ledger(Plain),
+}
+
+/// Options of `bench request-path`.
+#[derive(Debug, Options)]
+pub struct RequestPath {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(help = "address of a gateway for callers", no_short)]
+    pub gateway: Vec<net::SocketAddr>,
+    #[options(
+        help = "address of a running target; without one, targets are started",
+        no_short
+    )]
+    pub direct: Vec<net::SocketAddr>,
+    #[options(help = "number of targets to start", default = "3", no_short)]
+    pub targets: usize,
+    #[options(help = "service time of started targets", default = "1000", no_short)]
+    pub service_us: u64,
+    #[options(help = "slots of started targets", default = "256", no_short)]
+    pub slots: u32,
+    #[options(
+        help = "gateway admin address that started targets announce to",
+        no_short
+    )]
+    pub announce: Vec<net::SocketAddr>,
+    #[options(help = "file with the target key", meta = "FILE", no_short)]
+    pub target_key_file: Option<path::PathBuf>,
+    #[options(help = "service of started targets", default = "service", no_short)]
+    pub service: String,
+    #[options(help = "Host header", default = "service", no_short)]
+    pub host: String,
+    #[options(help = "method", default = "GET", no_short)]
+    pub method: String,
+    #[options(help = "path", default = "/", no_short)]
+    pub path: String,
+    #[options(help = "give each call an idempotency key", no_short)]
+    pub keyed: bool,
+    #[options(
+        help = "closed loop with this many callers (default 1, 32 and 256)",
+        no_short
+    )]
+    pub callers: Vec<usize>,
+    #[options(help = "open loop with this many calls per second", no_short)]
+    pub rate: Vec<f64>,
+    #[options(help = "measured time of each repetition", default = "2000", no_short)]
+    pub duration_ms: u64,
+    #[options(help = "time before it that is not counted", default = "500", no_short)]
+    pub warm_up_ms: u64,
+    #[options(help = "repetitions", default = "3", no_short)]
+    pub repetitions: usize,
+    #[options(help = "seed", default = "1", no_short)]
+    pub seed: u64,
+    #[options(help = "code revision for the report", default = "unknown", no_short)]
+    pub revision: String,
+}
+
+/// Moves global options before the command, where the parser expects them.
+pub fn hoist(args: Vec<String>) -> Vec<String> {
+    let mut global = Vec::new();
+    let mut rest = Vec::new();
+    let mut args = args.into_iter();
+    while let Some(arg) = args.next() {
+        let name = arg.split('=').next().unwrap_or_default();
+        if arg == "--" {
+            rest.push(arg);
+            rest.extend(args);
+            break;
+        } else if GLOBAL_WITH_VALUE.contains(&name) {
+            let has_value = name.len() < arg.len();
+            global.push(arg);
+            if !has_value {
+                global.extend(args.next());
+            }
+        } else if GLOBAL_FLAGS.contains(&arg.as_str()) {
+            global.push(arg);
+        } else {
+            rest.push(arg);
+        }
+    }
+    global.extend(rest);
+    global
+}
+
+/// Returns the help of the innermost command.
+pub fn help(opts: &Program) -> String {
+    let mut command: &dyn Options = opts;
+    let mut name = "wagtailshunt".to_owned();
+    while let Some(inner) = command.command() {
+        command = inner;
+        if let Some(inner) = inner.command_name() {
+            name.push(' ');
+            name.push_str(inner);
+        }
+    }
+    let mut text = format!("Usage: {name} [OPTIONS]\n\n{}", command.self_usage());
+    if let Some(commands) = command.self_command_list() {
+        text.push_str("\n\nCommands:\n");
+        text.push_str(commands);
+    }
+    text.push_str("\n\nThe global options of `wagtailshunt --help` apply to all commands.");
+    text.push_str("\nExit codes: 0 ok, 1 refused or failed, 2 usage or settings, ");
+    text.push_str("3 not reachable, 4 conflict.");
+    text
+}
--- /dev/null
+++ b/cli/tests/cli/main.rs
@@ -0,0 +1,5 @@
+//! The program against stand-ins for control daemons.
+
+mod commands;
+mod stub;
+mod timeline;
--- a/lab/src/load/generator.rs
+++ b/lab/src/load/generator.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::client::{self, Connection};
+use super::ids;
 use super::pool::Pool;
 use super::sample::Ending;
 use super::{Arrivals, Config, Mode, Report, RequestSpec, Row, Sample};
@@ -101,7 +102,7 @@
             .uri(&self.request.path)
             .header(header::HOST, &self.request.host);
         if self.request.keyed {
-            let key = uuid_v7(wall_millis(), &mut *self.rng.borrow_mut());
+            let key = ids::uuid_v7(wall_millis(), self.rng.borrow_mut().random());
             request = request.header("idempotency-key", key);
             request = request.header("wagtailshunt-attempt", "1");
         }
@@ -118,24 +119,6 @@
     }
 }
 
-/// Returns a UUIDv7 (RFC 9562) with this time.
-pub(super) fn uuid_v7(unix_ms: u64, rng: &mut impl Rng) -> String {
-    let random: u128 = rng.random();
-    let time = u128::from(unix_ms) << 80;
-    let low = random & !(0xffff_ffff_ffff_u128 << 80);
-    let versioned = (time | low) & !(0xf_u128 << 76) | (7 << 76);
-    let bits = versioned & !(3_u128 << 62) | (2 << 62);
-    let hex = format!("{bits:032x}");
-    let parts = [
-        &hex[..8],
-        &hex[8..12],
-        &hex[12..16],
-        &hex[16..20],
-        &hex[20..],
-    ];
-    parts.join("-")
-}
-
 fn wall_millis() -> u64 {
     let elapsed = time::SystemTime::now()
         .duration_since(time::UNIX_EPOCH)
--- a/lab/src/load/mod.rs
+++ b/lab/src/load/mod.rs
@@ -7,11 +7,13 @@
 pub mod client;
 mod config;
 mod generator;
+mod ids;
 mod pool;
 mod report;
 mod sample;
 
 pub use config::{Arrivals, Config, Mode, RequestSpec};
 pub use generator::{Route, measure, run};
+pub use ids::uuid_v7;
 pub use report::{Ratio, Report, Row, Spread};
 pub use sample::Sample;
