Isolate requests that crash targets and move calls off silent connections

Cause: a lookup on a frozen connection to the only target ended with 504, because the move avoided the target along with its connection. A pooled connection that the target had just closed also cost a retry of the budget.

Change: a target that was tried is used again when no other is left; attempts that found no usable connection are free, three at most, and hand back the body. The gateway reports ended connections to containment and runs suspects alone after a permit of the leader.

--- a/lab/tests/whole_path.rs
+++ b/lab/tests/whole_path.rs
@@ -1,121 +1,203 @@
 //! The whole path over real sockets: announcement, record, call, keyed call, drain.
 
-use std::{env, fs, path, time};
+mod support;
 
-use bytes::Bytes;
-use hyper::{Method, Request, Response, StatusCode};
-use wagtailshunt_lab::{cluster, load::client, target};
+use std::time;
 
-const RECORD: &str = r#"{"schema": 1, "kind": "service", "name": "bookings", "spec": {
-    "hosts": ["bookings.example"], "path_prefix": "/", "timeout_ms": 3000,
-    "key_required_methods": ["POST"]}}"#;
-
-/// A folder that is removed at the end of a test.
-struct Folder(path::PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Folder {
-        let path = env::temp_dir().join(format!("wagtailshunt-{name}-{}", std::process::id()));
-        let _ = fs::remove_dir_all(&path);
-        fs::create_dir_all(&path).expect("temporary folder");
-        Folder(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.0);
-    }
-}
-
-fn block_on<T>(future: impl Future<Output = T>) -> T {
-    let runtime = wagtailshunt::daemon::runtime().expect("runtime");
-    runtime.block_on(future)
-}
-
-async fn call(
-    cluster: &cluster::Cluster,
-    gateway: usize,
-    method: Method,
-    key: Option<&str>,
-) -> Response<Bytes> {
-    let gateway = cluster.gateways[gateway].as_ref().expect("gateway runs");
-    let mut conn = client::Connection::open(gateway.listen())
-        .await
-        .expect("gateway listens");
-    let mut req = Request::builder()
-        .method(method)
-        .uri("/stalls/7")
-        .header("host", "bookings.example");
-    if let Some(key) = key {
-        req = req.header("idempotency-key", key);
-    }
-    let req = req
-        .body(client::body(Bytes::from_static(b"")))
-        .expect("request");
-    conn.call(req).await.expect("answer")
-}
-
-async fn start_target(cluster: &cluster::Cluster, id: &str) -> target::Handle {
-    let config = target::Config {
-        service: "bookings".into(),
-        id: id.into(),
-        failure_domain: "fd0".into(),
-        announce: Some(cluster.announce()),
-        ..target::Config::default()
-    };
-    target::start(config).await.expect("target starts")
-}
-
-/// Waits until lookups are answered, since announcements spread after they are accepted.
-async fn wait_for_answer(cluster: &cluster::Cluster, gateway: usize) {
-    let limit = time::Instant::now() + time::Duration::from_secs(10);
-    while call(cluster, gateway, Method::GET, None).await.status() != StatusCode::OK {
-        assert!(
-            time::Instant::now() < limit,
-            "no answer through the gateway"
-        );
-        compio::time::sleep(time::Duration::from_millis(10)).await;
-    }
-}
+use hyper::{Method, StatusCode};
+use support::{
+    Folder, block_on, outcome, put_record, request, send, start_cluster, start_target, try_send,
+    wait_for_answer, wait_for_targets,
+};
+use wagtailshunt_lab::{cluster, target};
 
 /// Guards against a break anywhere between announcement, record, claim and answer.
 #[test]
 fn a_booking_sent_twice_runs_once() {
     let folder = Folder::new("booking");
     block_on(async {
-        let cfg = cluster::Config {
-            data: folder.0.clone(),
-            controls: 3,
-            gateways: 2,
-            ..cluster::Config::default()
-        };
-        let cluster = cluster::Cluster::start(cfg).await.expect("cluster");
-        let first = start_target(&cluster, "one").await;
-        let second = start_target(&cluster, "two").await;
-        let (status, reply) = cluster
-            .operator()
-            .put("service/bookings", 0, RECORD)
-            .await
-            .expect("put");
-        assert_eq!(status, StatusCode::OK, "{reply}");
-        assert_eq!(reply["in_force"], true, "{reply}");
+        let cluster = start_cluster(&folder, 3, 2).await;
+        let first = start_target(&cluster, "one", |_| {}).await;
+        let second = start_target(&cluster, "two", |_| {}).await;
+        put_record(&cluster).await;
         wait_for_answer(&cluster, 0).await;
         wait_for_answer(&cluster, 1).await;
 
-        let refused = call(&cluster, 0, Method::POST, None).await;
+        let refused = send(&cluster, 0, request(Method::POST, None)).await;
         assert_eq!(refused.status(), StatusCode::BAD_REQUEST);
-        assert_eq!(refused.headers()["wagtailshunt-outcome"], "not-run");
+        assert_eq!(outcome(&refused), "not-run");
 
         let key = cluster::request_id();
-        let one = call(&cluster, 0, Method::POST, Some(&key)).await;
+        let one = send(&cluster, 0, request(Method::POST, Some(&key))).await;
         assert_eq!(one.status(), StatusCode::OK, "{one:?}");
-        let two = call(&cluster, 1, Method::POST, Some(&key)).await;
+        let two = send(&cluster, 1, request(Method::POST, Some(&key))).await;
         assert_eq!(two.status(), StatusCode::OK, "{two:?}");
-        assert_eq!(two.headers()["wagtailshunt-outcome"], "completed");
+        assert_eq!(outcome(&two), "completed");
         assert_eq!(one.body(), two.body());
         let mut ledger = first.ledger();
         ledger.merge(&second.ledger());
         assert_eq!(ledger.runs(&key).started, 1);
     });
 }
+
+/// Guards against a planned stop of a gateway that cuts off calls in flight.
+#[test]
+fn a_gateway_that_drains_ends_its_calls() {
+    let folder = Folder::new("drain");
+    block_on(async {
+        let cluster = start_cluster(&folder, 1, 1).await;
+        let target = start_target(&cluster, "slow", |config| config.slots = 10).await;
+        put_record(&cluster).await;
+        wait_for_answer(&cluster, 0).await;
+        let slow = time::Duration::from_millis(400);
+        target.faults(|faults| faults.slow = slow);
+        let calls = futures_util::future::join_all(
+            (0..5).map(|_| send(&cluster, 0, request(Method::GET, None))),
+        );
+        let gateway = cluster.gateways[0].clone().expect("gateway runs");
+        let stop = async {
+            // The calls are in flight when the stop begins.
+            while target.counters().started < 6 {
+                compio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+            gateway.stop().await
+        };
+        let (answers, drained) = futures_util::future::join(calls, stop).await;
+        assert!(drained, "the gateway cut off calls");
+        for answer in answers {
+            assert_eq!(answer.status(), StatusCode::OK);
+        }
+        let late = try_send(&cluster, 0, request(Method::GET, None)).await;
+        assert!(late.is_err(), "a stopped gateway accepted a call");
+    });
+}
+
+/// Guards against a target that gets calls after it announced its drain.
+#[test]
+fn a_draining_target_gets_no_new_call() {
+    let folder = Folder::new("target-drain");
+    block_on(async {
+        let cluster = start_cluster(&folder, 1, 2).await;
+        let leaving = start_target(&cluster, "leaving", |_| {}).await;
+        let staying = start_target(&cluster, "staying", |_| {}).await;
+        put_record(&cluster).await;
+        wait_for_answer(&cluster, 0).await;
+        wait_for_answer(&cluster, 1).await;
+        leaving.drain().await;
+        // The announcement is accepted; both gateways know it after one push.
+        compio::time::sleep(time::Duration::from_millis(500)).await;
+        let before = leaving.counters().started;
+        for gateway in [0, 1] {
+            for _ in 0..20 {
+                let answer = send(&cluster, gateway, request(Method::GET, None)).await;
+                assert_eq!(answer.status(), StatusCode::OK);
+            }
+        }
+        assert_eq!(leaving.counters().started, before);
+        assert!(staying.counters().started >= 40);
+    });
+}
+
+/// Guards against a crashing request that takes down one target after the other.
+#[test]
+fn a_crashing_request_is_blocked_after_two_targets() {
+    let folder = Folder::new("crash");
+    block_on(async {
+        let cluster = start_cluster(&folder, 1, 2).await;
+        let mut targets: Vec<target::Handle> = Vec::new();
+        for id in ["one", "two", "three", "four", "five"] {
+            let target = start_target(&cluster, id, |_| {}).await;
+            target.faults(|faults| faults.crash_on_mark = true);
+            targets.push(target);
+        }
+        put_record(&cluster).await;
+        wait_for_targets(&cluster, 0, &targets).await;
+        wait_for_targets(&cluster, 1, &targets).await;
+        let crashing = || {
+            request(Method::GET, None)
+                .uri("/poison")
+                .header("lab-crash", "1")
+        };
+        let mut refused = 0;
+        for attempt in 0..12 {
+            let answer = send(&cluster, attempt % 2, crashing()).await;
+            assert_ne!(answer.status(), StatusCode::OK);
+            refused += u32::from(outcome(&answer) == "not-run");
+            // A resend of a person comes seconds later; losses are attributed in the meantime.
+            compio::time::sleep(time::Duration::from_millis(100)).await;
+        }
+        let crashes: u64 = targets.iter().map(|target| target.counters().crashes).sum();
+        assert!(crashes <= 2, "{crashes} targets were lost");
+        assert!(refused > 0, "the request was never blocked");
+        let other = send(&cluster, 0, request(Method::GET, None)).await;
+        assert_eq!(
+            other.status(),
+            StatusCode::OK,
+            "an innocent request is refused"
+        );
+    });
+}
+
+/// Guards against calls that hang on connections that went silent.
+#[test]
+fn frozen_connections_are_replaced_before_the_deadline() {
+    let folder = Folder::new("frozen");
+    block_on(async {
+        let cluster = start_cluster(&folder, 1, 1).await;
+        let target = start_target(&cluster, "one", |config| config.slots = 20).await;
+        put_record(&cluster).await;
+        wait_for_answer(&cluster, 0).await;
+        for _ in 0..30 {
+            send(&cluster, 0, request(Method::GET, None)).await;
+        }
+        target.freeze_connections();
+        let answer = send(&cluster, 0, request(Method::GET, None)).await;
+        assert_eq!(
+            answer.status(),
+            StatusCode::OK,
+            "a lookup hung on a frozen connection"
+        );
+        target.freeze_connections();
+        compio::time::sleep(time::Duration::from_millis(700)).await;
+        let key = cluster::request_id();
+        let answer = send(&cluster, 0, request(Method::POST, Some(&key))).await;
+        assert_eq!(
+            answer.status(),
+            StatusCode::OK,
+            "a booking went to a frozen connection"
+        );
+        assert_eq!(target.ledger().runs(&key).started, 1);
+    });
+}
+
+/// Guards against truncated and surplus bytes that reach a caller as a whole answer.
+#[test]
+fn truncated_and_surplus_answers_are_never_passed_on_as_whole() {
+    let folder = Folder::new("broken-answers");
+    block_on(async {
+        let cluster = start_cluster(&folder, 1, 1).await;
+        let target = start_target(&cluster, "one", |config| config.answer_bytes = 2000).await;
+        put_record(&cluster).await;
+        wait_for_answer(&cluster, 0).await;
+        let whole = send(&cluster, 0, request(Method::GET, None)).await;
+        target.faults(|faults| faults.surplus = b"HTTP/1.1 200 OK\r\n\r\n".to_vec());
+        for _ in 0..10 {
+            let answer = send(&cluster, 0, request(Method::GET, None)).await;
+            assert_eq!(answer.status(), StatusCode::OK);
+            assert_eq!(answer.body().len(), whole.body().len());
+        }
+        target.faults(|faults| {
+            faults.surplus.clear();
+            faults.truncate = true;
+        });
+        for _ in 0..5 {
+            if let Ok(answer) = try_send(&cluster, 0, request(Method::GET, None)).await {
+                assert_ne!(
+                    answer.status(),
+                    StatusCode::OK,
+                    "a truncated answer was passed on"
+                );
+            }
+        }
+    });
+}
--- a/wagtailshunt/src/gateway/answer.rs
+++ b/wagtailshunt/src/gateway/answer.rs
@@ -155,6 +155,7 @@
                 task::Poll::Ready(Some(Ok(frame)))
             }
             task::Poll::Ready(Some(Err(err))) => {
+                this.flight.broken();
                 this.fail(&err);
                 task::Poll::Ready(Some(Err(err.into())))
             }
--- a/wagtailshunt/src/gateway/attempt.rs
+++ b/wagtailshunt/src/gateway/attempt.rs
@@ -1,13 +1,15 @@
 //! One attempt of a call at one target.
 
-use std::{net, rc, time};
+use std::{rc, time};
 
 use futures_util::future;
-use hyper::{Request, Response, Version, body::Incoming, header, http::response};
-use wagtailshunt_core::{balance, connection, deadline, event, outcome, time as core_time};
+use hyper::{Method, Request, Response, Uri, Version, body::Incoming, header, http::response};
+use wagtailshunt_core::{
+    balance, connection, containment, deadline, event, outcome, time as core_time,
+};
 
 use crate::{
-    gateway::{call, headers, service, state, upstream},
+    gateway::{call, headers, isolation, service, state, upstream},
     http,
 };
 
@@ -29,6 +31,8 @@
 pub struct Failed {
     pub reason: outcome::Reason,
     pub proves_not_run: bool,
+    /// No connection was free, or the pooled one had just been closed by the target.
+    pub unsent: bool,
     /// The connection went silent and the call may move to another one.
     pub silent: bool,
     pub detail: String,
@@ -44,6 +48,12 @@
     clock: crate::clock::Clock,
     pub report: Option<balance::LoadReport>,
     finished: bool,
+    /// Connection and time of the dispatch, once the call was sent.
+    dispatched: Option<(rc::Rc<isolation::Watch>, core_time::Instant)>,
+    call: u64,
+    fingerprint: containment::Fingerprint,
+    method: Method,
+    uri: Uri,
 }
 
 impl Flight {
@@ -64,6 +74,23 @@
             clock: state.clock,
             report: None,
             finished: false,
+            dispatched: None,
+            call: call.id,
+            fingerprint: call.fingerprint,
+            method: call.method.clone(),
+            uri: call.uri.clone(),
+        }
+    }
+
+    /// The target ended the connection in the middle of its answer.
+    pub fn broken(&self) {
+        if let Some((watch, _)) = &self.dispatched {
+            let label = isolation::label(&self.service.name, &self.method, &self.uri);
+            let suspect = containment::Suspect {
+                fingerprint: self.fingerprint,
+                label,
+            };
+            watch.unanswered(self.call, suspect);
         }
     }
 
@@ -86,7 +113,14 @@
         if outcome == balance::Outcome::Ok {
             self.service.hedger.borrow_mut().record(latency);
         }
-        let Some(busy) = self.busy.take() else {
+        let busy = self.busy.take();
+        let complete = busy
+            .as_ref()
+            .is_some_and(|busy| busy.exchange().is_complete());
+        if let Some((watch, started)) = self.dispatched.take() {
+            watch.finished(self.call, self.fingerprint, started, complete);
+        }
+        let Some(busy) = busy else {
             return;
         };
         let mut pool = self.target.pool.borrow_mut();
@@ -109,13 +143,14 @@
 pub async fn run(
     state: &rc::Rc<state::State>,
     call: &call::Call,
-    body: http::Body,
+    body: &mut call::Replay,
     key: balance::TargetKey,
     target: rc::Rc<service::Target>,
     number: u32,
+    isolated: bool,
 ) -> Result<Answered, Failed> {
     let mut flight = Flight::start(state, call, key, target);
-    let result = exchange(state, call, body, number, &mut flight).await;
+    let result = exchange(state, call, body, number, &mut flight, isolated).await;
     match result {
         Ok(answer) => Ok(accept(state, call, answer, flight)?),
         Err((failed, outcome)) => {
@@ -132,20 +167,25 @@
 async fn exchange(
     state: &rc::Rc<state::State>,
     call: &call::Call,
-    body: http::Body,
+    body: &mut call::Replay,
     number: u32,
     flight: &mut Flight,
+    isolated: bool,
 ) -> Result<Response<Incoming>, Failure> {
     let Some(timeout) = call.deadline.forward(state.now(), call::ANSWER_RESERVE) else {
         return Err(not_sent(outcome::Reason::DeadlineUnreachable, ""));
     };
-    flight.busy = Some(check_out(state, call, &flight.target).await?);
-    let req = request(state, call, body, number, timeout);
+    flight.busy = Some(check_out(state, call, &flight.target, isolated).await?);
+    let req = request(state, call, body.take(), number, timeout);
     let Some(busy) = flight.busy.as_mut() else {
         return Err(not_sent(outcome::Reason::ConnectFailed, ""));
     };
     busy.exchange_mut().request_started();
     let sent = state.now();
+    flight.dispatched = Some((busy.conn_mut().watch.clone(), sent));
+    if let Some((watch, _)) = &flight.dispatched {
+        watch.started();
+    }
     let view = connection::CallView {
         idempotent: call.idempotent,
         last_byte: sent,
@@ -180,7 +220,15 @@
         let timer = std::pin::pin!(state.clock.sleep_until(wait_until));
         match future::select(send.as_mut(), timer).await {
             future::Either::Left((Ok(answer), _)) => return Ok(answer),
-            future::Either::Left((Err(err), _)) => return Err(send_failed(&err)),
+            future::Either::Left((Err((err, unsent)), _)) => {
+                if let Some(unsent) = unsent {
+                    body.put_back(unsent);
+                }
+                if let (upstream::Error::Broken(_), Some((watch, _))) = (&err, &flight.dispatched) {
+                    watch.unanswered(call.id, isolation::suspect(call));
+                }
+                return Err(send_failed(&err));
+            }
             future::Either::Right(_) => {}
         }
     }
@@ -191,6 +239,7 @@
         reason,
         proves_not_run: true,
         silent: false,
+        unsent: false,
         detail: detail.into(),
     };
     (failed, balance::Outcome::Cancelled)
@@ -201,6 +250,7 @@
         reason: outcome::Reason::TimedOut,
         proves_not_run: false,
         silent: false,
+        unsent: false,
         detail: String::new(),
     }
 }
@@ -215,6 +265,7 @@
         reason,
         proves_not_run,
         silent: false,
+        unsent: matches!(err, upstream::Error::NotSent),
         detail: err.to_string(),
     };
     // A pooled connection that the target closed in the meantime says nothing about its health.
@@ -227,13 +278,15 @@
 
 /// Takes a connection of the pool or opens one.
 async fn check_out(
-    state: &state::State,
+    state: &rc::Rc<state::State>,
     call: &call::Call,
     target: &service::Target,
+    isolated: bool,
 ) -> Result<connection::Busy<upstream::Upstream>, Failure> {
-    let purpose = match call.idempotent {
-        true => connection::Purpose::Idempotent,
-        false => connection::Purpose::NotIdempotent,
+    let purpose = match (isolated, call.idempotent) {
+        (true, _) => connection::Purpose::Isolated,
+        (false, true) => connection::Purpose::Idempotent,
+        (false, false) => connection::Purpose::NotIdempotent,
     };
     let now = state.now();
     let check_out = target
@@ -243,18 +296,26 @@
     let connecting = match check_out {
         connection::CheckOut::Busy(busy) => return Ok(busy),
         connection::CheckOut::Full => {
-            return Err(not_sent(
-                outcome::Reason::Overloaded,
-                "all connections are busy",
+            let (failed, outcome) = not_sent(outcome::Reason::Overloaded, "no connection is free");
+            return Err((
+                Failed {
+                    unsent: true,
+                    ..failed
+                },
+                outcome,
             ));
         }
         connection::CheckOut::Open(connecting) => connecting,
     };
     let limit = call.deadline.remaining(now).min(CONNECT_LIMIT);
-    match connect(target.address, limit).await {
+    match connect(state, target, limit).await {
         Ok(conn) => Ok(connecting.opened(state.now(), conn, call.id)),
         Err(err) => {
             connecting.failed();
+            state
+                .isolation
+                .with(|gateway| gateway.connect_failed(now, &target.identity));
+            isolation::pump(state);
             let (failed, _) = send_failed(&err);
             Err((failed, balance::Outcome::Error))
         }
@@ -262,10 +323,11 @@
 }
 
 async fn connect(
-    address: net::SocketAddr,
+    state: &rc::Rc<state::State>,
+    target: &service::Target,
     limit: time::Duration,
 ) -> Result<upstream::Upstream, upstream::Error> {
-    let mut conn = upstream::Upstream::connect(address, limit).await?;
+    let mut conn = upstream::Upstream::connect(state, target, limit).await?;
     match conn.ready().await {
         true => Ok(conn),
         false => Err(upstream::Error::NotSent),
@@ -322,6 +384,7 @@
             reason: outcome::Reason::ConnectionBroken,
             proves_not_run: false,
             silent: false,
+            unsent: false,
             detail: detail.to_owned(),
         });
     }
@@ -370,7 +433,7 @@
 
 fn body_length(call: &call::Call, head: &response::Parts) -> connection::BodyLength {
     let status = head.status.as_u16();
-    if call.method == hyper::Method::HEAD || status == 204 || status == 304 || status < 200 {
+    if call.method == Method::HEAD || status == 204 || status == 304 || status < 200 {
         return connection::BodyLength::Empty;
     }
     if head.headers.contains_key(header::TRANSFER_ENCODING) {
@@ -397,12 +460,12 @@
 }
 
 /// Logs targets that the balancer ejected or restored.
-fn emit_ejections(state: &state::State, call: &call::Call) {
+fn emit_ejections(state: &rc::Rc<state::State>, call: &call::Call) {
     run_probes(state, &call.service);
 }
 
 /// Carries out what the balancer asked for.
-pub fn run_probes(state: &state::State, service: &rc::Rc<service::Service>) {
+pub fn run_probes(state: &rc::Rc<state::State>, service: &rc::Rc<service::Service>) {
     loop {
         let output = service.balancer.borrow_mut().poll_output();
         match output {
@@ -432,31 +495,38 @@
 }
 
 /// Sends a probe: a HEAD request to the documented path on a connection of its own.
-fn start_probe(state: &state::State, service: &rc::Rc<service::Service>, key: balance::TargetKey) {
+fn start_probe(
+    state: &rc::Rc<state::State>,
+    service: &rc::Rc<service::Service>,
+    key: balance::TargetKey,
+) {
     let Some(target) = service.target(key) else {
         return;
     };
     state.metrics.probes.inc();
     let service = service.clone();
-    let clock = state.clock;
+    let state = state.clone();
     compio::runtime::spawn(async move {
-        let probe = compio::time::timeout(CONNECT_LIMIT, probe(target.address));
+        let probe = compio::time::timeout(CONNECT_LIMIT, probe(&state, &target));
         if let Ok(Some(report)) = probe.await {
             service
                 .balancer
                 .borrow_mut()
-                .probe_answered(clock.now(), key, &report);
+                .probe_answered(state.now(), key, &report);
         }
     })
     .detach();
 }
 
-async fn probe(address: net::SocketAddr) -> Option<balance::LoadReport> {
-    let mut conn = connect(address, CONNECT_LIMIT).await.ok()?;
+async fn probe(
+    state: &rc::Rc<state::State>,
+    target: &service::Target,
+) -> Option<balance::LoadReport> {
+    let mut conn = connect(state, target, CONNECT_LIMIT).await.ok()?;
     let req = Request::builder()
-        .method(hyper::Method::GET)
+        .method(Method::GET)
         .uri("/wagtailshunt/load")
-        .header(header::HOST, address.to_string())
+        .header(header::HOST, target.address.to_string())
         .body(http::empty())
         .ok()?;
     let answer = conn.send(req).await.ok()?;
--- a/wagtailshunt/src/gateway/call.rs
+++ b/wagtailshunt/src/gateway/call.rs
@@ -6,17 +6,21 @@
 use futures_util::future;
 use hyper::{HeaderMap, Method, Request, Response, Uri, body::Body as _, body::Incoming};
 use wagtailshunt_core::{
-    admission, balance, connection, deadline, event, outcome, records, retry, types,
+    admission, balance, connection, containment, deadline, event, outcome, records, retry, types,
 };
 
 use crate::{
-    gateway::{answer, attempt, headers, keyed, refusal::Refusal, service, state},
+    gateway::{answer, attempt, headers, isolation, keyed, refusal::Refusal, service, state},
     http,
 };
 
 /// Time kept back from the caller's deadline for the way of the answer.
 pub const ANSWER_RESERVE: time::Duration = time::Duration::from_millis(1);
 
+/// Attempts that found no usable connection and so cost the targets nothing; they are not counted
+/// as retries.
+const MAX_UNSENT: u32 = 3;
+
 /// Body of a call, as far as it can be sent again.
 pub enum Replay {
     /// No body.
@@ -42,6 +46,8 @@
     pub idempotent: bool,
     pub keyed: bool,
     pub caller: net::IpAddr,
+    /// Identity of the request, by which one that crashes targets is recognised.
+    pub fingerprint: containment::Fingerprint,
 }
 
 /// Ends the admission of a call when dropped.
@@ -166,7 +172,11 @@
     if !keyed && has_method(&spec.key_required_methods) {
         return Err(Refusal::not_run(outcome::Reason::KeyRequired));
     }
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let fingerprint =
+        isolation::fingerprint(service.name.as_str(), parts.method.as_str(), path, None);
     let call = Call {
+        fingerprint,
         id: state.next_call(),
         deadline: deadline::Deadline::at_arrival(now, timeout, spec.timeout),
         attempt: declared.unwrap_or(retry::AttemptNumber::FIRST),
@@ -240,10 +250,22 @@
     tried: Vec<balance::TargetKey>,
     made: u32,
     moves: u32,
+    unsent: u32,
     may_have_run: bool,
 }
 
 impl Progress {
+    /// Adds to a refusal that an earlier attempt may have run.
+    fn merge(&self, refusal: Refusal) -> Refusal {
+        match self.may_have_run {
+            true => Refusal {
+                outcome: outcome::Outcome::Unknown,
+                ..refusal
+            },
+            false => refusal,
+        }
+    }
+
     fn refusal(&self, reason: outcome::Reason) -> Refusal {
         match self.may_have_run {
             true => Refusal::unknown(reason),
@@ -265,12 +287,23 @@
     call.service.hedger.borrow_mut().call();
     let mut last = outcome::Reason::NoTarget;
     loop {
-        let Some((key, target)) = pick(state, call, &progress.tried) else {
+        let way = isolation::admit(state, call)
+            .await
+            .map_err(|refusal| progress.merge(refusal))?;
+        let isolated = matches!(way, isolation::Way::Isolated(..));
+        let chosen = match way {
+            isolation::Way::Isolated(key, target) => Some((key, target)),
+            // A target that was tried is better than none: its connection may have been at fault.
+            isolation::Way::Usual => {
+                pick(state, call, &progress.tried).or_else(|| pick(state, call, &[]))
+            }
+        };
+        let Some((key, target)) = chosen else {
             return Err(progress.refusal(last));
         };
         progress.made += 1;
         progress.tried.push(key);
-        let result = hedged(state, call, &mut body, key, target, &mut progress).await;
+        let result = hedged(state, call, &mut body, key, target, &mut progress, isolated).await;
         let failed = match result {
             Ok(answered) if !answered.not_run => {
                 let retried = progress.made > 1;
@@ -301,9 +334,18 @@
             }
             Err(failed) => failed,
         };
+        if isolated && (failed.proves_not_run || failed.reason == outcome::Reason::TimedOut) {
+            isolation::give_up(state, call);
+        }
+        let sendable = !matches!(body, Replay::Stream(None));
+        if failed.unsent && sendable && progress.unsent < MAX_UNSENT {
+            progress.made -= 1;
+            progress.unsent += 1;
+            continue;
+        }
         last = failed.reason;
         progress.may_have_run |= !failed.proves_not_run;
-        if failed.silent && progress.moves < connection::MAX_MOVES {
+        if failed.silent && sendable && progress.moves < connection::MAX_MOVES {
             progress.moves += 1;
             continue;
         }
@@ -341,7 +383,7 @@
 
 /// Chooses a target that was not tried yet, or any when all were.
 fn pick(
-    state: &state::State,
+    state: &rc::Rc<state::State>,
     call: &Call,
     avoid: &[balance::TargetKey],
 ) -> Option<(balance::TargetKey, rc::Rc<service::Target>)> {
@@ -353,10 +395,37 @@
         local,
         probe_allowed: true,
     };
-    let key = balancer.pick(now, &pick)?;
+    let mut key = balancer.pick(now, &pick)?;
     drop(balancer);
     attempt::run_probes(state, &call.service);
-    Some((key, call.service.target(key)?))
+    let mut target = call.service.target(key)?;
+    if state
+        .isolation
+        .with(|gateway| gateway.is_reserved(&target.identity))
+    {
+        (key, target) = unreserved(state, call, avoid)?;
+    }
+    Some((key, target))
+}
+
+/// Chooses a target on which no suspected request runs alone.
+fn unreserved(
+    state: &state::State,
+    call: &Call,
+    avoid: &[balance::TargetKey],
+) -> Option<(balance::TargetKey, rc::Rc<service::Target>)> {
+    let serving = call.service.serving_targets();
+    let free = serving.into_iter().filter(|(_, target)| {
+        !state
+            .isolation
+            .with(|gateway| gateway.is_reserved(&target.identity))
+    });
+    let mut free: Vec<_> = free.collect();
+    let fresh = free
+        .iter()
+        .position(|(key, _)| !avoid.contains(key))
+        .unwrap_or(0);
+    (!free.is_empty()).then(|| free.swap_remove(fresh))
 }
 
 /// Runs one attempt, with a second one beside it when the first is slow and the call allows it.
@@ -367,11 +436,13 @@
     key: balance::TargetKey,
     target: rc::Rc<service::Target>,
     progress: &mut Progress,
+    isolated: bool,
 ) -> Result<attempt::Answered, attempt::Failed> {
     let number = call.attempt.0 + progress.made - 1;
-    let single = matches!(body, Replay::Empty) && call.idempotent && progress.made == 1;
+    let single =
+        matches!(body, Replay::Empty) && call.idempotent && progress.made == 1 && !isolated;
     let delay = call.service.hedger.borrow().delay().filter(|_| single);
-    let first = attempt::run(state, call, body.take(), key, target, number);
+    let first = attempt::run(state, call, body, key, target, number, isolated);
     let Some(delay) = delay else {
         return first.await;
     };
@@ -385,7 +456,8 @@
         return first.await;
     };
     state.metrics.hedges.inc();
-    let second = attempt::run(state, call, http::empty(), key, target, number);
+    let mut empty = Replay::Empty;
+    let second = attempt::run(state, call, &mut empty, key, target, number, false);
     let second = std::pin::pin!(second);
     // The loser is dropped, which closes its connection and so cancels it at the target.
     match future::select(first, second).await {
@@ -397,7 +469,7 @@
 }
 
 fn second_target(
-    state: &state::State,
+    state: &rc::Rc<state::State>,
     call: &Call,
     progress: &mut Progress,
 ) -> Option<(balance::TargetKey, rc::Rc<service::Target>)> {
@@ -422,8 +494,15 @@
 }
 
 impl Replay {
+    /// Takes back a body of which nothing was sent.
+    pub fn put_back(&mut self, body: http::Body) {
+        if let (Replay::Stream(stream), http::Body::Incoming(incoming)) = (self, body) {
+            *stream = Some(incoming);
+        }
+    }
+
     /// Returns the body for the next attempt.
-    fn take(&mut self) -> http::Body {
+    pub fn take(&mut self) -> http::Body {
         match self {
             Replay::Empty => http::empty(),
             Replay::Bytes(bytes) => http::full(bytes.clone()),
--- a/wagtailshunt/src/gateway/control_link.rs
+++ b/wagtailshunt/src/gateway/control_link.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    gateway::{keyed, state},
+    gateway::{isolation, keyed, state},
     transport,
 };
 
@@ -41,6 +41,8 @@
     next_request: cell::Cell<u64>,
     wake: cell::RefCell<Option<oneshot::Sender<()>>>,
     stopped: cell::Cell<bool>,
+    /// Term of the leader that granted last.
+    term: cell::Cell<types::Term>,
 }
 
 impl Links {
@@ -211,6 +213,10 @@
             }
             Err(err) => log::warn!("record changes of VM {} rejected: {err}", peer.vm),
         },
+        Some(Body::Containment(msg)) => match wire::containment::Message::try_from(msg) {
+            Ok(message) => isolation::received(state, &message),
+            Err(err) => log::warn!("containment message of VM {} rejected: {err}", peer.vm),
+        },
         Some(Body::Redirect(redirect)) => redirected(state, envelope.request, &redirect),
         Some(Body::Ledger(msg)) => match ledger_reply(msg) {
             Ok(Some(answered)) => ledger_answered(state, envelope.request, answered),
@@ -261,6 +267,10 @@
             state.links.heard.set(now);
             state.links.leaders.borrow_mut().insert(REGISTRY, peer.vm);
             granted(state, &grant);
+            let term = grant.current.directory.term;
+            if state.links.term.replace(term) != term {
+                isolation::leader_changed(state);
+            }
         }
         wire::membership::Message::Refusal(refusal) => {
             state.links.heard.set(now);
@@ -314,6 +324,14 @@
     handle.is_some_and(|handle| handle.send(0, Body::Membership(message.encode())))
 }
 
+/// Sends a containment message to the leader.
+pub fn send_containment(state: &state::State, message: &wire::containment::Message) -> bool {
+    let leader = state.links.leader();
+    let dialers = state.links.dialers.borrow();
+    let handle = leader.and_then(|leader| dialers.get(&leader)?.handle());
+    handle.is_some_and(|handle| handle.send(0, Body::Containment(message.into())))
+}
+
 /// Tells the leader a change of what this gateway vouches for. A change that is lost is found by
 /// the digest of the next renewal.
 pub fn send_change(state: &state::State, change: &directory::Change) {
--- /dev/null
+++ b/wagtailshunt/src/gateway/isolation.rs
@@ -0,0 +1,293 @@
+//! Containment of requests that crash targets, as the gateway carries it out.
+
+use std::{cell, collections, rc};
+
+use futures_channel::oneshot;
+use hyper::{Method, Uri};
+use wagtailshunt_core::{balance, containment, ledger, outcome, time as core_time, types};
+use wagtailshunt_wire as wire;
+
+use crate::gateway::{call, control_link, refusal::Refusal, service, state};
+
+/// Containment state of a gateway.
+#[derive(Default)]
+pub struct Isolation {
+    gateway: cell::RefCell<Option<containment::Gateway>>,
+    waiting: cell::RefCell<collections::BTreeMap<u64, Waiting>>,
+}
+
+struct Waiting {
+    tx: oneshot::Sender<containment::Verdict>,
+    suspect: containment::Suspect,
+    deadline: core_time::Instant,
+}
+
+/// How a call may run.
+pub enum Way {
+    /// On any target.
+    Usual,
+    /// Alone on this target, on a connection of its own.
+    Isolated(balance::TargetKey, rc::Rc<service::Target>),
+}
+
+impl Isolation {
+    /// Runs `f` on the containment state.
+    pub fn with<R>(&self, f: impl FnOnce(&mut containment::Gateway) -> R) -> R {
+        let mut gateway = self.gateway.borrow_mut();
+        let new = || containment::Gateway::new(containment::GatewayConfig::default());
+        f(gateway.get_or_insert_with(new))
+    }
+}
+
+/// Returns the fingerprint of a call. A body that is only streamed is not part of it, so all calls
+/// of one method and path then share a fingerprint.
+pub fn fingerprint(
+    service: &str,
+    method: &str,
+    path: &str,
+    identity: Option<containment::Identity>,
+) -> containment::Fingerprint {
+    let empty = || containment::Identity::Body(ledger::Digest(0));
+    containment::Fingerprint::new(service, method, path, identity.unwrap_or_else(empty))
+}
+
+/// Describes a call for operators.
+pub fn suspect(call: &call::Call) -> containment::Suspect {
+    containment::Suspect {
+        fingerprint: call.fingerprint,
+        label: label(&call.service.name, &call.method, &call.uri),
+    }
+}
+
+/// Describes a request without its query, which may hold personal data.
+pub fn label(service: &types::ServiceName, method: &Method, uri: &Uri) -> String {
+    format!("{service} {method} {}", uri.path())
+}
+
+/// Decides how a call may run; waits for its turn when it is suspected.
+pub async fn admit(state: &rc::Rc<state::State>, call: &call::Call) -> Result<Way, Refusal> {
+    let now = state.now();
+    match state
+        .isolation
+        .with(|gateway| gateway.decide(now, call.fingerprint))
+    {
+        containment::Decision::Run => Ok(Way::Usual),
+        containment::Decision::Refuse(left) => Err(blocked(left)),
+        containment::Decision::Isolate => ask(state, call).await,
+    }
+}
+
+fn blocked(left: core_time::Duration) -> Refusal {
+    Refusal::not_run(outcome::Reason::Blocked).detail(format!(
+        "the block ends in {} s unless it is lifted",
+        left.as_secs()
+    ))
+}
+
+async fn ask(state: &rc::Rc<state::State>, call: &call::Call) -> Result<Way, Refusal> {
+    let now = state.now();
+    let suspect = suspect(call);
+    let remaining = call.deadline.remaining(now);
+    let (tx, rx) = oneshot::channel();
+    let waiting = Waiting {
+        tx,
+        suspect: suspect.clone(),
+        deadline: call.deadline.0,
+    };
+    state
+        .isolation
+        .waiting
+        .borrow_mut()
+        .insert(call.id, waiting);
+    state
+        .isolation
+        .with(|gateway| gateway.ask(now, call.id, suspect, remaining));
+    pump(state);
+    let verdict = compio::time::timeout(remaining, rx).await;
+    state.isolation.waiting.borrow_mut().remove(&call.id);
+    match verdict {
+        Ok(Ok(containment::Verdict::Run)) => Ok(Way::Usual),
+        Ok(Ok(containment::Verdict::Refuse(left))) => Err(blocked(left)),
+        Ok(Ok(containment::Verdict::Isolated)) => isolated(state, call),
+        _ => {
+            give_up(state, call);
+            Err(Refusal::not_run(outcome::Reason::Isolated))
+        }
+    }
+}
+
+/// Returns the permit of a call that does not run.
+pub fn give_up(state: &state::State, call: &call::Call) {
+    state.isolation.with(|gateway| gateway.give_up(call.id));
+    pump(state);
+}
+
+fn isolated(state: &state::State, call: &call::Call) -> Result<Way, Refusal> {
+    let serving = call.service.serving_targets();
+    let chosen = state.isolation.with(|gateway| {
+        let candidates = serving.iter().map(|(_, target)| &target.identity);
+        gateway.isolated_target(call.id, candidates).cloned()
+    });
+    let found = chosen.and_then(|chosen| {
+        serving
+            .into_iter()
+            .find(|(_, target)| target.identity == chosen)
+    });
+    match found {
+        Some((key, target)) => Ok(Way::Isolated(key, target)),
+        None => {
+            give_up(state, call);
+            Err(Refusal::not_run(outcome::Reason::Isolated).detail("no target is free"))
+        }
+    }
+}
+
+/// Sends waiting messages to the leader.
+pub fn pump(state: &state::State) {
+    while let Some(output) = state.isolation.with(containment::Gateway::poll_output) {
+        let message = match output {
+            containment::Output::Report(report) => wire::containment::Message::Report(report),
+            containment::Output::Ask(request) => wire::containment::Message::Ask(request),
+            containment::Output::Done(done) => wire::containment::Message::Done(done),
+        };
+        control_link::send_containment(state, &message);
+    }
+}
+
+/// Takes a message of the leader.
+pub fn received(state: &state::State, message: &wire::containment::Message) {
+    let now = state.now();
+    match message {
+        wire::containment::Message::Notice(notice) => {
+            state.isolation.with(|gateway| gateway.notice(now, notice));
+        }
+        wire::containment::Message::Records(records) => {
+            state
+                .isolation
+                .with(|gateway| gateway.replace(now, records));
+        }
+        wire::containment::Message::Permit(permit) => {
+            let verdict = state.isolation.with(|gateway| {
+                gateway.permit_reply(permit.call, permit.fingerprint, permit.reply)
+            });
+            let waiting = state.isolation.waiting.borrow_mut().remove(&permit.call);
+            if let Some(waiting) = waiting {
+                // The call may have reached its deadline; it then returns the permit itself.
+                let _ = waiting.tx.send(verdict);
+            }
+        }
+        _ => {}
+    }
+    pump(state);
+}
+
+/// Tells a new leader what this gateway knows and asks again for calls that wait.
+pub fn leader_changed(state: &state::State) {
+    let now = state.now();
+    let rebuild = state.isolation.with(|gateway| gateway.rebuild(now));
+    control_link::send_containment(state, &wire::containment::Message::Rebuild(rebuild));
+    let waiting: Vec<(u64, containment::Suspect, core_time::Instant)> = state
+        .isolation
+        .waiting
+        .borrow()
+        .iter()
+        .map(|(call, waiting)| (*call, waiting.suspect.clone(), waiting.deadline))
+        .collect();
+    for (call, suspect, deadline) in waiting {
+        state
+            .isolation
+            .with(|gateway| gateway.ask(now, call, suspect, deadline.since(now)));
+    }
+    pump(state);
+}
+
+/// Reports the life of one connection to a target; every connection ends exactly once.
+pub struct Watch {
+    state: rc::Weak<state::State>,
+    target: containment::Target,
+    pub opened: core_time::Instant,
+    busy: cell::Cell<bool>,
+    reported: cell::Cell<bool>,
+}
+
+impl Watch {
+    /// Reports an opened connection.
+    pub fn opened(state: &rc::Rc<state::State>, target: &containment::Target) -> rc::Rc<Watch> {
+        state
+            .isolation
+            .with(|gateway| gateway.connection_opened(target));
+        rc::Rc::new(Watch {
+            state: rc::Rc::downgrade(state),
+            target: target.clone(),
+            opened: state.now(),
+            busy: cell::Cell::new(false),
+            reported: cell::Cell::new(false),
+        })
+    }
+
+    /// A call is about to be sent.
+    pub fn started(&self) {
+        self.busy.set(true);
+        if let Some(state) = self.state.upgrade() {
+            state
+                .isolation
+                .with(|gateway| gateway.started(&self.target));
+        }
+    }
+
+    /// The call ended; `answered` means that its answer is complete.
+    pub fn finished(
+        &self,
+        call: u64,
+        fingerprint: containment::Fingerprint,
+        started: core_time::Instant,
+        answered: bool,
+    ) {
+        self.busy.set(false);
+        let Some(state) = self.state.upgrade() else {
+            return;
+        };
+        let ended = containment::Call {
+            id: call,
+            fingerprint,
+            target: &self.target,
+            opened: self.opened,
+            started,
+        };
+        state
+            .isolation
+            .with(|gateway| gateway.finished(&ended, answered));
+        pump(&state);
+    }
+
+    /// The target ended the connection before a complete answer.
+    pub fn unanswered(&self, call: u64, suspect: containment::Suspect) {
+        self.ended(containment::End::Unanswered { call, suspect });
+    }
+
+    /// The connection ended; a call in flight on it reports its own end.
+    pub fn closed_by_target(&self) {
+        if !self.busy.get() {
+            self.ended(containment::End::Idle);
+        }
+    }
+
+    fn ended(&self, end: containment::End) {
+        if self.reported.replace(true) {
+            return;
+        }
+        if let Some(state) = self.state.upgrade() {
+            let now = state.now();
+            state.isolation.with(|gateway| {
+                gateway.connection_ended(now, &self.target, self.opened, end);
+            });
+            pump(&state);
+        }
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.ended(containment::End::Own);
+    }
+}
--- a/wagtailshunt/src/gateway/keyed.rs
+++ b/wagtailshunt/src/gateway/keyed.rs
@@ -6,10 +6,10 @@
 use futures_channel::oneshot;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Response, StatusCode, body::Incoming, header, http::response};
-use wagtailshunt_core::{event, ledger, ledger::claim, outcome};
+use wagtailshunt_core::{containment, event, ledger, ledger::claim, outcome};
 
 use crate::{
-    gateway::{call, control_link, headers, refusal::Refusal, state},
+    gateway::{call, control_link, headers, isolation, refusal::Refusal, state},
     http,
 };
 
@@ -30,14 +30,14 @@
 /// Runs a keyed call. The work goes on when the caller leaves, so that a resend finds the outcome.
 pub async fn run(
     state: &rc::Rc<state::State>,
-    call: call::Call,
+    mut call: call::Call,
     body: Incoming,
     admitted: call::Admitted,
 ) -> Result<Response<http::Body>, Refusal> {
     let (tx, rx) = oneshot::channel();
     let task_state = state.clone();
     compio::runtime::spawn(async move {
-        let result = claim_and_run(&task_state, &call, body, admitted).await;
+        let result = claim_and_run(&task_state, &mut call, body, admitted).await;
         // The caller may have left; the outcome is stored for its resend.
         let _ = tx.send(result);
     })
@@ -48,7 +48,7 @@
 
 async fn claim_and_run(
     state: &rc::Rc<state::State>,
-    call: &call::Call,
+    call: &mut call::Call,
     body: Incoming,
     admitted: call::Admitted,
 ) -> Result<Response<http::Body>, Refusal> {
@@ -64,6 +64,13 @@
         path,
         &bytes,
     );
+    call.fingerprint = isolation::fingerprint(
+        call.service.name.as_str(),
+        call.method.as_str(),
+        path,
+        Some(containment::Identity::Key(key)),
+    );
+    let call = &*call;
     let holder = ledger::Holder {
         vm: state.cfg.vm,
         incarnation: state.incarnation,
--- a/wagtailshunt/src/gateway/mod.rs
+++ b/wagtailshunt/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod call;
 mod control_link;
 mod headers;
+mod isolation;
 mod keyed;
 mod metrics;
 mod refusal;
--- a/wagtailshunt/src/gateway/service.rs
+++ b/wagtailshunt/src/gateway/service.rs
@@ -3,7 +3,7 @@
 use std::{cell, collections, net, rc};
 
 use wagtailshunt_core::{
-    admission, balance, connection, directory, measure, records, retry, time, types,
+    admission, balance, connection, containment, directory, measure, records, retry, time, types,
 };
 
 use crate::{gateway::upstream, settings};
@@ -13,8 +13,12 @@
     pub id: types::TargetId,
     pub incarnation: types::Incarnation,
     pub address: net::SocketAddr,
+    /// Identity for the attribution of crashes.
+    pub identity: containment::Target,
     pub pool: cell::RefCell<connection::Pool<upstream::Upstream>>,
     pub health: cell::RefCell<connection::Health>,
+    /// Whether the target takes new calls.
+    pub serving: cell::Cell<bool>,
     /// Whether the target has echoed a call id; from then on an answer without one is refused.
     pub echoes: cell::Cell<bool>,
 }
@@ -75,19 +79,27 @@
     }
 
     /// Takes over a change of the directory.
-    pub fn apply(&self, now: time::Instant, change: &directory::TargetChange) {
+    /// Returns the incarnation that ended with it, if one did.
+    pub fn apply(
+        &self,
+        now: time::Instant,
+        change: &directory::TargetChange,
+    ) -> Option<containment::Target> {
         match change {
             directory::TargetChange::Upsert(target) => self.upsert(now, target),
             directory::TargetChange::Remove(key) => {
                 let removed = self.balancer.borrow_mut().remove(now, &key.id);
-                if let Some(key) = removed {
-                    self.targets.borrow_mut().remove(&key);
-                }
+                let gone = self.targets.borrow_mut().remove(&removed?)?;
+                Some(gone.identity.clone())
             }
         }
     }
 
-    fn upsert(&self, now: time::Instant, target: &directory::Target) {
+    fn upsert(
+        &self,
+        now: time::Instant,
+        target: &directory::Target,
+    ) -> Option<containment::Target> {
         let info = balance::TargetInfo {
             id: &target.key.id,
             incarnation: target.incarnation,
@@ -100,15 +112,17 @@
         let known = targets
             .get(&key)
             .filter(|known| known.incarnation == target.incarnation);
-        if known.is_none() {
+        let ended = match known {
+            Some(_) => None,
             // Connections of an earlier incarnation end with it.
-            targets.insert(key, rc::Rc::new(Target::new(target)));
-        }
-        if target.state == directory::State::Draining
-            && let Some(known) = targets.get(&key)
-        {
+            None => targets.insert(key, rc::Rc::new(Target::new(target))),
+        };
+        let known = targets.get(&key)?;
+        known.serving.set(target.state == directory::State::Serving);
+        if target.state == directory::State::Draining {
             known.pool.borrow_mut().drain();
         }
+        ended.map(|ended| ended.identity.clone())
     }
 
     /// Returns a target by its handle.
@@ -116,6 +130,15 @@
         self.targets.borrow().get(&key).cloned()
     }
 
+    /// Returns the targets that take new calls.
+    pub fn serving_targets(&self) -> Vec<(balance::TargetKey, rc::Rc<Target>)> {
+        let targets = self.targets.borrow();
+        let serving = targets.iter().filter(|(_, target)| target.serving.get());
+        serving
+            .map(|(key, target)| (*key, target.clone()))
+            .collect()
+    }
+
     /// Returns the number of targets.
     pub fn target_count(&self) -> usize {
         self.targets.borrow().len()
@@ -140,6 +163,12 @@
             id: target.key.id.clone(),
             incarnation: target.incarnation,
             address: target.address,
+            identity: containment::Target {
+                service: target.key.service.clone(),
+                id: target.key.id.clone(),
+                incarnation: target.incarnation,
+            },
+            serving: cell::Cell::new(target.state == directory::State::Serving),
             pool: cell::RefCell::new(connection::Pool::new(connection::PoolConfig::default())),
             health: cell::RefCell::new(
                 connection::Health::new(connection::HealthConfig::default()),
--- a/wagtailshunt/src/gateway/state.rs
+++ b/wagtailshunt/src/gateway/state.rs
@@ -4,12 +4,12 @@
 
 use futures_channel::oneshot;
 use wagtailshunt_core::{
-    admission, directory, event, lease, ledger, records, time as core_time, types,
+    admission, containment, directory, event, lease, ledger, records, time as core_time, types,
 };
 
 use crate::{
     clock, events,
-    gateway::{control_link, metrics, service},
+    gateway::{control_link, isolation, metrics, service},
     settings,
 };
 
@@ -26,6 +26,7 @@
     pub links: control_link::Links,
     /// Claims that were given up and whose grant may still arrive.
     pub late_grants: cell::RefCell<ledger::claim::LateGrants>,
+    pub isolation: isolation::Isolation,
     inner: cell::RefCell<Inner>,
 }
 
@@ -68,6 +69,7 @@
         State {
             links: control_link::Links::default(),
             late_grants: cell::RefCell::default(),
+            isolation: isolation::Isolation::default(),
             metrics: metrics::Metrics::new(),
             cfg,
             clock,
@@ -150,14 +152,19 @@
     /// Applies directory changes to the balancers.
     pub fn apply_directory(&self, delta: &directory::Delta) {
         let now = self.now();
-        let changes = self.with(|inner| {
+        let (changes, ended) = self.with(|inner| {
             let changes = inner.view.apply(delta);
-            inner.apply_targets(now, &changes);
-            changes
+            let ended = inner.apply_targets(now, &changes);
+            (changes, ended)
         });
         for change in &changes {
             self.emit_target(change);
         }
+        for target in ended {
+            self.isolation
+                .with(|gateway| gateway.incarnation_ended(now, &target));
+        }
+        isolation::pump(self);
         self.pump_admission();
     }
 
@@ -249,6 +256,8 @@
             inner.vouched.expire(now)
         });
         self.late_grants.borrow_mut().expire(now);
+        self.isolation.with(|gateway| gateway.tick(now));
+        isolation::pump(self);
         for change in changes {
             control_link::send_change(self, &change);
         }
@@ -297,17 +306,24 @@
         self.apply_targets(now, &targets);
     }
 
-    fn apply_targets(&mut self, now: core_time::Instant, changes: &[directory::TargetChange]) {
+    /// Passes changes to the balancers; returns the incarnations that ended.
+    fn apply_targets(
+        &mut self,
+        now: core_time::Instant,
+        changes: &[directory::TargetChange],
+    ) -> Vec<containment::Target> {
+        let mut ended = Vec::new();
         for change in changes {
             let key = match change {
                 directory::TargetChange::Upsert(target) => &target.key,
                 directory::TargetChange::Remove(key) => key,
             };
             if let Some(service) = self.services.get(&key.service) {
-                service.apply(now, change);
+                ended.extend(service.apply(now, change));
             }
         }
         self.refresh_capacity(now);
+        ended
     }
 
     /// Passes the balancers' estimate of what the targets take on to admission.
--- a/wagtailshunt/src/gateway/upstream.rs
+++ b/wagtailshunt/src/gateway/upstream.rs
@@ -1,12 +1,15 @@
 //! Connections to targets.
 
-use std::{cell, io, net, rc, time};
+use std::{cell, io, rc, time};
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 
-use crate::http;
+use crate::{
+    gateway::{isolation, service, state},
+    http,
+};
 
 /// Errors of a connection to a target.
 #[derive(Debug, thiserror::Error)]
@@ -38,16 +41,21 @@
 }
 
 /// An open HTTP/1.1 connection to a target.
-#[derive(Debug)]
 pub struct Upstream {
     sender: http1::SendRequest<http::Body>,
     ended: rc::Rc<Ended>,
+    /// Reports the life of the connection for the attribution of crashes.
+    pub watch: rc::Rc<isolation::Watch>,
 }
 
 impl Upstream {
     /// Opens a connection.
-    pub async fn connect(addr: net::SocketAddr, limit: time::Duration) -> Result<Upstream, Error> {
-        let connect = compio::time::timeout(limit, TcpStream::connect(addr));
+    pub async fn connect(
+        state: &rc::Rc<state::State>,
+        target: &service::Target,
+        limit: time::Duration,
+    ) -> Result<Upstream, Error> {
+        let connect = compio::time::timeout(limit, TcpStream::connect(target.address));
         let stream = connect
             .await
             .map_err(|_| Error::ConnectTimeout)?
@@ -58,13 +66,22 @@
         let (sender, conn) = http1::handshake(io).await.map_err(Error::Broken)?;
         let ended = rc::Rc::new(Ended::default());
         let task = ended.clone();
+        let watch = isolation::Watch::opened(state, &target.identity);
+        let watched = rc::Rc::downgrade(&watch);
         compio::runtime::spawn(async move {
             // The error reaches the call in flight through its answer or body.
             let _ = conn.await;
             task.ended.set(true);
+            if let Some(watch) = watched.upgrade() {
+                watch.closed_by_target();
+            }
         })
         .detach();
-        Ok(Upstream { sender, ended })
+        Ok(Upstream {
+            sender,
+            ended,
+            watch,
+        })
     }
 
     /// Returns whether the connection can carry a further call.
@@ -83,16 +100,20 @@
     /// Sends a call and waits for the head of the answer.
     ///
     /// Dropping the future closes the connection, which cancels the call at the target.
-    pub async fn send(&mut self, req: Request<http::Body>) -> Result<Response<Incoming>, Error> {
+    /// When nothing was sent, the body comes back with the error.
+    pub async fn send(
+        &mut self,
+        req: Request<http::Body>,
+    ) -> Result<Response<Incoming>, (Error, Option<http::Body>)> {
         if !self.is_usable() {
-            return Err(Error::NotSent);
+            return Err((Error::NotSent, Some(req.into_body())));
         }
         match self.sender.try_send_request(req).await {
             Ok(answer) => Ok(answer),
             // hyper hands the request back only when it wrote nothing of it.
             Err(mut err) => match err.take_message() {
-                Some(_) => Err(Error::NotSent),
-                None => Err(Error::Broken(err.into_error())),
+                Some(req) => Err((Error::NotSent, Some(req.into_body()))),
+                None => Err((Error::Broken(err.into_error()), None)),
             },
         }
     }
