Take up a lease only with a confirmed view of the targets

Holder::granted now takes the time and the result of View::confirm. A lease that has ended is taken up again only when the view equals the directory; a lease in use is prolonged unless the view is known to differ.

--- a/core/src/lease/holder.rs
+++ b/core/src/lease/holder.rs
@@ -94,19 +94,34 @@
         }
     }
 
-    /// Takes a grant and returns whether it prolonged the lease.
-    pub fn granted(&mut self, grant: &Grant) -> bool {
-        let Some(at) = self
-            .outstanding
+    /// Takes a grant and returns whether it prolonged the lease. `confirmed` is what
+    /// [`directory::View::confirm`] says about the directory version of the grant.
+    ///
+    /// A lease that has ended is taken up again only with a view that equals the directory:
+    /// a gateway that was cut off would otherwise send calls to targets that drain by now. A lease
+    /// in use is prolonged unless the view is known to differ; by its end the list has arrived.
+    pub fn granted(
+        &mut self,
+        now: Instant,
+        grant: &Grant,
+        confirmed: directory::Confirmed,
+    ) -> bool {
+        let outstanding = &mut self.outstanding;
+        let Some(at) = outstanding
             .iter()
             .position(|(seq, _)| *seq == grant.sequence)
         else {
             return false;
         };
-        let (_, sent) = self.outstanding[at];
-        self.outstanding.drain(..=at);
+        let (_, sent) = outstanding[at];
+        outstanding.drain(..=at);
+        let usable = match confirmed {
+            directory::Confirmed::Same => true,
+            directory::Confirmed::Unknown => self.serving(now),
+            directory::Confirmed::Differs => false,
+        };
         let until = sent + (grant.length - self.cfg.margin(grant.length));
-        let prolonged = self.until.is_none_or(|old| old < until);
+        let prolonged = usable && self.until.is_none_or(|old| old < until);
         if prolonged {
             self.until = Some(until);
         }
--- a/core/tests/lease.rs
+++ b/core/tests/lease.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
+use wagtailshunt_core::directory::Confirmed;
 use wagtailshunt_core::lease::{Config, Current, Grantor, Holder, Refusal, Removal, Status};
 use wagtailshunt_core::time::Instant;
 use wagtailshunt_core::types::{Incarnation, Revision, VmId};
@@ -50,8 +51,8 @@
     let grant = grantor
         .renew(ms(10_040), FOREVER, &current(5), &renewal)
         .expect("granted");
-    assert!(holder.granted(&grant));
-    assert!(!holder.granted(&grant));
+    assert!(holder.granted(ms(10_050), &grant, Confirmed::Same));
+    assert!(!holder.granted(ms(10_050), &grant, Confirmed::Same));
     assert!(holder.serving(ms(12_177)) && !holder.serving(ms(12_178)));
     grantor.accepted(ms(10_050), Revision(6));
     assert_eq!(grantor.holding_back(ms(12_261), Revision(6)), [G]);
@@ -60,6 +61,26 @@
     assert_eq!(grantor.in_force(ms(12_262)), Revision(6));
 }
 
+/// Guards against a gateway that serves again with the targets it knew before it was cut off.
+#[test]
+fn a_lease_is_taken_up_only_with_a_confirmed_view() {
+    let mut grantor = settled(5);
+    let mut holder = holder(1);
+    let mut renew = |at: u64, confirmed| {
+        let renewal = holder.sent(ms(at), &status(5));
+        let grant = grantor
+            .renew(ms(at), FOREVER, &current(5), &renewal)
+            .expect("granted");
+        holder.granted(ms(at), &grant, confirmed)
+    };
+    assert!(!renew(10_000, Confirmed::Unknown));
+    assert!(!renew(10_010, Confirmed::Differs));
+    assert!(renew(10_020, Confirmed::Same));
+    assert!(renew(10_500, Confirmed::Unknown));
+    assert!(!renew(10_600, Confirmed::Differs));
+    assert!(!renew(20_000, Confirmed::Unknown));
+}
+
 /// Guards against grants by a leader that may have been replaced.
 #[test]
 fn nothing_is_granted_without_a_leader_lease() {
@@ -186,7 +207,7 @@
         grantor.remove(ms(10_001), G),
         Removal::Wait(ms(10_000) + END)
     );
-    holder.granted(&grant);
+    holder.granted(ms(10_001), &grant, Confirmed::Same);
     let refused = holder.sent(ms(10_500), &status(5));
     let refusal = grantor.renew(ms(10_500), FOREVER, &current(5), &refused);
     assert_eq!(refusal, Err(Refusal::NotRegistered));
@@ -249,7 +270,7 @@
                 now += 7;
                 let answer = grantor.renew(ms(now), FOREVER, &current(revision), &renewal);
                 if let (Ok(grant), true) = (answer, kind > 2) {
-                    holder.granted(&grant);
+                    holder.granted(local(vm, now), &grant, Confirmed::Same);
                 }
                 if kind > 3 {
                     *applied = revision;
--- /dev/null
+++ b/lab/src/worlds/control/gateway.rs
@@ -0,0 +1,163 @@
+//! A gateway process.
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use wagtailshunt_core::time::Instant;
+use wagtailshunt_core::{directory, lease, records, registry, types};
+use wagtailshunt_wire::membership::Message;
+
+use super::frame::Content;
+use super::settings::Settings;
+
+/// A gateway. Its own clock runs at another rate than that of the world.
+#[derive(Debug)]
+pub struct Gateway {
+    pub vm: types::VmId,
+    pub incarnation: types::Incarnation,
+    pub holder: lease::Holder,
+    pub vouched: directory::Vouched,
+    pub view: directory::View,
+    pub table: records::Table,
+    pub stopping: bool,
+    /// Rate of the clock in millionths.
+    rate: u64,
+    leases: bool,
+    view_check: bool,
+    pub out: Vec<Content>,
+}
+
+impl Gateway {
+    pub fn new(cfg: &Settings, vm: u32, incarnation: u64) -> Gateway {
+        let skew = u64::from(cfg.skew_permille) * 1000;
+        let rate = [1_000_000, 1_000_000 + skew, 1_000_000 - skew][vm as usize % 3];
+        let (vm, incarnation) = (types::VmId(vm), types::Incarnation(incarnation));
+        Gateway {
+            vm,
+            incarnation,
+            holder: lease::Holder::new(cfg.lease.clone(), vm, incarnation),
+            vouched: directory::Vouched::new(directory::Config::default()),
+            view: directory::View::default(),
+            table: records::Table::default(),
+            stopping: false,
+            rate,
+            leases: cfg.leases,
+            view_check: cfg.view_check,
+            out: Vec::new(),
+        }
+    }
+
+    /// Returns the time on this gateway's clock.
+    pub fn clock(&self, now: Instant) -> Instant {
+        Instant((u128::from(now.0) * u128::from(self.rate) / 1_000_000) as u64)
+    }
+
+    pub fn serving(&self, now: Instant) -> bool {
+        let holds = self.holder.serving(self.clock(now));
+        // Without leases a gateway serves on with what it has once it has got anything.
+        let ever = self.table.revision() > types::Revision::default();
+        !self.stopping && (holds || (!self.leases && ever))
+    }
+
+    pub fn tick(&mut self, now: Instant) {
+        let now = self.clock(now);
+        for change in self.vouched.expire(now) {
+            self.out.push(membership(Message::Change(change)));
+        }
+        if self.holder.renewal_due(now) {
+            let renewal = self.holder.sent(now, &self.status());
+            self.out.push(membership(Message::Renewal(renewal)));
+        }
+    }
+
+    fn status(&self) -> lease::Status {
+        lease::Status {
+            revision: self.table.revision(),
+            directory: self.view.version(),
+            vouched: self.vouched.digest(),
+            vouched_count: self.vouched.len() as u32,
+        }
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+        let renewal = self.holder.release(&self.status());
+        self.out.push(membership(Message::Renewal(renewal)));
+    }
+
+    /// Takes an announcement and returns whether the target may stay with this gateway.
+    pub fn announce(&mut self, now: Instant, announcement: &directory::Announcement) -> bool {
+        if !self.serving(now) {
+            return false;
+        }
+        match self.vouched.announce(self.clock(now), announcement) {
+            Ok(Some(change)) => self.out.push(membership(Message::Change(change))),
+            Ok(None) => {}
+            Err(_) => return false,
+        }
+        true
+    }
+
+    pub fn receive(&mut self, now: Instant, content: Content) {
+        let now = self.clock(now);
+        match content {
+            Content::Records(changes) => self.records(now, &changes),
+            Content::Membership(message) => match *message {
+                Message::Grant(grant) => self.granted(now, &grant),
+                Message::Refusal(refusal) => self.holder.refused(now, &refusal),
+                Message::Delta(delta) => {
+                    self.view.apply(&delta);
+                }
+                _ => {}
+            },
+        }
+    }
+
+    fn granted(&mut self, now: Instant, grant: &lease::Grant) {
+        let current = &grant.current;
+        let confirmed = self.view.confirm(current.directory, current.digest);
+        let judged = if self.view_check {
+            confirmed
+        } else {
+            directory::Confirmed::Same
+        };
+        self.holder.granted(now, grant, judged);
+        if confirmed == directory::Confirmed::Differs {
+            self.holder.renew_now(now);
+        }
+        if current.list_wanted {
+            self.out
+                .push(membership(Message::List(self.vouched.list())));
+        }
+    }
+
+    fn records(&mut self, now: Instant, changes: &registry::Changes) {
+        let Ok(applied) = self.table.apply(changes) else {
+            return;
+        };
+        for key in applied.changed.iter().chain(&applied.removed) {
+            let service = types::ServiceName(key.name.clone());
+            let drain = self.table.service(&service).map(|spec| spec.drain.clone());
+            self.view
+                .drain_by_record(&service, &drain.unwrap_or_default());
+        }
+        if !self.holder.serving(now) {
+            self.holder.renew_now(now);
+        }
+    }
+
+    /// Picks a target of a service for a call.
+    pub fn pick(
+        &self,
+        rng: &mut SmallRng,
+        service: &types::ServiceName,
+    ) -> Option<directory::Target> {
+        let serving = |target: &directory::Target| target.state == directory::State::Serving;
+        let targets: Vec<_> = self.view.targets(service).filter(serving).collect();
+        (!targets.is_empty()).then(|| targets[rng.random_range(0..targets.len())].clone())
+    }
+}
+
+fn membership(message: Message) -> Content {
+    Content::Membership(Box::new(message))
+}
--- /dev/null
+++ b/lab/src/worlds/control/leader.rs
@@ -0,0 +1,134 @@
+//! Soft state of the leader of group 0.
+
+use std::collections;
+
+use wagtailshunt_core::time::Instant;
+use wagtailshunt_core::{directory, lease, registry, types};
+use wagtailshunt_wire::membership::Message;
+
+use super::frame::Content;
+use super::settings::Settings;
+
+/// What a gateway has, or will have when all that was sent arrives.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    revision: types::Revision,
+    directory: directory::Version,
+}
+
+/// A leader. Messages to send are collected in `out`.
+#[derive(Debug)]
+pub struct Leader {
+    pub term: u64,
+    /// End of the leader lease; `None` while a quorum follows.
+    pub lease_until: Option<Instant>,
+    pub grantor: lease::Grantor,
+    pub directory: directory::Directory,
+    known: collections::BTreeMap<types::VmId, Known>,
+    pub out: Vec<(types::VmId, Content)>,
+    digests: bool,
+    behind_check: bool,
+}
+
+impl Leader {
+    pub fn new(
+        cfg: &Settings,
+        term: u64,
+        now: Instant,
+        gateways: &[types::VmId],
+        revision: types::Revision,
+    ) -> Leader {
+        // Without the wait, a new leader believes that no lease of the earlier one is in use.
+        let waiting: &[types::VmId] = if cfg.new_leader_wait { gateways } else { &[] };
+        let awaited: &[types::VmId] = if cfg.rebuild { gateways } else { &[] };
+        let start = if cfg.new_leader_wait {
+            now
+        } else {
+            now.saturating_sub(cfg.lease.length * 2)
+        };
+        let mut grantor =
+            lease::Grantor::new(cfg.lease.clone(), start, revision, waiting.iter().copied());
+        gateways.iter().for_each(|vm| grantor.add(*vm));
+        let directory_cfg = directory::Config::default();
+        let awaited = awaited.iter().copied();
+        Leader {
+            term,
+            lease_until: None,
+            grantor,
+            directory: directory::Directory::new(directory_cfg, types::Term(term), now, awaited),
+            known: collections::BTreeMap::new(),
+            out: Vec::new(),
+            digests: cfg.digests,
+            behind_check: cfg.behind_check,
+        }
+    }
+
+    /// Answers a frame of a gateway.
+    pub fn receive(
+        &mut self,
+        now: Instant,
+        registry: &registry::Registry,
+        incarnation: types::Incarnation,
+        vm: types::VmId,
+        message: &Message,
+    ) {
+        match message {
+            Message::Renewal(renewal) => self.renew(now, registry, renewal),
+            Message::Change(change) => self.directory.vouch(now, vm, incarnation, change),
+            Message::List(list) => self.directory.replace(now, vm, incarnation, list),
+            _ => {}
+        }
+        self.push(registry);
+    }
+
+    fn renew(&mut self, now: Instant, registry: &registry::Registry, renewal: &lease::Renewal) {
+        let (vm, digest) = (renewal.vm, renewal.vouched);
+        let differs =
+            self.directory
+                .heard(now, vm, renewal.incarnation, digest, renewal.vouched_count);
+        let current = lease::Current {
+            revision: registry.revision(),
+            directory: self.directory.version(),
+            digest: self.directory.digest(),
+            list_wanted: differs && self.digests,
+        };
+        let lease_until = self.lease_until.unwrap_or(Instant(u64::MAX));
+        let mut judged = renewal.clone();
+        if !self.behind_check {
+            judged.revision = registry.revision();
+        }
+        let answer = self
+            .grantor
+            .renew(now, Some(lease_until), &current, &judged);
+        let stale = answer == Err(lease::Refusal::Stale);
+        let message = match answer {
+            Ok(grant) => Message::Grant(grant),
+            Err(refusal) => Message::Refusal(refusal),
+        };
+        self.out.push((vm, Content::Membership(Box::new(message))));
+        if !stale {
+            // What the gateway has not applied by now is sent again.
+            let known = Known {
+                revision: renewal.revision,
+                directory: renewal.directory,
+            };
+            self.known.insert(vm, known);
+        }
+    }
+
+    /// Sends each gateway what it lacks.
+    pub fn push(&mut self, registry: &registry::Registry) {
+        for (vm, known) in &mut self.known {
+            if known.revision < registry.revision() {
+                let changes = registry.since(known.revision);
+                known.revision = changes.through;
+                self.out.push((*vm, Content::Records(changes)));
+            }
+            if let Some(delta) = self.directory.changes_since(known.directory) {
+                known.directory = delta.to;
+                let message = Message::Delta(delta);
+                self.out.push((*vm, Content::Membership(Box::new(message))));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/worlds/control/net.rs
@@ -0,0 +1,165 @@
+//! Fake network: messages are delayed, lost, doubled and reordered by seed, and cut in silence.
+
+use std::{collections, time};
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use wagtailshunt_core::time::Instant;
+use wagtailshunt_core::{directory, registry, types};
+
+/// An end of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Node {
+    /// The leader of group 0, whichever VM it is.
+    Control,
+    /// The gateway on this VM.
+    Gateway(u32),
+    /// A target.
+    Target(u32),
+    /// An operator.
+    Operator(u32),
+}
+
+/// A message.
+#[derive(Clone, Debug)]
+pub enum Message {
+    /// Encoded frame between two of the system's processes.
+    Frame(bytes::Bytes),
+    /// A target announces itself.
+    Announce(directory::Announcement),
+    /// A gateway's answer to an announcement: whether it was taken.
+    Announced(bool),
+    /// An operator asks for the revision of a record.
+    Read(u32),
+    /// The answer.
+    Revision(Option<types::Revision>),
+    /// An operator submits a change.
+    Submit(registry::Command),
+    /// The answer to the change of this number.
+    Reply(u64, registry::Reply),
+}
+
+/// What happens at a time.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A message arrives.
+    Deliver {
+        /// Sender.
+        from: Node,
+        /// Receiver.
+        to: Node,
+        /// What it carries.
+        message: Message,
+    },
+    /// A node looks at its timers; the epoch tells its process from an earlier one.
+    Tick(Node, u64),
+    /// A change reaches a quorum, or does not because its leader is gone.
+    Commit {
+        /// Term of the leader that proposed it.
+        term: u64,
+        /// Who waits for the answer.
+        operator: Option<u32>,
+        /// The change.
+        command: registry::Command,
+    },
+    /// A new leader is elected.
+    Elected,
+}
+
+/// The network and the clock of the world.
+#[derive(Debug)]
+pub struct Net {
+    /// Delay of a message without jitter.
+    pub delay: time::Duration,
+    /// Largest additional delay. It reorders messages.
+    pub jitter: time::Duration,
+    /// Lost messages, in thousandths.
+    pub loss_permille: u32,
+    /// Doubled messages, in thousandths.
+    pub double_permille: u32,
+    /// Bytes that each node sent or received in frames.
+    pub bytes: collections::BTreeMap<Node, u64>,
+    rng: SmallRng,
+    /// Nodes with different numbers do not reach each other; absent nodes have number 0.
+    parts: collections::BTreeMap<Node, u32>,
+    queue: collections::BTreeMap<(Instant, u64), Event>,
+    sequence: u64,
+}
+
+impl Net {
+    /// Returns a network without faults.
+    pub fn new(rng: SmallRng) -> Net {
+        Net {
+            delay: time::Duration::from_millis(1),
+            jitter: time::Duration::ZERO,
+            loss_permille: 0,
+            double_permille: 0,
+            bytes: collections::BTreeMap::new(),
+            rng,
+            parts: collections::BTreeMap::new(),
+            queue: collections::BTreeMap::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Returns the generator of the world.
+    pub fn rng(&mut self) -> &mut SmallRng {
+        &mut self.rng
+    }
+
+    /// Moves a node to a part of the network.
+    pub fn place(&mut self, node: Node, part: u32) {
+        self.parts.insert(node, part);
+    }
+
+    /// Returns whether two nodes reach each other.
+    pub fn connected(&self, a: Node, b: Node) -> bool {
+        let part = |node| self.parts.get(&node).copied().unwrap_or_default();
+        part(a) == part(b)
+    }
+
+    /// Schedules an event.
+    pub fn at(&mut self, at: Instant, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), event);
+    }
+
+    /// Sends a message.
+    pub fn send(&mut self, now: Instant, from: Node, to: Node, message: Message) {
+        if let Message::Frame(frame) = &message {
+            for node in [from, to] {
+                *self.bytes.entry(node).or_default() += frame.len() as u64;
+            }
+        }
+        let lost = self.rng.random_range(0..1000) < self.loss_permille;
+        if lost || !self.connected(from, to) {
+            return;
+        }
+        let copies = 1 + u32::from(self.rng.random_range(0..1000) < self.double_permille);
+        for _ in 0..copies {
+            let jitter = self.rng.random_range(0..=self.jitter.as_micros() as u64);
+            let at = now + self.delay + time::Duration::from_micros(jitter);
+            let message = message.clone();
+            self.at(at, Event::Deliver { from, to, message });
+        }
+    }
+
+    /// Returns the time of the next event.
+    pub fn next(&self) -> Option<Instant> {
+        self.queue.first_key_value().map(|((at, _), _)| *at)
+    }
+
+    /// Takes the next event that is due. A message is lost when its ends have been cut meanwhile.
+    pub fn due(&mut self, now: Instant) -> Option<Event> {
+        loop {
+            let entry = self
+                .queue
+                .first_entry()
+                .filter(|entry| entry.key().0 <= now)?;
+            match entry.remove() {
+                Event::Deliver { from, to, .. } if !self.connected(from, to) => {}
+                event => return Some(event),
+            }
+        }
+    }
+}
