Add the control world and its scripts

The parts of the control plane were tested one by one only. A checker compares what is served with what was reported in force, accepted writes with the answers that operators got, and picks with drains.

--- /dev/null
+++ b/lab/src/worlds/control/actions.rs
@@ -0,0 +1,215 @@
+//! What scripts do to gateways, targets, operators and the leader.
+
+use std::time;
+
+use rand::Rng;
+use wagtailshunt_core::time::Instant;
+use wagtailshunt_core::{directory, registry, types};
+
+use super::actors::{Target, Task};
+use super::gateway::Gateway;
+use super::leader::Leader;
+use super::net::{Event, Message, Node};
+use super::sim::{Sim, Slot, WALL_START_MS, service_name, target_tick, wall};
+
+/// How long a leader that was cut off may still hold its leader lease.
+const LEADER_LEASE: time::Duration = time::Duration::from_millis(400);
+const ELECTION_MS: std::ops::Range<u64> = 500..1000;
+
+impl Sim {
+    pub(super) fn populate(&mut self) {
+        let now = Instant(0);
+        for vm in 1..=self.cfg.gateways {
+            let slot = Slot {
+                process: None,
+                epoch: 0,
+                schemas: vec![1, 2],
+            };
+            self.gateways.insert(vm, slot);
+            self.register(now, vm);
+            self.start_gateway(now, vm);
+        }
+        for service in 0..self.cfg.services {
+            let task = Task {
+                service,
+                schema: 1,
+                ..Task::default()
+            };
+            let id = self.next_id(now);
+            let command = self.command(now, &task, u64::from(service) | 1 << 32, id, None);
+            self.apply(now, None, &command);
+        }
+        for number in 0..self.cfg.targets {
+            self.add_target(now, number);
+        }
+        self.elected(now);
+        self.net.at(now, Event::Tick(Node::Control, 0));
+    }
+
+    pub(super) fn register(&mut self, now: Instant, vm: u32) {
+        let real = self.gateways[&vm].schemas.clone();
+        let schemas = if self.cfg.schema_check {
+            real
+        } else {
+            vec![1, 2, 3]
+        };
+        let command = registry::Command::RegisterVm {
+            vm: types::VmId(vm),
+            role: types::Role::Gateway,
+            failure_domain: types::FailureDomain(format!("fd{}", vm % 4)),
+            schemas,
+            now: wall(now),
+        };
+        self.index += 1;
+        self.registry.apply(types::LogIndex(self.index), &command);
+    }
+
+    /// Changes which schemas a gateway can enforce and registers it anew.
+    pub fn set_schemas(&mut self, now: Instant, vm: u32, schemas: Vec<u32>) {
+        if let Some(slot) = self.gateways.get_mut(&vm) {
+            slot.schemas = schemas;
+            self.register(now, vm);
+        }
+    }
+
+    pub fn start_gateway(&mut self, now: Instant, vm: u32) {
+        let Some(slot) = self.gateways.get_mut(&vm) else {
+            return;
+        };
+        slot.epoch += 1;
+        slot.process = Some(Gateway::new(&self.cfg, vm, slot.epoch));
+        self.net.at(now, Event::Tick(Node::Gateway(vm), slot.epoch));
+    }
+
+    /// Kills a gateway's process.
+    pub fn kill_gateway(&mut self, vm: u32) {
+        if let Some(slot) = self.gateways.get_mut(&vm) {
+            slot.process = None;
+        }
+    }
+
+    /// Begins the planned stop of a gateway.
+    pub fn stop_gateway(&mut self, now: Instant, vm: u32) {
+        if let Some(process) = self
+            .gateways
+            .get_mut(&vm)
+            .and_then(|slot| slot.process.as_mut())
+        {
+            process.stop();
+        }
+        self.flush_gateway(now, vm);
+    }
+
+    pub(super) fn add_target(&mut self, now: Instant, number: u32) {
+        let target = directory::Target {
+            key: directory::Key {
+                service: service_name(number % self.cfg.services.max(1)),
+                id: types::TargetId(format!("t{number}")),
+            },
+            incarnation: types::Incarnation(WALL_START_MS),
+            address: std::net::SocketAddr::from((
+                std::net::Ipv4Addr::from_bits(0x0a00_0000 + number),
+                8080,
+            )),
+            failure_domain: types::FailureDomain(format!("fd{}", number % 4)),
+            slots: 3,
+            state: directory::State::Serving,
+        };
+        let gateway = 1 + number % self.cfg.gateways;
+        self.targets.push(Target {
+            target,
+            up: true,
+            epoch: 1,
+            gateway,
+            unanswered: false,
+            past: Vec::new(),
+        });
+        let spread = time::Duration::from_micros(u64::from(number) * 7919 % 1_000_000);
+        self.net
+            .at(now + spread, Event::Tick(Node::Target(number), 1));
+    }
+
+    /// Makes a target drain.
+    pub fn drain_target(&mut self, now: Instant, number: u32) {
+        let target = &mut self.targets[number as usize];
+        target.target.state = directory::State::Draining;
+        self.checker
+            .retire(now, &target.target.key, target.target.incarnation);
+        self.announce(now, number);
+    }
+
+    /// Stops a target; with `restart` it starts again with the next incarnation.
+    pub fn stop_target(&mut self, now: Instant, number: u32, restart: bool) {
+        let target = &mut self.targets[number as usize];
+        self.checker
+            .retire(now, &target.target.key, target.target.incarnation);
+        target.epoch += 1;
+        target.up = restart;
+        if !restart {
+            return;
+        }
+        if self.cfg.target_incarnations {
+            target.target.incarnation.0 += 1;
+        }
+        target.target.state = directory::State::Starting;
+        self.announce(now, number);
+        target_tick(
+            &mut self.net,
+            now,
+            number,
+            self.targets[number as usize].epoch,
+        );
+    }
+
+    /// Repeats all earlier announcements of a target at a gateway, newest first.
+    pub fn repeat_announcements(&mut self, now: Instant, number: u32, gateway: u32) {
+        let past = self.targets[number as usize].past.clone();
+        for announcement in past.into_iter().rev() {
+            let (from, to) = (Node::Target(number), Node::Gateway(gateway));
+            self.net
+                .send(now, from, to, Message::Announce(announcement));
+        }
+    }
+
+    pub(super) fn announce(&mut self, now: Instant, number: u32) {
+        let target = &mut self.targets[number as usize];
+        if target.unanswered {
+            target.gateway = 1 + self.net.rng().random_range(0..self.cfg.gateways);
+        }
+        target.unanswered = true;
+        let message = Message::Announce(target.announcement());
+        let (from, to) = (Node::Target(number), Node::Gateway(target.gateway));
+        self.net.send(now, from, to, message);
+    }
+
+    /// Gives an operator a change to make.
+    pub fn order(&mut self, now: Instant, operator: u32, task: Task) {
+        let entry = self.operators.entry(operator).or_default();
+        entry.tasks.push_back(task);
+        if entry.attempt.is_none() {
+            entry.epoch += 1;
+            let epoch = entry.epoch;
+            self.net
+                .at(now, Event::Tick(Node::Operator(operator), epoch));
+        }
+    }
+
+    /// Cuts the leader off from its quorum; another is elected when its lease has ended.
+    pub fn change_leader(&mut self, now: Instant) {
+        if let Some(leader) = &mut self.leader {
+            leader.lease_until = Some(now + LEADER_LEASE);
+        }
+        let election = self.net.rng().random_range(ELECTION_MS);
+        self.net
+            .at(now + time::Duration::from_millis(election), Event::Elected);
+    }
+
+    pub(super) fn elected(&mut self, now: Instant) {
+        self.term += 1;
+        let gateways: Vec<types::VmId> = self.registry.vms().map(|vm| vm.id).collect();
+        let revision = self.registry.revision();
+        self.leader = Some(Leader::new(&self.cfg, self.term, now, &gateways, revision));
+        self.lines
+            .push((now, format!("leader of term {} elected", self.term)));
+    }
+}
--- a/lab/src/worlds/control/mod.rs
+++ b/lab/src/worlds/control/mod.rs
@@ -25,8 +25,10 @@
 //! `serving at_least=N`, `serves GATEWAY`, `refuses GATEWAY`, `accepted at_least=N`,
 //! `state TARGET STATE` (on all serving gateways), `targets at_least=N` (on each serving gateway).
 
+mod actions;
 mod actors;
 mod checker;
+mod deliveries;
 mod frame;
 mod gateway;
 mod leader;
