--- a/wagtailshunt/src/lib.rs
+++ b/wagtailshunt/src/lib.rs
@@ -3,9 +3,11 @@
 pub mod admin;
 pub mod clock;
 pub mod control;
+pub mod daemon;
 pub mod disk;
 pub mod events;
 pub mod gateway;
 pub mod http;
+pub mod metrics;
 pub mod settings;
 pub mod transport;
