--- a/wagtailshunt/src/gateway/control_link.rs
+++ b/wagtailshunt/src/gateway/control_link.rs
@@ -291,11 +291,12 @@
 }
 
 fn granted(state: &rc::Rc<state::State>, grant: &lease::Grant) {
+    let now = state.clock.now();
     let confirmed = state.with(|inner| {
-        inner.holder.granted(grant);
-        inner
-            .view
-            .confirm(grant.current.directory, grant.current.digest)
+        let current = &grant.current;
+        let confirmed = inner.view.confirm(current.directory, current.digest);
+        inner.holder.granted(now, grant, confirmed);
+        confirmed
     });
     state.check_lease();
     if confirmed == directory::Confirmed::Differs {
