Publish suspicions before a loss is certain

Generated calls showed a request that cost three targets: its first loss was attributed only when the target announced its next incarnation, and meanwhile its resends ran on. A gateway now reports the suspicion at once, all gateways isolate the request, and no isolated run starts while it is open whether enough targets were lost for a block. Reports without an answer from the leader are repeated to the next one. A claim that asks again replaces its earlier waiting request.

--- a/core/src/containment/gateway.rs
+++ b/core/src/containment/gateway.rs
@@ -5,6 +5,9 @@
 use super::{fingerprint, instance, message};
 use crate::time;
 
+/// Most reports that are kept for a new leader.
+const MAX_UNCONFIRMED: usize = 64;
+
 /// Settings of [`Gateway`].
 #[derive(Clone, Debug)]
 pub struct GatewayConfig {
@@ -53,7 +56,7 @@
 /// A call in flight, as its end is reported.
 #[derive(Clone, Copy, Debug)]
 pub struct Call<'a> {
-    /// Id of the call, unique within the gateway.
+    /// Number of the run, unique within the gateway; each try of a call has a new one.
     pub id: u64,
     /// Request of the call.
     pub fingerprint: fingerprint::Fingerprint,
@@ -68,6 +71,11 @@
 /// Messages to the leader of group 0.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
+    /// Calls' connections ended without an answer. It is not clear yet whether the target was lost,
+    /// and a resend at another gateway must already be isolated.
+    Suspect(message::CrashReport),
+    /// A target that was suspected to be lost was not.
+    Acquit(message::CrashReport),
     /// A target was lost.
     Report(message::CrashReport),
     /// A suspect wants to run.
@@ -97,6 +105,15 @@
     target: Option<message::Target>,
 }
 
+impl Permit {
+    fn request_at(&self, now: time::Instant) -> message::PermitRequest {
+        message::PermitRequest {
+            remaining: self.deadline.since(now),
+            ..self.request.clone()
+        }
+    }
+}
+
 /// Containment on a gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -106,6 +123,8 @@
     local: collections::BTreeMap<fingerprint::Fingerprint, Local>,
     targets: collections::BTreeMap<message::Target, instance::Instance>,
     permits: collections::BTreeMap<u64, Permit>,
+    // Reports that no leader has published yet.
+    unconfirmed: Vec<message::CrashReport>,
     outputs: collections::VecDeque<Output>,
 }
 
@@ -118,6 +137,7 @@
             local: collections::BTreeMap::new(),
             targets: collections::BTreeMap::new(),
             permits: collections::BTreeMap::new(),
+            unconfirmed: Vec::new(),
             outputs: collections::VecDeque::new(),
         }
     }
@@ -137,8 +157,8 @@
         }
     }
 
-    /// Asks the leader for a permit. After a change of leader the I/O layer repeats this for calls
-    /// that still wait.
+    /// Asks the leader for a permit. `call` is a new number for each try, since the permit of an
+    /// earlier try is held until its end is attributed.
     pub fn ask(
         &mut self,
         now: time::Instant,
@@ -161,6 +181,12 @@
         self.outputs.push_back(Output::Ask(request));
     }
 
+    /// Permit requests without a reply, to be sent to a new leader after [`Gateway::rebuild`].
+    pub fn open_requests(&self, now: time::Instant) -> Vec<message::PermitRequest> {
+        let open = self.permits.values().filter(|permit| !permit.granted);
+        open.map(|permit| permit.request_at(now)).collect()
+    }
+
     /// Takes the leader's reply to [`Gateway::ask`].
     pub fn permit_reply(
         &mut self,
@@ -245,7 +271,7 @@
         }
         let disproved = instance.answered(call.opened, call.started);
         if let Some(broken) = disproved {
-            self.acquit(broken);
+            self.acquit(call.target, broken);
         }
         let permit = self.release(call.id);
         let suspected = permit.is_some()
@@ -267,7 +293,9 @@
         opened: time::Instant,
         end: instance::End,
     ) {
+        let mut suspected = None;
         if let instance::End::Unanswered { suspect, .. } = &end {
+            suspected = Some(suspect.clone());
             let until = now + self.cfg.window;
             let local = Local {
                 until,
@@ -276,7 +304,14 @@
             self.local.entry(suspect.fingerprint).or_insert(local);
         }
         self.instance(target).connection_ended(now, opened, end);
-        self.attribute(now, target);
+        let attributed = self.attribute(now, target);
+        if let Some(suspect) = suspected.filter(|_| !attributed) {
+            self.outputs
+                .push_back(Output::Suspect(message::CrashReport {
+                    target: target.clone(),
+                    suspects: vec![suspect],
+                }));
+        }
     }
 
     /// A new connection to the target was refused.
@@ -295,6 +330,7 @@
     pub fn notice(&mut self, now: time::Instant, notice: &message::Notice) {
         match notice {
             message::Notice::Update(record) => {
+                self.confirm(record.suspect.fingerprint, Some(&record.losses));
                 let known = Known {
                     record: record.clone(),
                     blocked_until: record.blocked_for.map(|left| now + left),
@@ -303,6 +339,7 @@
                 self.known.insert(record.suspect.fingerprint, known);
             }
             message::Notice::Cleared(fingerprint) => {
+                self.confirm(*fingerprint, None);
                 self.local.remove(fingerprint);
                 self.known.remove(fingerprint);
             }
@@ -326,13 +363,25 @@
         };
         let in_force = |known: &&Known| known.blocked_until.is_none_or(|until| until > now);
         let held = self.permits.values().filter(|permit| permit.granted);
-        let request = |permit: &Permit| message::PermitRequest {
-            remaining: left(permit.deadline),
-            ..permit.request.clone()
+        let known = self.known.values().filter(in_force).map(record);
+        let reported = self.unconfirmed.iter().flat_map(|report| {
+            report.suspects.iter().map(|suspect| message::Record {
+                suspect: suspect.clone(),
+                losses: vec![report.target.clone()],
+                blocked_for: None,
+            })
+        });
+        let broken = |(target, instance): (&message::Target, &instance::Instance)| {
+            let calls = &instance.broken.as_ref()?.calls;
+            Some(message::CrashReport {
+                target: target.clone(),
+                suspects: calls.iter().map(|(_, suspect)| suspect.clone()).collect(),
+            })
         };
         message::Rebuild {
-            records: self.known.values().filter(in_force).map(record).collect(),
-            permits: held.map(request).collect(),
+            doubts: self.targets.iter().filter_map(broken).collect(),
+            records: known.chain(reported).collect(),
+            permits: held.map(|permit| permit.request_at(now)).collect(),
         }
     }
 
@@ -351,7 +400,7 @@
             .collect();
         for target in due {
             if let Some(broken) = self.instance(&target).broken.take() {
-                self.acquit(broken);
+                self.acquit(&target, broken);
             }
             self.forget_unused(&target);
         }
@@ -371,9 +420,11 @@
         self.outputs.pop_front()
     }
 
-    fn attribute(&mut self, now: time::Instant, target: &message::Target) {
+    /// Reports the target as lost if that is certain, and returns whether it is.
+    fn attribute(&mut self, now: time::Instant, target: &message::Target) -> bool {
         let Some(broken) = self.instance(target).take_loss() else {
-            return self.forget_unused(target);
+            self.forget_unused(target);
+            return false;
         };
         let mut suspects: Vec<message::Suspect> = Vec::new();
         for (_, suspect) in &broken.calls {
@@ -390,20 +441,46 @@
                 suspects.push(suspect.clone());
             }
         }
-        self.outputs.push_back(Output::Report(message::CrashReport {
+        let report = message::CrashReport {
             target: target.clone(),
             suspects,
-        }));
+        };
+        if self.unconfirmed.len() >= MAX_UNCONFIRMED {
+            self.unconfirmed.remove(0);
+        }
+        self.unconfirmed.push(report.clone());
+        self.outputs.push_back(Output::Report(report));
         for (call, suspect) in broken.calls {
             if self.release(call).is_some() {
                 self.done(call, suspect.fingerprint, message::RunResult::Lost);
             }
         }
         self.forget_unused(target);
+        true
+    }
+
+    /// The leader published a request with these losses, or cleared it.
+    fn confirm(
+        &mut self,
+        fingerprint: fingerprint::Fingerprint,
+        losses: Option<&[message::Target]>,
+    ) {
+        for report in &mut self.unconfirmed {
+            if losses.is_none_or(|losses| losses.contains(&report.target)) {
+                report.suspects.retain(|s| s.fingerprint != fingerprint);
+            }
+        }
+        self.unconfirmed
+            .retain(|report| !report.suspects.is_empty());
     }
 
     /// The target lives, or nothing showed within the window that it was lost.
-    fn acquit(&mut self, broken: instance::Break) {
+    fn acquit(&mut self, target: &message::Target, broken: instance::Break) {
+        let suspects = broken.calls.iter().map(|(_, suspect)| suspect.clone());
+        self.outputs.push_back(Output::Acquit(message::CrashReport {
+            target: target.clone(),
+            suspects: suspects.collect(),
+        }));
         for (call, suspect) in broken.calls {
             let reported = |local: &Local| local.reported;
             if !self.local.get(&suspect.fingerprint).is_some_and(reported) {
--- a/core/src/containment/instance.rs
+++ b/core/src/containment/instance.rs
@@ -16,7 +16,7 @@
     Idle,
     /// The target ended it before a complete answer of this call.
     Unanswered {
-        /// Id of the call.
+        /// Number of the run.
         call: u64,
         /// Request of the call.
         suspect: message::Suspect,
--- a/core/src/containment/leader.rs
+++ b/core/src/containment/leader.rs
@@ -24,6 +24,8 @@
     pub block: Duration,
     /// Time after which a suspect that was not sent again is forgotten.
     pub suspect_lifetime: Duration,
+    /// The same for a suspect to which no target was lost.
+    pub unproved_lifetime: Duration,
     /// Time that a permit outlives its call's deadline: the window of attribution on the gateway and
     /// a margin for the report.
     pub permit_grace: Duration,
@@ -37,6 +39,7 @@
         LeaderConfig {
             block: Duration::from_secs(600),
             suspect_lifetime: Duration::from_secs(600),
+            unproved_lifetime: Duration::from_secs(30),
             permit_grace: Duration::from_secs(7),
             rebuild: Duration::from_millis(2_200),
         }
@@ -72,6 +75,8 @@
 struct Entry {
     label: String,
     losses: collections::BTreeSet<message::Target>,
+    // Targets that may be lost, until the gateway knows.
+    pending: collections::BTreeMap<message::Target, time::Instant>,
     blocked_until: Option<time::Instant>,
     touched: time::Instant,
     changed: bool,
@@ -100,12 +105,32 @@
         }
     }
 
+    /// Takes a gateway's suspicion about requests whose target may be lost.
+    pub fn suspect(&mut self, now: time::Instant, doubt: &message::CrashReport) {
+        let until = now + self.cfg.permit_grace;
+        for suspect in &doubt.suspects {
+            let entry = self.published(now, suspect);
+            entry.pending.insert(doubt.target.clone(), until);
+        }
+    }
+
+    /// The target of a suspicion was not lost.
+    pub fn acquit(&mut self, now: time::Instant, doubt: &message::CrashReport) {
+        for suspect in &doubt.suspects {
+            if let Some(entry) = self.entries.get_mut(&suspect.fingerprint) {
+                entry.pending.remove(&doubt.target);
+            }
+            self.serve(now, suspect.fingerprint);
+            self.forget_unused(suspect.fingerprint);
+        }
+    }
+
     /// Takes a gateway's report of a lost target.
     pub fn report(&mut self, now: time::Instant, report: &message::CrashReport) {
         for suspect in &report.suspects {
-            self.entry(now, suspect)
-                .losses
-                .insert(report.target.clone());
+            let entry = self.entry(now, suspect);
+            entry.pending.remove(&report.target);
+            entry.changed |= entry.losses.insert(report.target.clone());
         }
         // Another gateway's report of the same loss may make an earlier judgement ambiguous.
         let shares = |(_, entry): &(&fingerprint::Fingerprint, &Entry)| {
@@ -138,6 +163,9 @@
             self.publish(now, fingerprint);
             self.serve(now, fingerprint);
         }
+        for doubt in &known.doubts {
+            self.suspect(now, doubt);
+        }
         for request in &known.permits {
             let until = now + request.remaining + self.cfg.permit_grace;
             let entry = self.entry(now, &request.suspect);
@@ -157,7 +185,7 @@
             call: request.call,
             until: now + request.remaining,
         };
-        let entry = self.entry(now, &request.suspect);
+        let entry = self.published(now, &request.suspect);
         let repeated = |t: &Turn| (t.vm, t.call) == (turn.vm, turn.call);
         if entry.permit.as_ref().is_some_and(repeated) {
             return self.reply(fingerprint, turn, message::PermitReply::Granted);
@@ -187,10 +215,7 @@
             return self.clear(done.fingerprint);
         }
         self.serve(now, done.fingerprint);
-        let idle = |e: &Entry| e.losses.is_empty() && e.permit.is_none() && e.waiting.is_empty();
-        if self.entries.get(&done.fingerprint).is_some_and(idle) {
-            self.entries.remove(&done.fingerprint);
-        }
+        self.forget_unused(done.fingerprint);
     }
 
     /// An operator lifts a block.
@@ -291,7 +316,7 @@
             }
             return;
         }
-        if !ready || entry.permit.is_some() {
+        if !ready || entry.permit.is_some() || !entry.may_run() {
             return;
         }
         let Some(turn) = entry.waiting.pop_front() else {
@@ -304,6 +329,17 @@
         self.reply(fingerprint, turn, message::PermitReply::Granted);
     }
 
+    /// Forgets a suspect that nothing speaks against any more.
+    fn forget_unused(&mut self, fingerprint: fingerprint::Fingerprint) {
+        let unused = |e: &Entry| {
+            let unproved = e.losses.is_empty() && e.pending.is_empty();
+            unproved && e.permit.is_none() && e.waiting.is_empty()
+        };
+        if self.entries.get(&fingerprint).is_some_and(unused) {
+            self.clear(fingerprint);
+        }
+    }
+
     fn clear(&mut self, fingerprint: fingerprint::Fingerprint) {
         let entry = self.entries.remove(&fingerprint);
         for turn in entry.into_iter().flat_map(|entry| entry.waiting) {
@@ -314,20 +350,19 @@
     }
 
     fn expire(&mut self, now: time::Instant, fingerprint: fingerprint::Fingerprint) {
-        let suspect_lifetime = self.cfg.suspect_lifetime;
-        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+        let Some(entry) = self.entries.get(&fingerprint) else {
             return;
         };
-        let ended = match entry.blocked_until {
-            Some(until) => until <= now,
-            None => now.since(entry.touched) >= suspect_lifetime,
-        };
-        if ended {
+        if self.end_of(entry) <= now {
             return self.clear(fingerprint);
         }
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return;
+        };
         if entry.permit.is_some_and(|permit| permit.until <= now) {
             entry.permit = None;
         }
+        entry.pending.retain(|_, until| *until > now);
         let waiting = std::mem::take(&mut entry.waiting);
         let (late, waiting): (Vec<Turn>, Vec<Turn>) =
             waiting.into_iter().partition(|turn| turn.until <= now);
@@ -338,16 +373,25 @@
         self.serve(now, fingerprint);
     }
 
-    fn due(&self, entry: &Entry) -> time::Instant {
-        let mut due = match entry.blocked_until {
+    /// Time at which the entry is forgotten.
+    fn end_of(&self, entry: &Entry) -> time::Instant {
+        match entry.blocked_until {
             Some(until) => until,
+            None if entry.losses.is_empty() => entry.touched + self.cfg.unproved_lifetime,
             None => entry.touched + self.cfg.suspect_lifetime,
-        };
+        }
+    }
+
+    fn due(&self, entry: &Entry) -> time::Instant {
+        let mut due = self.end_of(entry);
         for turn in entry.permit.iter().chain(&entry.waiting) {
             due = due.min(turn.until);
         }
+        for until in entry.pending.values() {
+            due = due.min(*until);
+        }
         // After a change of leader the waiting calls get their turn when the rebuild is over.
-        if entry.permit.is_none() && !entry.waiting.is_empty() {
+        if entry.permit.is_none() && entry.may_run() && !entry.waiting.is_empty() {
             due = due.min(self.ready);
         }
         due
@@ -367,6 +411,15 @@
         });
     }
 
+    /// Returns the entry of a suspect and tells the gateways if it is new.
+    fn published(&mut self, now: time::Instant, suspect: &message::Suspect) -> &mut Entry {
+        if !self.entries.contains_key(&suspect.fingerprint) {
+            self.entry(now, suspect);
+            self.publish(now, suspect.fingerprint);
+        }
+        self.entry(now, suspect)
+    }
+
     /// Returns the entry of a suspect, making room for it by dropping the entry that was not
     /// touched for longest, suspects before blocks.
     fn entry(&mut self, now: time::Instant, suspect: &message::Suspect) -> &mut Entry {
@@ -381,6 +434,7 @@
         let new = || Entry {
             label: suspect.label.clone(),
             losses: collections::BTreeSet::new(),
+            pending: collections::BTreeMap::new(),
             blocked_until: None,
             touched: now,
             changed: false,
@@ -394,6 +448,12 @@
 }
 
 impl Entry {
+    /// Whether an isolated run may start. While it is open whether enough targets were lost for a
+    /// block, it waits.
+    fn may_run(&self) -> bool {
+        self.pending.is_empty() || self.losses.len() + self.pending.len() < LOSSES_TO_BLOCK
+    }
+
     fn record(&self, now: time::Instant, fingerprint: fingerprint::Fingerprint) -> message::Record {
         message::Record {
             suspect: message::Suspect {
--- a/core/src/containment/message.rs
+++ b/core/src/containment/message.rs
@@ -38,7 +38,7 @@
 /// Asks to run a suspect.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PermitRequest {
-    /// Call that wants to run; unique within the gateway.
+    /// Run that asks, unique within the gateway; each try of a call has a new one.
     pub call: u64,
     /// Request of the call.
     pub suspect: Suspect,
@@ -107,6 +107,8 @@
 pub struct Rebuild {
     /// Suspects and blocks known to the gateway.
     pub records: Vec<Record>,
+    /// Targets that may be lost, with the calls that were in flight.
+    pub doubts: Vec<CrashReport>,
     /// Isolated runs that hold a permit of an earlier leader: call, request and remaining time.
     pub permits: Vec<PermitRequest>,
 }
--- a/core/src/ledger/service.rs
+++ b/core/src/ledger/service.rs
@@ -343,6 +343,12 @@
     }
 
     fn park(&mut self, key: key::Key, waiter: Waiter, expires: time::UnixMillis) {
+        // A claim that asks again replaces its earlier request.
+        let same = |w: &&Waiter| w.holder == waiter.holder;
+        let earlier = self.parked.get(&key).and_then(|all| all.iter().find(same));
+        if let Some(token) = earlier.map(|waiter| waiter.token) {
+            self.forget(token);
+        }
         if self.parked_deadlines.len() >= self.cfg.max_waiting {
             return self.answer(waiter.token, ServiceReply::Busy);
         }
--- a/core/tests/containment.rs
+++ b/core/tests/containment.rs
@@ -74,6 +74,10 @@
     }
 }
 
+fn outputs(gateway: &mut containment::Gateway) -> Vec<containment::Output> {
+    std::iter::from_fn(|| gateway.poll_output()).collect()
+}
+
 fn replies(leader: &mut containment::Leader) -> Vec<(u64, containment::PermitReply)> {
     let outputs = std::iter::from_fn(|| leader.poll_output());
     let reply = |output| match output {
@@ -107,7 +111,8 @@
 fn all_calls_in_flight_on_a_lost_target_are_reported() {
     let mut gateway = with_calls(2, 3);
     gateway.connection_ended(ms(0), &target(1), START, unanswered(1, 10));
-    assert_eq!(gateway.poll_output(), None);
+    let suspected = |request| containment::Output::Suspect(report(1, &[request]));
+    assert_eq!(outputs(&mut gateway), [suspected(10)]);
     let fingerprint = containment::Fingerprint(10);
     assert_eq!(
         gateway.decide(ms(0), fingerprint),
@@ -115,8 +120,8 @@
     );
     gateway.connection_ended(ms(1), &target(1), START, unanswered(2, 11));
     gateway.connection_ended(ms(1), &target(1), START, containment::End::Idle);
-    let expected = containment::Output::Report(report(1, &[10, 11]));
-    assert_eq!(gateway.poll_output(), Some(expected));
+    let reported = containment::Output::Report(report(1, &[10, 11]));
+    assert_eq!(outputs(&mut gateway), [suspected(11), reported]);
 }
 
 /// Guards against suspicion of a call whose connection alone was reset.
@@ -140,7 +145,9 @@
         gateway.decide(ms(6), fingerprint),
         containment::Decision::Run
     );
-    assert_eq!(gateway.poll_output(), None);
+    let acquitted = containment::Output::Acquit(report(1, &[10]));
+    let suspected = containment::Output::Suspect(report(1, &[10]));
+    assert_eq!(outputs(&mut gateway), [suspected, acquitted]);
 }
 
 /// Guards against a crash that goes unnoticed because the call's connection was the only one.
@@ -154,10 +161,11 @@
     for evidence in evidence {
         let mut gateway = with_calls(1, 1);
         gateway.connection_ended(ms(0), &target(1), START, unanswered(1, 10));
-        assert_eq!(gateway.poll_output(), None);
+        let suspected = containment::Output::Suspect(report(1, &[10]));
+        assert_eq!(outputs(&mut gateway), [suspected]);
         evidence(&mut gateway);
-        let expected = containment::Output::Report(report(1, &[10]));
-        assert_eq!(gateway.poll_output(), Some(expected));
+        let reported = containment::Output::Report(report(1, &[10]));
+        assert_eq!(outputs(&mut gateway), [reported]);
     }
 }
 
@@ -169,7 +177,9 @@
     assert_eq!(gateway.next_deadline(), Some(ms(5_000)));
     gateway.tick(ms(5_000));
     gateway.incarnation_ended(ms(5_001), &target(1));
-    assert_eq!(gateway.poll_output(), None);
+    let acquitted = containment::Output::Acquit(report(1, &[10]));
+    let suspected = containment::Output::Suspect(report(1, &[10]));
+    assert_eq!(outputs(&mut gateway), [suspected, acquitted]);
     let fingerprint = containment::Fingerprint(10);
     assert_eq!(
         gateway.decide(ms(5_001), fingerprint),
@@ -242,12 +252,54 @@
     assert!(leader.list(ms(600_002)).is_empty());
 }
 
+/// Guards against a resend at another gateway that loses a second target before the first loss is
+/// attributed, and against suspicion without a loss that outlives its reason.
+#[test]
+fn suspicion_is_published_before_the_loss_is_certain() {
+    let mut leader = leader();
+    leader.suspect(ms(0), &report(1, &[10]));
+    let known = containment::Record {
+        suspect: suspect(10),
+        losses: Vec::new(),
+        blocked_for: None,
+    };
+    let published = |notice| Some(containment::LeaderOutput::Publish(notice));
+    let update = containment::Notice::Update(known);
+    assert_eq!(leader.poll_output(), published(update));
+    leader.acquit(ms(1), &report(1, &[10]));
+    let cleared = containment::Notice::Cleared(containment::Fingerprint(10));
+    assert_eq!(leader.poll_output(), published(cleared));
+}
+
+/// Guards against a third loss while it is not yet clear whether an earlier one was a loss.
+#[test]
+fn isolated_runs_wait_for_open_suspicions() {
+    let mut leader = leader();
+    leader.suspect(ms(0), &report(1, &[10]));
+    leader.report(ms(1), &report(2, &[10]));
+    leader.ask(ms(2), types::VmId(1), &ask(1, 10));
+    assert_eq!(replies(&mut leader), []);
+    leader.report(ms(3), &report(1, &[10]));
+    let blocked = containment::PermitReply::Blocked(Duration::from_secs(600));
+    assert_eq!(replies(&mut leader), [(1, blocked)]);
+    leader.suspect(ms(0), &report(1, &[11]));
+    leader.report(ms(1), &report(3, &[11]));
+    leader.ask(ms(2), types::VmId(1), &ask(2, 11));
+    leader.acquit(ms(3), &report(1, &[11]));
+    assert_eq!(
+        replies(&mut leader),
+        [(2, containment::PermitReply::Granted)]
+    );
+}
+
 /// Guards against counting one lost target once for each gateway that saw it.
 #[test]
 fn reports_of_several_gateways_about_one_target_are_one_loss() {
     let mut leader = leader();
     leader.report(ms(0), &report(1, &[10]));
+    assert!(leader.poll_output().is_some());
     leader.report(ms(1), &report(1, &[10]));
+    assert_eq!(leader.poll_output(), None);
     assert!(!is_blocked(&leader, 10));
 }
 
--- a/wire/src/containment.rs
+++ b/wire/src/containment.rs
@@ -26,6 +26,10 @@
 /// A containment message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Message {
+    /// A gateway suspects requests whose target may be lost.
+    Suspect(containment::CrashReport),
+    /// The target of a suspicion was not lost.
+    Acquit(containment::CrashReport),
     /// A gateway reports a lost target.
     Report(containment::CrashReport),
     /// A gateway asks to run a suspect.
@@ -46,6 +50,8 @@
     fn from(message: &Message) -> Self {
         use proto::containment_message as content;
         let body = match message {
+            Message::Suspect(doubt) => content::Body::Suspect(doubt.into()),
+            Message::Acquit(doubt) => content::Body::Acquit(doubt.into()),
             Message::Report(report) => content::Body::Report(report.into()),
             Message::Ask(request) => content::Body::Ask(request.into()),
             Message::Done(done) => content::Body::Done(done.into()),
@@ -66,6 +72,8 @@
     fn try_from(message: proto::ContainmentMessage) -> Result<Self, Error> {
         use proto::containment_message as content;
         let message = match message.body.ok_or(Error("body"))? {
+            content::Body::Suspect(doubt) => Message::Suspect(doubt.try_into()?),
+            content::Body::Acquit(doubt) => Message::Acquit(doubt.try_into()?),
             content::Body::Report(report) => Message::Report(report.try_into()?),
             content::Body::Ask(request) => Message::Ask(request.try_into()?),
             content::Body::Done(done) => Message::Done(done.try_into()?),
@@ -289,6 +297,7 @@
         proto::Rebuild {
             records: rebuild.records.iter().map(Into::into).collect(),
             permits: rebuild.permits.iter().map(Into::into).collect(),
+            doubts: rebuild.doubts.iter().map(Into::into).collect(),
         }
     }
 }
@@ -300,6 +309,7 @@
         Ok(containment::Rebuild {
             records: convert(message.records)?,
             permits: convert(message.permits)?,
+            doubts: convert(message.doubts)?,
         })
     }
 }
--- a/wire/tests/keys.rs
+++ b/wire/tests/keys.rs
@@ -129,6 +129,10 @@
         losses: vec![target.clone()],
         blocked_for,
     };
+    let report = containment::CrashReport {
+        target: target.clone(),
+        suspects: vec![suspect.clone()],
+    };
     let request = containment::PermitRequest {
         call: 5,
         suspect: suspect.clone(),
@@ -149,10 +153,9 @@
         })
     };
     let messages = [
-        wire_containment::Message::Report(containment::CrashReport {
-            target: target.clone(),
-            suspects: vec![suspect.clone()],
-        }),
+        wire_containment::Message::Suspect(report.clone()),
+        wire_containment::Message::Acquit(report.clone()),
+        wire_containment::Message::Report(report.clone()),
         wire_containment::Message::Ask(request.clone()),
         done(containment::RunResult::Answered),
         done(containment::RunResult::Lost),
@@ -160,6 +163,7 @@
         wire_containment::Message::Rebuild(containment::Rebuild {
             records: vec![record(Some(Duration::ZERO)), record(None)],
             permits: vec![request],
+            doubts: vec![report],
         }),
         permit(containment::PermitReply::Granted),
         permit(containment::PermitReply::Cleared),
