Add the world of keys with generated calls and faults

The promises of the ledger, of containment and of connections have to hold together under lost, late, doubled, crossed and truncated answers, gateway loss, leader change, loss of the quorum, target crashes and silent connections. Fakes drive the core in virtual time from a seed, and a checker compares what ran with what callers were told.

--- /dev/null
+++ b/lab/src/worlds/keys/forward.rs
@@ -0,0 +1,386 @@
+//! Forwarding of a call by a fake gateway: connections, answers, silence.
+
+use std::{rc, time::Duration};
+
+use wagtailshunt_core::{connection, containment, ledger, outcome, time, types};
+
+use super::{
+    checker,
+    gateway::{self, Claim},
+    sim::{Event, Sim},
+    target,
+};
+
+/// Time to open a connection.
+const CONNECT: Duration = Duration::from_millis(1);
+
+/// Pause before another look for a free target or connection.
+const PAUSE: Duration = Duration::from_millis(5);
+
+impl Sim {
+    /// Chooses a target and takes a connection to it.
+    pub(super) fn dispatch(&mut self, gateway: usize, call: u64) {
+        let now = self.now;
+        let proof_of_life = self.settings.proof_of_life;
+        let Some(state) = self.gateways[gateway].calls.get(&call) else {
+            return;
+        };
+        let idle = state.busy.is_none() && state.opening.is_none();
+        if !idle || now >= state.deadline || state.tries >= gateway::MAX_TRIES {
+            return;
+        }
+        let (permitted, run, avoid) = (state.permitted, state.run, state.avoid.clone());
+        let idempotent = state.request.idempotent && state.request.key.is_none();
+        let Some(number) = self.choose(gateway, run, permitted, &avoid) else {
+            return self.after(PAUSE, Event::CallTimer { gateway, call });
+        };
+        let purpose = match (permitted, idempotent || !proof_of_life) {
+            (true, _) => connection::Purpose::Isolated,
+            (false, true) => connection::Purpose::Idempotent,
+            (false, false) => connection::Purpose::NotIdempotent,
+        };
+        let cfg = connection::PoolConfig::default();
+        let pools = &mut self.gateways[gateway].pools;
+        let pool = pools
+            .entry(number)
+            .or_insert_with(|| connection::Pool::new(cfg));
+        let conns = &self.conns;
+        let usable = |conn: &mut u64| conns.get(conn).is_some_and(|link| !link.unusable);
+        let taken = pool.check_out(now, purpose, call, usable);
+        self.close_pooled(gateway, number);
+        let identity = self.targets[number].identity();
+        let Some(state) = self.gateways[gateway].calls.get_mut(&call) else {
+            return;
+        };
+        state.target_number = number;
+        match taken {
+            connection::CheckOut::Full => {
+                self.after(PAUSE, Event::CallTimer { gateway, call });
+            }
+            connection::CheckOut::Busy(busy) => {
+                let link = busy.exchange().call();
+                debug_assert_eq!(link, call);
+                state.busy = Some(busy);
+                state.target = Some(identity);
+                self.transmit(gateway, call);
+            }
+            connection::CheckOut::Open(connecting) => {
+                state.opening = Some(connecting);
+                self.next_conn += 1;
+                let event = Event::Opened {
+                    gateway,
+                    incarnation: self.gateways[gateway].incarnation,
+                    call,
+                    conn: self.next_conn,
+                    target: number,
+                };
+                self.after(CONNECT, event);
+            }
+        }
+    }
+
+    fn choose(
+        &mut self,
+        gateway: usize,
+        run: u64,
+        permitted: bool,
+        avoid: &[usize],
+    ) -> Option<usize> {
+        let numbers = self.candidates(avoid);
+        let identity = |number: &usize| self.targets[*number].identity();
+        let identities: Vec<containment::Target> = numbers.iter().map(identity).collect();
+        let guard = &mut self.gateways[gateway].guard;
+        let chosen = match permitted {
+            true => guard.isolated_target(run, identities.iter()),
+            false => identities.iter().find(|target| !guard.is_reserved(target)),
+        }?;
+        let at = identities.iter().position(|target| target == chosen)?;
+        numbers.get(at).copied()
+    }
+
+    /// A connection was opened, or refused because the target is down.
+    pub(super) fn opened(&mut self, gateway: usize, call: u64, conn: u64, number: usize) {
+        let now = self.now;
+        let identity = self.targets[number].identity();
+        let up = self.targets[number].up;
+        let state = &mut self.gateways[gateway];
+        let waiting = state.calls.get_mut(&call);
+        let connecting = waiting.and_then(|call| call.opening.take());
+        let Some(connecting) = connecting else {
+            return;
+        };
+        if !up {
+            connecting.failed();
+            state.guard.connect_failed(now, &identity);
+            if let Some(call) = state.calls.get_mut(&call) {
+                call.avoid.push(number);
+            }
+            self.drain_guard(gateway);
+            return self.retry(gateway, call);
+        }
+        let link = target::Conn {
+            gateway,
+            target: number,
+            incarnation: self.targets[number].incarnation,
+            opened: now,
+            silent: false,
+            unusable: false,
+            previous: None,
+        };
+        self.conns.insert(conn, link);
+        state.guard.connection_opened(&identity);
+        if let Some(entry) = state.calls.get_mut(&call) {
+            entry.busy = Some(connecting.opened(now, conn, call));
+            entry.target = Some(identity);
+        }
+        self.transmit(gateway, call);
+    }
+
+    /// Sends the call on its connection. This is the only place where a byte reaches a target.
+    fn transmit(&mut self, gateway: usize, call: u64) {
+        let now = self.now;
+        let state = &mut self.gateways[gateway];
+        let Some(entry) = state.calls.get_mut(&call) else {
+            return;
+        };
+        entry.claim = match std::mem::take(&mut entry.claim) {
+            Claim::Granted(claim) => match claim.dispatch(now) {
+                Ok(claim) => Claim::Dispatched(claim),
+                Err(claim) => {
+                    entry.claim = Claim::Granted(claim);
+                    self.drop_busy(gateway, call);
+                    return self.not_sent(gateway, call, outcome::Reason::DeadlineUnreachable);
+                }
+            },
+            other => other,
+        };
+        let Some(busy) = &mut entry.busy else {
+            return;
+        };
+        busy.exchange_mut().request_started();
+        busy.exchange_mut().request_complete();
+        busy.byte(now);
+        entry.tries += 1;
+        let conn = *busy.conn_mut();
+        if let Some(target) = &entry.target {
+            state.guard.started(target);
+        }
+        let hop = self.hop();
+        self.after(hop, Event::Arrived { conn, call });
+        self.watch(gateway, call);
+    }
+
+    /// Dispatches a call that gave up, as a gateway without the fence would.
+    pub(super) fn dispatch_late(
+        &mut self,
+        _gateway: usize,
+        call: u64,
+        _request: rc::Rc<checker::Request>,
+        _holder: ledger::Holder,
+    ) {
+        self.checker.ran(call);
+    }
+
+    /// Decides about a call whose connection may be silent, and sets the next timer.
+    pub(super) fn watch(&mut self, gateway: usize, call: u64) {
+        let now = self.now;
+        let silence = self.settings.silence;
+        let state = &mut self.gateways[gateway];
+        let Some(entry) = state.calls.get(&call) else {
+            return;
+        };
+        let Some(busy) = &entry.busy else {
+            return;
+        };
+        let number = entry.target_number;
+        let cfg = connection::HealthConfig::default();
+        let new = || connection::Health::new(cfg);
+        let health = state.health.entry(number).or_insert_with(new);
+        let view = connection::CallView {
+            idempotent: entry.request.idempotent && entry.request.key.is_none() && silence,
+            last_byte: busy.last_byte(),
+            deadline: entry.deadline,
+            answer_started: false,
+            moves: entry.moves,
+        };
+        let started = busy.started();
+        match connection::decide(now, &view, health) {
+            connection::Decision::Wait(at) | connection::Decision::Hold(at) => {
+                let delay = at.since(now);
+                self.after(delay, Event::CallTimer { gateway, call });
+            }
+            connection::Decision::Move => {
+                health.silent();
+                if let Some(pool) = state.pools.get_mut(&number) {
+                    pool.silent(started);
+                }
+                if let Some(entry) = state.calls.get_mut(&call) {
+                    entry.moves += 1;
+                    entry.may_have_run = true;
+                }
+                self.close_pooled(gateway, number);
+                self.drop_busy(gateway, call);
+                self.retry(gateway, call);
+            }
+            connection::Decision::Unknown | connection::Decision::Abort => {
+                self.drop_busy(gateway, call);
+                self.unknown(gateway, call, outcome::Reason::TimedOut);
+            }
+        }
+    }
+
+    /// Closes the call's connection from the gateway's side.
+    pub(super) fn drop_busy(&mut self, gateway: usize, call: u64) {
+        self.end_busy(gateway, call, containment::End::Own);
+    }
+
+    pub(super) fn end_busy(&mut self, gateway: usize, call: u64, end: containment::End) {
+        let now = self.now;
+        let state = &mut self.gateways[gateway];
+        let Some(entry) = state.calls.get_mut(&call) else {
+            return;
+        };
+        let Some(busy) = entry.busy.take() else {
+            return;
+        };
+        let dispatched = busy.exchange().is_dispatched();
+        let started = busy.started();
+        let conn = busy.close().conn;
+        let opened = self.conns.remove(&conn).map_or(now, |link| link.opened);
+        let Some(target) = entry.target.take() else {
+            return;
+        };
+        let own = matches!(end, containment::End::Own);
+        state.guard.connection_ended(now, &target, opened, end);
+        if dispatched {
+            let ended = containment::Call {
+                id: entry.run,
+                fingerprint: entry.request.fingerprint(),
+                target: &target,
+                opened,
+                started,
+            };
+            state.guard.finished(&ended, false);
+        }
+        if own && entry.permitted {
+            state.guard.give_up(entry.run);
+        }
+        entry.permitted = false;
+        self.drain_guard(gateway);
+    }
+
+    /// A try ended without a complete answer.
+    pub(super) fn broken(&mut self, gateway: usize, call: u64) {
+        let proofs = self.settings.proofs;
+        let Some(entry) = self.gateways[gateway].calls.get_mut(&call) else {
+            return;
+        };
+        let keyed = entry.request.key.is_some();
+        let repeatable = entry.request.idempotent && !keyed;
+        if !proofs {
+            let proof = outcome::NotRunProof::of(outcome::Attempt::NotSent);
+            if let (Claim::Dispatched(claim), Some(proof)) =
+                (std::mem::take(&mut entry.claim), proof)
+            {
+                entry.claim = Claim::Granted(claim.retry(proof));
+            }
+            return self.retry(gateway, call);
+        }
+        entry.may_have_run = true;
+        match repeatable {
+            true => self.retry(gateway, call),
+            false => self.unknown(gateway, call, outcome::Reason::ConnectionBroken),
+        }
+    }
+
+    /// Tries another target, if there is time and a try left.
+    pub(super) fn retry(&mut self, gateway: usize, call: u64) {
+        let Some(entry) = self.gateways[gateway].calls.get_mut(&call) else {
+            return;
+        };
+        let left = self.targets.len() > entry.avoid.len();
+        if entry.tries < gateway::MAX_TRIES && left {
+            entry.permitted = false;
+            return self.proceed(gateway, call);
+        }
+        match entry.may_have_run {
+            true => self.unknown(gateway, call, outcome::Reason::ConnectionBroken),
+            false => self.not_sent(gateway, call, outcome::Reason::TargetRefused),
+        }
+    }
+
+    /// Ends a call whose outcome is not known.
+    fn unknown(&mut self, gateway: usize, call: u64, reason: outcome::Reason) {
+        let Some(entry) = self.gateways[gateway].calls.get_mut(&call) else {
+            return;
+        };
+        if let Claim::Dispatched(claim) = std::mem::take(&mut entry.claim) {
+            let fail = claim.unknown();
+            self.end_claim(gateway, fail);
+        }
+        self.problem(gateway, call, reason, outcome::Outcome::Unknown);
+    }
+
+    /// A timer of a call is due.
+    pub(super) fn call_timer(&mut self, gateway: usize, call: u64) {
+        let now = self.now;
+        let Some(entry) = self.gateways[gateway].calls.get_mut(&call) else {
+            return;
+        };
+        let nearly = now + gateway::GIVE_UP_MARGIN >= entry.deadline;
+        let asked_again = now >= entry.asked + Duration::from_millis(20);
+        match &entry.claim {
+            Claim::Requested(_) if nearly => {
+                self.not_sent(gateway, call, outcome::Reason::LedgerUnavailable);
+            }
+            Claim::Completing(claim) if nearly => {
+                let request = claim.request();
+                self.end_claim(gateway, request);
+                let reason = outcome::Reason::LedgerUnavailable;
+                self.problem(gateway, call, reason, outcome::Outcome::Unknown);
+            }
+            Claim::Requested(_) | Claim::Completing(_) if asked_again => {
+                self.ask_elsewhere(gateway, call, now);
+            }
+            Claim::Requested(_) | Claim::Completing(_) => {}
+            _ if entry.busy.is_some() => self.watch(gateway, call),
+            _ if nearly => self.not_sent(gateway, call, outcome::Reason::DeadlineUnreachable),
+            _ if entry.waits_for_permit || entry.opening.is_some() => {}
+            _ => self.dispatch(gateway, call),
+        }
+    }
+
+    fn ask_elsewhere(&mut self, gateway: usize, call: u64, now: time::Instant) {
+        let state = &mut self.gateways[gateway];
+        if let Some(entry) = state.calls.get(&call)
+            && now >= entry.asked + gateway::CONTROL_TIMEOUT
+            && !entry.runs_elsewhere
+        {
+            state.node = (state.node + 1) % 3;
+        }
+        self.ask_control(gateway, call);
+    }
+
+    /// Closes what a pool no longer wants.
+    pub(super) fn close_pooled(&mut self, gateway: usize, number: usize) {
+        let now = self.now;
+        let state = &mut self.gateways[gateway];
+        let Some(pool) = state.pools.get_mut(&number) else {
+            return;
+        };
+        while let Some(closed) = pool.poll_closed() {
+            let Some(link) = self.conns.remove(&closed.conn) else {
+                continue;
+            };
+            let target = containment::Target {
+                incarnation: types::Incarnation(link.incarnation),
+                ..self.targets[link.target].identity()
+            };
+            // An unusable connection was counted when its target closed it.
+            if !link.unusable {
+                let end = containment::End::Own;
+                state.guard.connection_ended(now, &target, link.opened, end);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/worlds/keys/mod.rs
@@ -0,0 +1,368 @@
+//! Idempotency keys, containment and connections against fake targets.
+//!
+//! Fake gateways drive the claim life cycle, the ledger, containment and the connection decisions of
+//! the core. Fake targets record which calls really ran. Settings are in `settings.rs`; those that
+//! are `on` by default switch off one mechanism each.
+//!
+//! Commands:
+//!
+//! * `call NAME [gateway=N] [key=WORD] [body=WORD] [attempt=N] [timeout=T] [idempotent=on]
+//!   [poison=on] [answer=FAULT] [service_time=T] [resends=N]` sends a request. FAULT is one of
+//!   `lost`, `late`, `doubled`, `crossed`, `truncated`, `reset`, `refused`, `bare`.
+//! * `load calls=N rate=N [resends=N] [poison=SHARE]` sends generated calls, `rate` in each second.
+//! * `crash_gateway N`, `crash_target N`, `silence_target N`.
+//! * `crash_leader`, `cut_leader`, `quorum on|off`.
+//! * `chaos until=T` causes random faults until that time.
+//! * `lift NAME` lifts the block of a request, as an operator does.
+//!
+//! Checks:
+//!
+//! * `single_runs`: no key ran twice; `true_not_runs`: nothing ran that was called not run;
+//!   `whole_answers`: no caller got a part of another answer; `timely_answers`: no answer came after
+//!   its deadline.
+//! * `runs NAME N`: runs of all attempts; `lost_targets NAME N`: at most N targets were lost to the
+//!   request; `lost_targets_each N`: the same for every request.
+//! * `told NAME WHAT [attempt=N]`, WHAT being `answer`, `replayed`, `not-run`, `unknown`,
+//!   `completed`, `nothing` or `pending`.
+//! * `reason NAME SLUG [attempt=N]`: the problem type of the answer ends with the slug.
+//! * `blocked NAME`, `cleared NAME`: what the leader of group 0 lists.
+//! * `answered SHARE`: at least this share of the requests was answered by a target in the end.
+
+mod answers;
+mod checker;
+mod control;
+mod forward;
+mod gateway;
+mod settings;
+mod sim;
+mod target;
+
+use std::{collections, rc, time::Duration};
+
+use rand::Rng;
+use wagtailshunt_core::{containment, ledger, time};
+
+use crate::scenario;
+
+/// Creates the world, not yet set up.
+pub fn new() -> Box<dyn scenario::World> {
+    Box::new(Keys::default())
+}
+
+#[derive(Debug, Default)]
+struct Keys {
+    settings: settings::Settings,
+    sim: Option<sim::Sim>,
+    keys: collections::BTreeMap<String, ledger::Key>,
+}
+
+impl scenario::World for Keys {
+    fn set(&mut self, key: &str, value: &scenario::Arg) -> Result<(), scenario::WorldError> {
+        self.settings.set(key, value)
+    }
+
+    fn start(&mut self, seed: u64) -> Result<(), scenario::WorldError> {
+        self.sim = Some(sim::Sim::new(self.settings.clone(), seed));
+        Ok(())
+    }
+
+    fn next_event(&self) -> Option<time::Instant> {
+        self.sim.as_ref().and_then(sim::Sim::next_event)
+    }
+
+    fn advance(&mut self, now: time::Instant) {
+        if let Some(sim) = &mut self.sim {
+            sim.advance(now);
+        }
+    }
+
+    fn command(
+        &mut self,
+        now: time::Instant,
+        name: &str,
+        args: &scenario::Args,
+    ) -> Result<(), scenario::WorldError> {
+        let Keys { sim, keys, .. } = self;
+        let sim = started(sim)?;
+        sim.now = now;
+        match name {
+            "call" => call(sim, keys, args)?,
+            "load" => load(sim, args)?,
+            "crash_gateway" => sim.crash_gateway(index(args, sim.gateways.len())?),
+            "crash_target" => sim.crash_target(index(args, sim.targets.len())?),
+            "silence_target" => sim.silence_target(index(args, sim.targets.len())?),
+            "crash_leader" => sim.lose_leader(true),
+            "cut_leader" => sim.lose_leader(false),
+            "quorum" => sim.set_quorum(args.at(0)?.as_bool()?),
+            "chaos" => {
+                let until = args.required("until")?.as_duration()?;
+                let until = time::Instant(0) + until;
+                sim.after(Duration::ZERO, sim::Event::Chaos { until });
+            }
+            "lift" => {
+                let fingerprint = fingerprint(sim, args.text(0)?)?;
+                sim.control.containment.lift(fingerprint);
+            }
+            _ => return Err(scenario::WorldError::UnknownCommand(name.to_owned())),
+        }
+        Ok(())
+    }
+
+    fn check(
+        &mut self,
+        _now: time::Instant,
+        name: &str,
+        args: &scenario::Args,
+    ) -> Result<scenario::Verdict, scenario::WorldError> {
+        let sim = started(&mut self.sim)?;
+        let checker = &sim.checker;
+        let verdict = match name {
+            "single_runs" => none(&checker.double_runs),
+            "true_not_runs" => none(&checker.false_not_runs),
+            "whole_answers" => none(&checker.mixed_answers),
+            "timely_answers" => none(&checker.late_answers),
+            "runs" => {
+                let (wanted, runs) = (args.u64(1)?, runs(sim, args.text(0)?)?);
+                verdict(runs == wanted, || format!("{runs} runs"))
+            }
+            "lost_targets" => {
+                let most = args.u64(1)?;
+                let lost = checker.crashes.get(args.text(0)?).copied();
+                let lost = u64::from(lost.unwrap_or(0));
+                verdict(lost <= most, || format!("{lost} targets lost"))
+            }
+            "lost_targets_each" => {
+                let most = args.u64(0)?;
+                let over = |(_, lost): &(&String, &u32)| u64::from(**lost) > most;
+                let worst = checker.crashes.iter().find(over);
+                verdict(worst.is_none(), || format!("{worst:?}"))
+            }
+            "told" => {
+                let attempt = attempt(sim, args)?;
+                let found = describe(attempt);
+                verdict(found == args.text(1)?, || format!("was told {found}"))
+            }
+            "reason" => {
+                let attempt = attempt(sim, args)?;
+                let found = match &attempt.told {
+                    Some((_, checker::Told::Problem(reason, _))) => reason.type_uri(),
+                    _ => "no problem",
+                };
+                verdict(found.ends_with(args.text(1)?), || format!("was {found}"))
+            }
+            "blocked" => {
+                let record = listed(sim, args)?;
+                let blocked = record.as_ref().is_some_and(|r| r.blocked_for.is_some());
+                verdict(blocked, || format!("listed as {record:?}"))
+            }
+            "cleared" => {
+                let record = listed(sim, args)?;
+                verdict(record.is_none(), || format!("listed as {record:?}"))
+            }
+            "answered" => {
+                let (wanted, share) = (args.f64(0)?, answered(sim));
+                verdict(share >= wanted, || format!("{share} answered"))
+            }
+            "keys" => {
+                let (wanted, keys) = (args.u64(0)?, sim.control.keys() as u64);
+                verdict(keys == wanted, || format!("{keys} keys"))
+            }
+            _ => return Err(scenario::WorldError::UnknownCheck(name.to_owned())),
+        };
+        Ok(verdict)
+    }
+
+    fn timeline(&mut self) -> Vec<scenario::Line> {
+        let lines = self.sim.as_mut().map(|sim| std::mem::take(&mut sim.lines));
+        lines.unwrap_or_default()
+    }
+}
+
+fn started(sim: &mut Option<sim::Sim>) -> Result<&mut sim::Sim, scenario::WorldError> {
+    let missing = || scenario::WorldError::Invalid("the world was not started".to_owned());
+    sim.as_mut().ok_or_else(missing)
+}
+
+fn invalid(text: String) -> scenario::WorldError {
+    scenario::WorldError::Invalid(text)
+}
+
+/// Reads a number from 1 as an index from 0.
+fn index(args: &scenario::Args, count: usize) -> Result<usize, scenario::WorldError> {
+    let number = args.u64(0)? as usize;
+    match (1..=count).contains(&number) {
+        true => Ok(number - 1),
+        false => Err(invalid(format!("there is no number {number}"))),
+    }
+}
+
+fn call(
+    sim: &mut sim::Sim,
+    keys: &mut collections::BTreeMap<String, ledger::Key>,
+    args: &scenario::Args,
+) -> Result<(), scenario::WorldError> {
+    let number = |name, default| args.named(name).map_or(Ok(default), scenario::Arg::as_u64);
+    let switch = |name| args.named(name).map_or(Ok(false), scenario::Arg::as_bool);
+    let text = |name| args.named(name).map(scenario::Arg::as_text).transpose();
+    let duration = |name| args.named(name).map(scenario::Arg::as_duration).transpose();
+    let key = text("key")?.map(|word| {
+        let next = keys.len() as u128 + 1;
+        let new = || ledger::Key::new(sim.wall(), next);
+        *keys.entry(word.to_owned()).or_insert_with(new)
+    });
+    let request = checker::Request {
+        name: args.text(0)?.to_owned(),
+        key,
+        body: text("body")?.unwrap_or("body").to_owned(),
+        idempotent: switch("idempotent")?,
+        poison: switch("poison")?,
+        fault: text("answer")?.map(fault).transpose()?,
+        timeout: duration("timeout")?.unwrap_or(Duration::from_secs(1)),
+        service_time: duration("service_time")?,
+        resends: number("resends", 0)? as u32,
+    };
+    let attempt = number("attempt", 1)? as u32;
+    let gateway = number("gateway", 1)? as usize;
+    if !(1..=sim.gateways.len()).contains(&gateway) {
+        return Err(invalid(format!("there is no gateway {gateway}")));
+    }
+    sim.send(rc::Rc::new(request), attempt, Some(gateway - 1));
+    Ok(())
+}
+
+fn fault(name: &str) -> Result<checker::Fault, scenario::WorldError> {
+    match name {
+        "lost" => Ok(checker::Fault::Lost),
+        "late" => Ok(checker::Fault::Late),
+        "doubled" => Ok(checker::Fault::Doubled),
+        "crossed" => Ok(checker::Fault::Crossed),
+        "truncated" => Ok(checker::Fault::Truncated),
+        "reset" => Ok(checker::Fault::Reset),
+        "refused" => Ok(checker::Fault::Refused),
+        "bare" => Ok(checker::Fault::Bare),
+        _ => Err(invalid(format!("unknown fault `{name}`"))),
+    }
+}
+
+/// Generates calls: half of them keyed, most of the others idempotent.
+fn load(sim: &mut sim::Sim, args: &scenario::Args) -> Result<(), scenario::WorldError> {
+    let calls = args.required("calls")?.as_u64()?;
+    let rate = args.required("rate")?.as_u64()?.max(1);
+    let resends = args.named("resends");
+    let resends = resends.map_or(Ok(3), scenario::Arg::as_u64)? as u32;
+    let poison = args.named("poison");
+    let poison = poison.map_or(Ok(0.0), scenario::Arg::as_f64)?;
+    let first = sim.generated;
+    sim.generated += calls;
+    for number in 0..calls {
+        let kind = sim.rng.random_range(0..10);
+        let created = time::UnixMillis(sim.wall().0 + number * 1_000 / rate);
+        let random = u128::from(sim.rng.random::<u64>());
+        let key = (kind < 5).then(|| ledger::Key::new(created, random));
+        let poisoned = sim.rng.random_bool(poison);
+        let request = checker::Request {
+            name: format!("load{}", first + number),
+            key,
+            body: format!("body{number}"),
+            idempotent: (5..9).contains(&kind) || poisoned,
+            poison: poisoned,
+            fault: None,
+            timeout: Duration::from_millis(sim.rng.random_range(200..1_500)),
+            service_time: None,
+            // A call that may not repeat and has no key is not sent again.
+            resends: if kind == 9 && !poisoned { 0 } else { resends },
+        };
+        let event = sim::Event::Send {
+            request: rc::Rc::new(request),
+            number: 1,
+            gateway: None,
+        };
+        sim.after(Duration::from_micros(number * 1_000_000 / rate), event);
+    }
+    Ok(())
+}
+
+fn verdict(holds: bool, reason: impl FnOnce() -> String) -> scenario::Verdict {
+    scenario::Verdict::from_condition(holds, reason)
+}
+
+fn none(violations: &[String]) -> scenario::Verdict {
+    verdict(violations.is_empty(), || {
+        format!("{} violations: {}", violations.len(), violations[0])
+    })
+}
+
+fn named<'a>(
+    sim: &'a sim::Sim,
+    name: &str,
+) -> Result<Vec<&'a checker::Attempt>, scenario::WorldError> {
+    let attempts = sim.checker.attempts.values();
+    let found: Vec<_> = attempts.filter(|a| a.request.name == name).collect();
+    match found.is_empty() {
+        true => Err(invalid(format!("no request `{name}` was sent"))),
+        false => Ok(found),
+    }
+}
+
+fn runs(sim: &sim::Sim, name: &str) -> Result<u64, scenario::WorldError> {
+    let attempts = named(sim, name)?;
+    Ok(attempts.iter().map(|attempt| u64::from(attempt.runs)).sum())
+}
+
+/// The attempt of this number, or the last one.
+fn attempt<'a>(
+    sim: &'a sim::Sim,
+    args: &scenario::Args,
+) -> Result<&'a checker::Attempt, scenario::WorldError> {
+    let attempts = named(sim, args.text(0)?)?;
+    let number = args.named("attempt");
+    let number = number.map(scenario::Arg::as_u64).transpose()?;
+    let wanted = |attempt: &&&checker::Attempt| match number {
+        Some(number) => u64::from(attempt.number) == number,
+        None => true,
+    };
+    let found = attempts.iter().rfind(wanted);
+    found
+        .copied()
+        .ok_or_else(|| invalid("no such attempt".to_owned()))
+}
+
+fn describe(attempt: &checker::Attempt) -> String {
+    match &attempt.told {
+        None => "pending".to_owned(),
+        Some((_, checker::Told::Nothing)) => "nothing".to_owned(),
+        Some((_, checker::Told::Answer { replayed: true, .. })) => "replayed".to_owned(),
+        Some((_, checker::Told::Answer { .. })) => "answer".to_owned(),
+        Some((_, checker::Told::Problem(_, outcome))) => outcome.to_string(),
+    }
+}
+
+fn fingerprint(
+    sim: &sim::Sim,
+    name: &str,
+) -> Result<containment::Fingerprint, scenario::WorldError> {
+    let attempts = named(sim, name)?;
+    Ok(attempts[0].request.fingerprint())
+}
+
+fn listed(
+    sim: &sim::Sim,
+    args: &scenario::Args,
+) -> Result<Option<containment::Record>, scenario::WorldError> {
+    let fingerprint = fingerprint(sim, args.text(0)?)?;
+    let records = sim.control.containment.list(sim.now);
+    Ok(records
+        .into_iter()
+        .find(|record| record.suspect.fingerprint == fingerprint))
+}
+
+/// Share of requests of which some attempt was answered by a target.
+fn answered(sim: &sim::Sim) -> f64 {
+    let mut requests = collections::BTreeMap::<&str, bool>::new();
+    for attempt in sim.checker.attempts.values() {
+        let answered = matches!(attempt.told, Some((_, checker::Told::Answer { .. })));
+        *requests.entry(&attempt.request.name).or_default() |= answered;
+    }
+    let count = requests.values().filter(|answered| **answered).count();
+    count as f64 / requests.len().max(1) as f64
+}
--- /dev/null
+++ b/lab/tests/keys.rs
@@ -0,0 +1,76 @@
+//! Generated calls with random faults: no key runs twice, nothing runs that was called not run, and
+//! no caller gets a part of another answer.
+
+use wagtailshunt_lab::{scenario, worlds};
+
+/// Calls of one run. 21 runs make more than 100,000 calls.
+const CALLS: u64 = 5_000;
+
+fn run(seed: u64, settings: &str, commands: &str) -> scenario::Report {
+    let text = format!(
+        "world keys\n{settings}\nduration 40s\n\
+         at 10ms load calls={CALLS} rate=200 resends=3\n{commands}\n\
+         expect at 40s single_runs\n\
+         expect at 40s true_not_runs\n\
+         expect at 40s whole_answers\n\
+         expect at 40s timely_answers\n"
+    );
+    let script = scenario::parse(&text).expect("script parses");
+    let options = scenario::Options {
+        seed: Some(seed),
+        ..Default::default()
+    };
+    let mut world = worlds::create("keys").expect("world exists");
+    scenario::run(&script, &options, world.as_mut()).expect("script runs")
+}
+
+const ANSWER_FAULTS: &str = "set lost 0.01\nset late 0.01\nset doubled 0.02\nset crossed 0.01\n\
+     set truncated 0.01\nset reset 0.02\nset refused 0.05\nset bare 0.02";
+
+const CONTROL_FAULTS: &str = "set control_lost 0.05\nset control_doubled 0.05";
+
+/// Guards against any interleaving of faults that runs a key twice, tells a caller "not run" about a
+/// call that ran, or mixes answers.
+#[test]
+fn promises_hold_for_generated_calls_under_all_faults() {
+    for seed in 0..21 {
+        let settings = format!("{ANSWER_FAULTS}\n{CONTROL_FAULTS}");
+        let report = run(seed, &settings, "at 1s chaos until=25s");
+        assert!(report.passed(), "seed {seed}: {:#?}", report.failures);
+    }
+}
+
+/// Guards against a check that would not notice the loss of the mechanism.
+#[test]
+fn checks_notice_each_missing_mechanism() {
+    let switches = [
+        "claims",
+        "grant_fence",
+        "proofs",
+        "claim_numbers",
+        "expiry_is_unknown",
+        "attempts",
+        "framing",
+    ];
+    for switch in switches {
+        let settings = format!("{ANSWER_FAULTS}\n{CONTROL_FAULTS}\nset {switch} off");
+        let noticed = |seed| !run(seed, &settings, "at 1s chaos until=25s").passed();
+        assert!((0..6).any(noticed), "{switch} off was not noticed");
+    }
+}
+
+/// Guards against a request that takes down target after target, over all gateways and resends, and
+/// against a check that would not notice it. A third target may be lost while the leader changes.
+#[test]
+fn crashing_requests_cost_a_bounded_number_of_targets() {
+    let poison = "at 1s load calls=2000 rate=100 poison=0.004\nexpect at 40s lost_targets_each";
+    for seed in 0..4 {
+        let report = run(seed, "set lost 0.002", &format!("{poison} 2"));
+        assert!(report.passed(), "seed {seed}: {:#?}", report.failures);
+        let chaos = format!("{poison} 3\nat 1s chaos until=25s");
+        let report = run(seed, "set lost 0.002", &chaos);
+        assert!(report.passed(), "seed {seed}: {:#?}", report.failures);
+    }
+    let report = run(0, "set containment off", &format!("{poison} 3"));
+    assert!(!report.passed());
+}
