--- a/wagtailshunt/src/control/leader.rs
+++ b/wagtailshunt/src/control/leader.rs
@@ -277,6 +277,8 @@
 ) {
     let now = state.clock.now();
     let led = with_leader(state, |leader| match &message {
+        wire::containment::Message::Suspect(doubt) => leader.containment.suspect(now, doubt),
+        wire::containment::Message::Acquit(doubt) => leader.containment.acquit(now, doubt),
         wire::containment::Message::Report(report) => leader.containment.report(now, report),
         wire::containment::Message::Ask(request) => {
             leader.containment.ask(now, peer.vm, request);
--- a/wagtailshunt/src/gateway/isolation.rs
+++ b/wagtailshunt/src/gateway/isolation.rs
@@ -146,6 +146,8 @@
 pub fn pump(state: &state::State) {
     while let Some(output) = state.isolation.with(containment::Gateway::poll_output) {
         let message = match output {
+            containment::Output::Suspect(doubt) => wire::containment::Message::Suspect(doubt),
+            containment::Output::Acquit(doubt) => wire::containment::Message::Acquit(doubt),
             containment::Output::Report(report) => wire::containment::Message::Report(report),
             containment::Output::Ask(request) => wire::containment::Message::Ask(request),
             containment::Output::Done(done) => wire::containment::Message::Done(done),
