--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -57,7 +57,7 @@
         options::Command::Status(opts) => status::run(global, opts).await,
         options::Command::Timeline(opts) => timeline::run(global, opts).await,
         options::Command::Bench(opts) => bench::run(global, opts).await,
-        options::Command::Demo(_) => demo::run(),
+        options::Command::Demo(_) => demo::run().await,
         options::Command::Scenario(opts) => scenario::run(global, opts),
     }
 }
--- a/cli/src/timeline.rs
+++ b/cli/src/timeline.rs
@@ -101,6 +101,10 @@
         println!("{}", serde_json::json!(event));
         return;
     }
+    println!("{}", line(event));
+}
+
+fn line(event: &Event) -> String {
     let Event {
         stamp,
         vm,
@@ -110,9 +114,15 @@
         fields,
         ..
     } = event;
-    let fields = fields
+    let fields: String = fields
         .iter()
-        .map(|(name, value)| format!(" {name}={value}"));
-    let fields: String = fields.collect();
-    println!("{stamp} vm{vm} {role} [{number}] {text}{fields}");
+        .map(|(name, value)| format!(" {name}={value}"))
+        .collect();
+    format!("{stamp} vm{vm} {role} [{number}] {text}{fields}")
+}
+
+/// Merges JSON lines of several processes into the text of a time line.
+pub fn merge(lines: &str) -> Result<String, exit::Error> {
+    let events: collections::BTreeSet<Event> = parse(lines, "events")?.into_iter().collect();
+    Ok(events.iter().map(|event| line(event) + "\n").collect())
 }
