Wire demo and request-path bench into the command line

Latency quantiles now cover successful calls only, since fast refusals improved them. Fake targets have a failure domain by default; an announcement without one is refused.

--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -1,11 +1,10 @@
 //! Command `bench`: runs a measurement.
 
-use std::{net, time};
+use std::{net, thread, time};
 
-use wagtailshunt_core::types;
-use wagtailshunt_lab::{load, target};
+use wagtailshunt_lab::{load, request_path};
 
-use crate::{api, exit, options};
+use crate::{exit, folder, options};
 
 /// Runs `bench`.
 pub async fn run(
@@ -34,24 +33,14 @@
     global: &options::Program,
     opts: &options::RequestPath,
 ) -> Result<exit::Code, exit::Error> {
-    let targets = start_targets(opts).await?;
-    let started: Vec<net::SocketAddr> = targets.iter().map(target::Handle::address).collect();
-    let direct = if opts.direct.is_empty() {
-        &started
+    let report = if opts.gateway.is_empty() && opts.direct.is_empty() {
+        started_system(opts)?
     } else {
-        &opts.direct
+        let given = [("direct", &opts.direct), ("gateway", &opts.gateway)];
+        let given = given.iter().filter(|(_, addresses)| !addresses.is_empty());
+        let routes: Vec<load::Route> = given.map(|(name, list)| route(name, list)).collect();
+        load::run(&load_config(opts), &routes, &opts.revision).await
     };
-    if direct.is_empty() {
-        return Err(exit::Error::Usage("no target to call".to_owned()));
-    }
-    if !targets.is_empty() && !opts.announce.is_empty() {
-        announced(&targets, global.timeout_ms).await?;
-    }
-    let mut routes = vec![route("direct", direct)];
-    if !opts.gateway.is_empty() {
-        routes.push(route("gateway", &opts.gateway));
-    }
-    let report = load::run(&load_config(opts), &routes, &opts.revision).await;
     if global.json {
         println!("{}", report.to_json());
     } else {
@@ -63,6 +52,24 @@
     }
 }
 
+/// Measures a system that is started for it, on a thread with a runtime of its own.
+fn started_system(opts: &options::RequestPath) -> Result<load::Report, exit::Error> {
+    let data = folder::Folder::new()?;
+    let cfg = request_path::Config {
+        data: data.path().to_owned(),
+        load: load_config(opts),
+        targets: opts.targets,
+        slots: opts.slots,
+        service_time: time::Duration::from_micros(opts.service_us),
+        policy: opts.policy.clone(),
+        revision: opts.revision.clone(),
+    };
+    let run = thread::spawn(move || request_path::run(&cfg));
+    let report = run.join();
+    let report = report.map_err(|_| exit::Error::Failed("the bench panicked".to_owned()))?;
+    report.map_err(|err| exit::Error::Failed(err.to_string()))
+}
+
 fn route(name: &str, addresses: &[net::SocketAddr]) -> load::Route {
     load::Route {
         name: name.to_owned(),
@@ -101,49 +108,3 @@
         ..defaults
     }
 }
-
-async fn start_targets(opts: &options::RequestPath) -> Result<Vec<target::Handle>, exit::Error> {
-    if !opts.direct.is_empty() {
-        return Ok(Vec::new());
-    }
-    let key = match &opts.target_key_file {
-        Some(file) => api::read_key(file)?,
-        None => String::new(),
-    };
-    let announce = (!opts.announce.is_empty()).then(|| target::Announce {
-        gateways: opts.announce.clone(),
-        key,
-        ..target::Announce::default()
-    });
-    let mut targets = Vec::new();
-    for number in 0..opts.targets {
-        let config = target::Config {
-            service: types::ServiceName::from(opts.service.as_str()),
-            id: types::TargetId(format!("bench-{number}")),
-            slots: opts.slots,
-            service_time: target::ServiceTime::Fixed(time::Duration::from_micros(opts.service_us)),
-            seed: opts.seed.wrapping_add(number as u64),
-            announce: announce.clone(),
-            ..target::Config::default()
-        };
-        let started = target::start(config).await;
-        targets.push(started.map_err(|err| exit::Error::Failed(err.to_string()))?);
-    }
-    Ok(targets)
-}
-
-/// Waits until a gateway has accepted an announcement of each target.
-async fn announced(targets: &[target::Handle], limit_ms: u64) -> Result<(), exit::Error> {
-    let deadline = time::Instant::now() + time::Duration::from_millis(limit_ms);
-    while targets
-        .iter()
-        .any(|target| target.counters().announced == 0)
-    {
-        if time::Instant::now() >= deadline {
-            let message = "no gateway accepted the announcements of the targets";
-            return Err(exit::Error::Unreachable(message.to_owned()));
-        }
-        compio::time::sleep(time::Duration::from_millis(20)).await;
-    }
-    Ok(())
-}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod demo;
 mod exit;
+mod folder;
 mod options;
 mod records;
 mod scenario;
@@ -39,7 +40,7 @@
         let message = "a command is missing; `wagtailshunt --help` lists them";
         return Err(exit::Error::Usage(message.to_owned()));
     };
-    let runtime = compio::runtime::Runtime::new().map_err(exit::Error::Runtime)?;
+    let runtime = wagtailshunt::daemon::runtime().map_err(exit::Error::Runtime)?;
     runtime.block_on(dispatch(&opts, command))
 }
 
@@ -57,7 +58,7 @@
         options::Command::Status(opts) => status::run(global, opts).await,
         options::Command::Timeline(opts) => timeline::run(global, opts).await,
         options::Command::Bench(opts) => bench::run(global, opts).await,
-        options::Command::Demo(_) => demo::run(),
+        options::Command::Demo(_) => demo::run().await,
         options::Command::Scenario(opts) => scenario::run(global, opts),
     }
 }
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -34,7 +34,6 @@
 
 /// The commands.
 #[derive(Debug, Options)]
-#[expect(clippy::large_enum_variant, reason = "parsed once in a process")]
 pub enum Command {
     #[options(help = "check files of records or settings without submitting them")]
     Check(Check),
@@ -204,28 +203,21 @@
 pub struct RequestPath {
     #[options(help = "print help", short = "h")]
     pub help: bool,
-    #[options(help = "address of a gateway for callers", no_short)]
-    pub gateway: Vec<net::SocketAddr>,
     #[options(
-        help = "address of a running target; without one, targets are started",
+        help = "address of a gateway; without addresses, a system is started",
         no_short
     )]
+    pub gateway: Vec<net::SocketAddr>,
+    #[options(help = "address of a target, called directly", no_short)]
     pub direct: Vec<net::SocketAddr>,
-    #[options(help = "number of targets to start", default = "3", no_short)]
-    pub targets: usize,
-    #[options(help = "service time of started targets", default = "1000", no_short)]
+    #[options(help = "targets of a started system", default = "10", no_short)]
+    pub targets: u32,
+    #[options(help = "service time of its targets", default = "0", no_short)]
     pub service_us: u64,
-    #[options(help = "slots of started targets", default = "256", no_short)]
+    #[options(help = "slots of each of its targets", default = "1000", no_short)]
     pub slots: u32,
-    #[options(
-        help = "gateway admin address that started targets announce to",
-        no_short
-    )]
-    pub announce: Vec<net::SocketAddr>,
-    #[options(help = "file with the target key", meta = "FILE", no_short)]
-    pub target_key_file: Option<path::PathBuf>,
-    #[options(help = "service of started targets", default = "service", no_short)]
-    pub service: String,
+    #[options(help = "policy of its service", default = "association", no_short)]
+    pub policy: String,
     #[options(help = "Host header", default = "service", no_short)]
     pub host: String,
     #[options(help = "method", default = "GET", no_short)]
--- a/cli/src/timeline.rs
+++ b/cli/src/timeline.rs
@@ -3,7 +3,7 @@
 //! Events are ordered by their hybrid logical clock stamp. If one event can have caused another,
 //! its stamp is smaller, so the order respects cause even when wall clocks disagree.
 
-use std::{collections, path};
+use std::{collections, fmt, path};
 
 use serde::{Deserialize, Serialize};
 use wagtailshunt_core::{event, types};
@@ -99,20 +99,37 @@
 fn print(global: &options::Program, event: &Event) {
     if global.json {
         println!("{}", serde_json::json!(event));
-        return;
+    } else {
+        println!("{event}");
+    }
+}
+
+/// Returns the events of JSON lines as text, in causal order.
+pub fn merged(text: &str) -> String {
+    match parse(text, "events") {
+        Ok(events) => {
+            let events: collections::BTreeSet<Event> = events.into_iter().collect();
+            events.iter().map(|event| format!("{event}\n")).collect()
+        }
+        Err(err) => format!("{err}\n"),
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Event {
+            stamp,
+            vm,
+            role,
+            number,
+            text,
+            fields,
+            ..
+        } = self;
+        write!(f, "{stamp} vm{vm} {role} [{number}] {text}")?;
+        for (name, value) in fields {
+            write!(f, " {name}={value}")?;
+        }
+        Ok(())
     }
-    let Event {
-        stamp,
-        vm,
-        role,
-        number,
-        text,
-        fields,
-        ..
-    } = event;
-    let fields = fields
-        .iter()
-        .map(|(name, value)| format!(" {name}={value}"));
-    let fields: String = fields.collect();
-    println!("{stamp} vm{vm} {role} [{number}] {text}{fields}");
 }
--- a/cli/tests/cli/main.rs
+++ b/cli/tests/cli/main.rs
@@ -2,4 +2,5 @@
 
 mod commands;
 mod stub;
+mod system;
 mod timeline;
--- a/cli/tests/cli/stub.rs
+++ b/cli/tests/cli/stub.rs
@@ -136,7 +136,8 @@
 pub fn run_with(controls: &[net::SocketAddr], args: &[&str]) -> Output {
     let key = file("operator.key", "operator-key\n");
     let controls: Vec<String> = controls.iter().map(ToString::to_string).collect();
-    let mut all = vec!["--key-file", &key];
+    // The last value of an option counts, so a test can choose a shorter time.
+    let mut all = vec!["--key-file", &key, "--timeout-ms", "120000"];
     for control in &controls {
         all.extend(["--control", control]);
     }
--- a/lab/src/load/sample.rs
+++ b/lab/src/load/sample.rs
@@ -30,7 +30,7 @@
 /// Results of one repetition.
 #[derive(Clone, Debug)]
 pub struct Sample {
-    /// Latencies of calls with a complete answer, in nanoseconds.
+    /// Latencies of calls that ended with an answer below 400, in nanoseconds.
     pub latency: Histogram<u64>,
     /// Measured time.
     pub duration: time::Duration,
@@ -72,7 +72,8 @@
             Ending::Broken => self.broken += 1,
             Ending::TimedOut => self.timed_out += 1,
         }
-        if !matches!(ending, Ending::Broken | Ending::TimedOut) {
+        // A fast refusal must not improve the figures.
+        if ending == Ending::Ok {
             let nanos = u64::try_from(latency.as_nanos()).unwrap_or(u64::MAX);
             self.latency.saturating_record(nanos);
         }
--- a/lab/src/target/config.rs
+++ b/lab/src/target/config.rs
@@ -125,7 +125,7 @@
             id: types::TargetId::from("target"),
             incarnation: types::Incarnation(1),
             listen: net::SocketAddr::from(([127, 0, 0, 1], 0)),
-            failure_domain: types::FailureDomain::default(),
+            failure_domain: types::FailureDomain::from("fd0"),
             slots: 3,
             queue_limit: 16,
             service_time: ServiceTime::Fixed(time::Duration::from_millis(1)),
