Remove an empty segment left by a crash

A crash between creating and writing a segment could leave a name without content. It was not removed at the next start, and once a later segment existed the process refused to start with a damage error.

--- a/core/src/storage/recovery.rs
+++ b/core/src/storage/recovery.rs
@@ -51,7 +51,8 @@
     for (first, content) in &segments {
         let valid = replay.segment(*first, content, last == Some(*first))?;
         torn_bytes += content.len() as u64 - valid;
-        if valid < content.len() as u64 {
+        // A segment without any frame must go even if it has no bytes, lest it end up in the middle.
+        if valid == 0 || valid < content.len() as u64 {
             repair.extend(cut(*first, valid));
         }
     }
--- a/core/tests/storage.rs
+++ b/core/tests/storage.rs
@@ -184,6 +184,20 @@
     }
 }
 
+/// A crash may leave the name of a new segment without content; a later segment must not find it in
+/// the middle of the log.
+#[test]
+fn an_empty_segment_at_the_end_is_removed() {
+    let mut files = Files::new();
+    write(&mut files, &[vec![append(1..=4, 1)]], 1);
+    files.insert("log-00000000000000000005.wal".to_owned(), Vec::new());
+    let opened = open(&files).unwrap();
+    run(&mut files, &opened.repair);
+    write(&mut files, &[vec![append(5..=5, 1)]], 1 << 20);
+    write(&mut files, &[vec![append(6..=6, 1)]], 1);
+    assert_eq!(indices(&files), [1, 2, 3, 4, 5, 6]);
+}
+
 /// Flips one bit anywhere: either the error names the file, or only the last frame is lost.
 #[test]
 fn every_flipped_bit_is_reported_unless_it_is_in_the_last_frame() {
