Find the ledger's leader again and free the data folder of an ended control VM

Cause: after the leader of a ledger shard ended, gateways kept asking it until the caller's deadline, because only a refused or unanswered request moved them on, not a connection that could not be opened. The tasks of an ended control daemon kept its data folder locked within the same process.

Change: every fifth attempt goes to the next control VM; stopping closes the queues of the disk tasks.

--- a/wagtailshunt/src/control/group.rs
+++ b/wagtailshunt/src/control/group.rs
@@ -106,6 +106,11 @@
         })
     }
 
+    /// Ends the group's disk task after its current batch.
+    pub fn close(&self) {
+        self.persist.close_channel();
+    }
+
     /// Returns the registry; `None` for a ledger shard.
     pub fn registry(&self) -> Option<&registry::Registry> {
         match &self.machine {
--- a/wagtailshunt/src/control/state.rs
+++ b/wagtailshunt/src/control/state.rs
@@ -115,6 +115,10 @@
     pub fn stop(&self) {
         self.stopped.set(true);
         self.links.stop();
+        // The disk tasks end with their queues and so free the data folder.
+        if let Ok(inner) = self.inner.try_borrow() {
+            inner.groups.values().for_each(group::Group::close);
+        }
         self.wake();
     }
 
--- a/wagtailshunt/src/gateway/control_link.rs
+++ b/wagtailshunt/src/gateway/control_link.rs
@@ -29,6 +29,10 @@
 /// Pause between two attempts of a ledger request.
 pub const LEDGER_RETRY: time::Duration = time::Duration::from_millis(20);
 
+/// Attempts of a ledger request before the next control VM is asked. With [`LEDGER_RETRY`] it
+/// leaves a new connection 100 ms to open.
+const ATTEMPTS_PER_VM: u32 = 5;
+
 /// Connections of a gateway to the control VMs. A connection is opened when it is first needed.
 #[derive(Default)]
 pub struct Links {
@@ -374,10 +378,16 @@
 ) -> Option<ledger::ServiceReply> {
     let shard = request.key().shard(state.cfg.ledger_shards);
     let group = types::GroupId(1 + shard);
+    let mut failed = 0;
     while state.now() < deadline && !state.links.stopped.get() {
         if let Some(reply) = ask_once(state, group, request, deadline).await {
             return Some(reply);
         }
+        failed += 1;
+        if failed % ATTEMPTS_PER_VM == 0 {
+            // The VM may be gone: nothing tells the gateway who leads the shard now.
+            state.links.next_candidate(state, group);
+        }
         let pause = LEDGER_RETRY.min(deadline.since(state.now()));
         compio::time::sleep(pause).await;
     }
