--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cluster;
 pub mod load;
+pub mod log_bench;
 pub mod policy;
 pub mod scenario;
 pub mod target;
