--- a/core/src/containment/leader.rs
+++ b/core/src/containment/leader.rs
@@ -24,6 +24,8 @@
     pub block: Duration,
     /// Time after which a suspect that was not sent again is forgotten.
     pub suspect_lifetime: Duration,
+    /// The same for a suspect to which no target was lost.
+    pub unproved_lifetime: Duration,
     /// Time that a permit outlives its call's deadline: the window of attribution on the gateway and
     /// a margin for the report.
     pub permit_grace: Duration,
@@ -37,6 +39,7 @@
         LeaderConfig {
             block: Duration::from_secs(600),
             suspect_lifetime: Duration::from_secs(600),
+            unproved_lifetime: Duration::from_secs(30),
             permit_grace: Duration::from_secs(7),
             rebuild: Duration::from_millis(2_200),
         }
@@ -72,6 +75,8 @@
 struct Entry {
     label: String,
     losses: collections::BTreeSet<message::Target>,
+    // Targets that may be lost, until the gateway knows.
+    pending: collections::BTreeMap<message::Target, time::Instant>,
     blocked_until: Option<time::Instant>,
     touched: time::Instant,
     changed: bool,
@@ -100,12 +105,32 @@
         }
     }
 
+    /// Takes a gateway's suspicion about requests whose target may be lost.
+    pub fn suspect(&mut self, now: time::Instant, doubt: &message::CrashReport) {
+        let until = now + self.cfg.permit_grace;
+        for suspect in &doubt.suspects {
+            let entry = self.published(now, suspect);
+            entry.pending.insert(doubt.target.clone(), until);
+        }
+    }
+
+    /// The target of a suspicion was not lost.
+    pub fn acquit(&mut self, now: time::Instant, doubt: &message::CrashReport) {
+        for suspect in &doubt.suspects {
+            if let Some(entry) = self.entries.get_mut(&suspect.fingerprint) {
+                entry.pending.remove(&doubt.target);
+            }
+            self.forget_unused(suspect.fingerprint);
+        }
+        self.serve_waiting(now);
+    }
+
     /// Takes a gateway's report of a lost target.
     pub fn report(&mut self, now: time::Instant, report: &message::CrashReport) {
         for suspect in &report.suspects {
-            self.entry(now, suspect)
-                .losses
-                .insert(report.target.clone());
+            let entry = self.entry(now, suspect);
+            entry.pending.remove(&report.target);
+            entry.changed |= entry.losses.insert(report.target.clone());
         }
         // Another gateway's report of the same loss may make an earlier judgement ambiguous.
         let shares = |(_, entry): &(&fingerprint::Fingerprint, &Entry)| {
@@ -120,6 +145,28 @@
         for fingerprint in sharing {
             self.judge(now, fingerprint);
         }
+        self.serve_waiting(now);
+    }
+
+    /// An incarnation of a target ended without a planned stop, as the directory shows. This settles
+    /// suspicions whose gateway was lost.
+    pub fn incarnation_ended(&mut self, now: time::Instant, target: &message::Target) {
+        let doubted = |(_, entry): &(&fingerprint::Fingerprint, &Entry)| {
+            entry.blocked_until.is_none() && entry.pending.contains_key(target)
+        };
+        let suspect =
+            |(fingerprint, entry): (&fingerprint::Fingerprint, &Entry)| message::Suspect {
+                fingerprint: *fingerprint,
+                label: entry.label.clone(),
+            };
+        let suspects = self.entries.iter().filter(doubted).map(suspect).collect();
+        self.report(
+            now,
+            &message::CrashReport {
+                target: target.clone(),
+                suspects,
+            },
+        );
     }
 
     /// Takes what a gateway knows from an earlier leader.
@@ -136,7 +183,9 @@
                 self.block(now, fingerprint);
             }
             self.publish(now, fingerprint);
-            self.serve(now, fingerprint);
+        }
+        for doubt in &known.doubts {
+            self.suspect(now, doubt);
         }
         for request in &known.permits {
             let until = now + request.remaining + self.cfg.permit_grace;
@@ -157,7 +206,7 @@
             call: request.call,
             until: now + request.remaining,
         };
-        let entry = self.entry(now, &request.suspect);
+        let entry = self.published(now, &request.suspect);
         let repeated = |t: &Turn| (t.vm, t.call) == (turn.vm, turn.call);
         if entry.permit.as_ref().is_some_and(repeated) {
             return self.reply(fingerprint, turn, message::PermitReply::Granted);
@@ -184,13 +233,10 @@
         }
         entry.waiting.retain(|turn| !held(turn));
         if done.result == message::RunResult::Answered && entry.blocked_until.is_none() {
-            return self.clear(done.fingerprint);
-        }
-        self.serve(now, done.fingerprint);
-        let idle = |e: &Entry| e.losses.is_empty() && e.permit.is_none() && e.waiting.is_empty();
-        if self.entries.get(&done.fingerprint).is_some_and(idle) {
-            self.entries.remove(&done.fingerprint);
+            self.clear(done.fingerprint);
         }
+        self.forget_unused(done.fingerprint);
+        self.serve_waiting(now);
     }
 
     /// An operator lifts a block.
@@ -206,6 +252,7 @@
         for fingerprint in fingerprints {
             self.expire(now, fingerprint);
         }
+        self.serve_waiting(now);
     }
 
     /// Time at which [`Leader::tick`] must be called.
@@ -243,7 +290,6 @@
         if changed {
             self.publish(now, fingerprint);
         }
-        self.serve(now, fingerprint);
     }
 
     fn is_guilty(&self, fingerprint: fingerprint::Fingerprint) -> bool {
@@ -277,9 +323,31 @@
         self.entries.iter().any(explains)
     }
 
-    /// Answers waiting calls as far as possible.
+    /// Whether a suspect of the same loss is running. Suspects of one loss run one after the other,
+    /// so that the next loss points at one of them.
+    fn is_shared_run(&self, fingerprint: fingerprint::Fingerprint) -> bool {
+        let Some(entry) = self.entries.get(&fingerprint) else {
+            return false;
+        };
+        let running = |(other, e): (&fingerprint::Fingerprint, &Entry)| {
+            *other != fingerprint && e.permit.is_some() && e.shares_loss(entry)
+        };
+        self.entries.iter().any(running)
+    }
+
+    fn serve_waiting(&mut self, now: time::Instant) {
+        let waiting = |(_, entry): &(&fingerprint::Fingerprint, &Entry)| !entry.waiting.is_empty();
+        let waiting = self.entries.iter().filter(waiting);
+        let waiting: Vec<fingerprint::Fingerprint> = waiting.map(|(f, _)| *f).collect();
+        for fingerprint in waiting {
+            self.serve(now, fingerprint);
+        }
+    }
+
+    /// Answers the waiting calls of a request as far as possible.
     fn serve(&mut self, now: time::Instant, fingerprint: fingerprint::Fingerprint) {
         let ready = now >= self.ready;
+        let shared = self.is_shared_run(fingerprint);
         let grace = self.cfg.permit_grace;
         let Some(entry) = self.entries.get_mut(&fingerprint) else {
             return;
@@ -291,7 +359,7 @@
             }
             return;
         }
-        if !ready || entry.permit.is_some() {
+        if !ready || entry.permit.is_some() || !entry.may_run() || shared {
             return;
         }
         let Some(turn) = entry.waiting.pop_front() else {
@@ -304,6 +372,17 @@
         self.reply(fingerprint, turn, message::PermitReply::Granted);
     }
 
+    /// Forgets a suspect that nothing speaks against any more.
+    fn forget_unused(&mut self, fingerprint: fingerprint::Fingerprint) {
+        let unused = |e: &Entry| {
+            let unproved = e.losses.is_empty() && e.pending.is_empty();
+            unproved && e.permit.is_none() && e.waiting.is_empty()
+        };
+        if self.entries.get(&fingerprint).is_some_and(unused) {
+            self.clear(fingerprint);
+        }
+    }
+
     fn clear(&mut self, fingerprint: fingerprint::Fingerprint) {
         let entry = self.entries.remove(&fingerprint);
         for turn in entry.into_iter().flat_map(|entry| entry.waiting) {
@@ -314,20 +393,19 @@
     }
 
     fn expire(&mut self, now: time::Instant, fingerprint: fingerprint::Fingerprint) {
-        let suspect_lifetime = self.cfg.suspect_lifetime;
-        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+        let Some(entry) = self.entries.get(&fingerprint) else {
             return;
         };
-        let ended = match entry.blocked_until {
-            Some(until) => until <= now,
-            None => now.since(entry.touched) >= suspect_lifetime,
-        };
-        if ended {
+        if self.end_of(entry) <= now {
             return self.clear(fingerprint);
         }
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return;
+        };
         if entry.permit.is_some_and(|permit| permit.until <= now) {
             entry.permit = None;
         }
+        entry.pending.retain(|_, until| *until > now);
         let waiting = std::mem::take(&mut entry.waiting);
         let (late, waiting): (Vec<Turn>, Vec<Turn>) =
             waiting.into_iter().partition(|turn| turn.until <= now);
@@ -335,19 +413,27 @@
         for turn in late {
             self.reply(fingerprint, turn, message::PermitReply::NoTurn);
         }
-        self.serve(now, fingerprint);
     }
 
-    fn due(&self, entry: &Entry) -> time::Instant {
-        let mut due = match entry.blocked_until {
+    /// Time at which the entry is forgotten.
+    fn end_of(&self, entry: &Entry) -> time::Instant {
+        match entry.blocked_until {
             Some(until) => until,
+            None if entry.losses.is_empty() => entry.touched + self.cfg.unproved_lifetime,
             None => entry.touched + self.cfg.suspect_lifetime,
-        };
+        }
+    }
+
+    fn due(&self, entry: &Entry) -> time::Instant {
+        let mut due = self.end_of(entry);
         for turn in entry.permit.iter().chain(&entry.waiting) {
             due = due.min(turn.until);
         }
+        for until in entry.pending.values() {
+            due = due.min(*until);
+        }
         // After a change of leader the waiting calls get their turn when the rebuild is over.
-        if entry.permit.is_none() && !entry.waiting.is_empty() {
+        if entry.permit.is_none() && entry.may_run() && !entry.waiting.is_empty() {
             due = due.min(self.ready);
         }
         due
@@ -367,6 +453,15 @@
         });
     }
 
+    /// Returns the entry of a suspect and tells the gateways if it is new.
+    fn published(&mut self, now: time::Instant, suspect: &message::Suspect) -> &mut Entry {
+        if !self.entries.contains_key(&suspect.fingerprint) {
+            self.entry(now, suspect);
+            self.publish(now, suspect.fingerprint);
+        }
+        self.entry(now, suspect)
+    }
+
     /// Returns the entry of a suspect, making room for it by dropping the entry that was not
     /// touched for longest, suspects before blocks.
     fn entry(&mut self, now: time::Instant, suspect: &message::Suspect) -> &mut Entry {
@@ -381,6 +476,7 @@
         let new = || Entry {
             label: suspect.label.clone(),
             losses: collections::BTreeSet::new(),
+            pending: collections::BTreeMap::new(),
             blocked_until: None,
             touched: now,
             changed: false,
@@ -394,6 +490,17 @@
 }
 
 impl Entry {
+    /// Whether an isolated run may start. While it is open whether enough targets were lost for a
+    /// block, it waits.
+    fn may_run(&self) -> bool {
+        self.pending.is_empty() || self.losses.len() + self.pending.len() < LOSSES_TO_BLOCK
+    }
+
+    fn shares_loss(&self, other: &Entry) -> bool {
+        let touches = |target| other.losses.contains(target) || other.pending.contains_key(target);
+        self.losses.iter().chain(self.pending.keys()).any(touches)
+    }
+
     fn record(&self, now: time::Instant, fingerprint: fingerprint::Fingerprint) -> message::Record {
         message::Record {
             suspect: message::Suspect {
