--- a/core/src/replication/config.rs
+++ b/core/src/replication/config.rs
@@ -31,6 +31,8 @@
     pub snapshot_chunk_bytes: usize,
     /// Entries before a snapshot that are kept in memory for slow followers.
     pub retained_entries: u64,
+    /// Size in bytes that these entries may have.
+    pub retained_bytes: usize,
     /// A learner may become a voter when it lacks at most this many entries.
     pub promotion_lag: u64,
     /// Seed of the election timeouts.
@@ -52,6 +54,7 @@
             max_command_bytes: 768 * 1024,
             snapshot_chunk_bytes: 256 * 1024,
             retained_entries: 1024,
+            retained_bytes: 1024 * 1024,
             promotion_lag: 64,
             seed: 0,
         }
--- a/core/src/replication/log.rs
+++ b/core/src/replication/log.rs
@@ -10,6 +10,8 @@
     /// Index and term of the last entry that was compacted away.
     base: (types::LogIndex, types::Term),
     entries: collections::VecDeque<storage::Entry>,
+    /// Size of `entries`.
+    bytes: usize,
     /// Last index that is synced.
     durable: types::LogIndex,
     /// Memberships by the index from which they are in force; the first one is in force at `base`.
@@ -24,6 +26,7 @@
         let mut log = Log {
             base: (snapshot.index, snapshot.term),
             entries: collections::VecDeque::new(),
+            bytes: 0,
             durable: snapshot.index,
             members: vec![(snapshot.index, snapshot.membership.clone())],
         };
@@ -113,6 +116,7 @@
         if let storage::Payload::Membership(members) = &entry.payload {
             self.members.push((entry.index, members.clone()));
         }
+        self.bytes += entry.size();
         self.entries.push_back(entry);
     }
 
@@ -121,19 +125,47 @@
         let Some(position) = self.position(from) else {
             return;
         };
-        self.entries.truncate(position);
+        for entry in self.entries.drain(position.min(self.entries.len())..) {
+            self.bytes -= entry.size();
+        }
         self.members
             .retain(|(index, _)| *index < from || *index <= self.base.0);
         self.durable = self.durable.min(types::LogIndex(from.0 - 1));
     }
 
+    /// Returns the index through which to compact so that at most the given number and size of
+    /// entries up to `index` are kept.
+    pub(super) fn retention(
+        &self,
+        index: types::LogIndex,
+        max_entries: u64,
+        max_bytes: usize,
+    ) -> types::LogIndex {
+        let mut through = index;
+        let mut bytes = 0;
+        while let Some(entry) = self.get(through) {
+            bytes += entry.size();
+            if index.0 - through.0 >= max_entries || bytes > max_bytes {
+                break;
+            }
+            through = types::LogIndex(through.0 - 1);
+        }
+        through
+    }
+
+    /// Returns the size in bytes of the entries in memory.
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Forgets the entries up to `through`.
     pub(super) fn compact(&mut self, through: types::LogIndex) {
         let Some(term) = self.term_at(through) else {
             return;
         };
         while self.entries.front().is_some_and(|e| e.index <= through) {
-            self.entries.pop_front();
+            let entry = self.entries.pop_front();
+            self.bytes -= entry.map_or(0, |entry| entry.size());
         }
         self.base = (through, term);
         let superseded = self
--- a/core/src/replication/node.rs
+++ b/core/src/replication/node.rs
@@ -304,6 +304,11 @@
         self.log.last_index()
     }
 
+    /// Returns the size in bytes of the log entries in memory. A snapshot makes it smaller.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
     /// Returns the index of the newest snapshot.
     pub fn snapshot_index(&self) -> types::LogIndex {
         self.snapshot.index
--- a/core/src/replication/snapshot.rs
+++ b/core/src/replication/snapshot.rs
@@ -35,8 +35,8 @@
         };
         let op = storage::Op::Snapshot(self.snapshot.clone());
         self.outbox.write(op);
-        let through = index.0.saturating_sub(self.cfg.retained_entries);
-        let through = types::LogIndex(through).max(self.log.base_index());
+        let (entries, bytes) = (self.cfg.retained_entries, self.cfg.retained_bytes);
+        let through = self.log.retention(index, entries, bytes);
         self.log.compact(through);
         self.outbox.write(storage::Op::Compact { through });
     }
--- a/core/src/storage/codec.rs
+++ b/core/src/storage/codec.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Buf, BufMut, Bytes};
 
-use super::{Entry, HardState, Membership, Payload, Snapshot};
+use super::{Entry, HardState, Membership, Payload, Snapshot, frame};
 use crate::types;
 
 /// Version of the format; a reader refuses a higher one.
@@ -87,16 +87,16 @@
     }
 }
 
-/// Returns the payload of a snapshot file.
-pub(super) fn snapshot_payload(snapshot: &Snapshot) -> Vec<u8> {
-    let mut buf = Vec::with_capacity(64 + snapshot.data.len());
+/// Returns the content of a snapshot file, which is one frame.
+pub(super) fn snapshot_file(snapshot: &Snapshot) -> Vec<u8> {
+    let mut buf = frame::begin(128 + snapshot.data.len());
     buf.put_u8(TAG_SNAPSHOT);
     buf.put_u16_le(FORMAT_VERSION);
     buf.put_u64_le(snapshot.index.0);
     buf.put_u64_le(snapshot.term.0);
     put_membership(&mut buf, &snapshot.membership);
     buf.put_slice(&snapshot.data);
-    buf
+    frame::finish(buf)
 }
 
 fn get_version(buf: &mut &[u8]) -> Result<(), Malformed> {
--- a/core/src/storage/frame.rs
+++ b/core/src/storage/frame.rs
@@ -38,18 +38,24 @@
     hasher.finalize()
 }
 
-/// Returns the frame of `payload`.
+/// Returns a buffer with room for a header and `capacity` bytes of payload, which is appended.
+pub(super) fn begin(capacity: usize) -> Vec<u8> {
+    let mut frame = Vec::with_capacity(FRAME_HEADER_BYTES + capacity);
+    frame.resize(FRAME_HEADER_BYTES, 0);
+    frame
+}
+
+/// Completes a frame that was started with [`begin`].
 ///
 /// # Panics
 ///
 /// Panics when the payload is empty or longer than [`MAX_FRAME_BYTES`].
-pub(super) fn encode(payload: &[u8]) -> Vec<u8> {
+pub(super) fn finish(mut frame: Vec<u8>) -> Vec<u8> {
+    let (header, payload) = frame.split_at_mut(FRAME_HEADER_BYTES);
     assert!(!payload.is_empty() && payload.len() <= MAX_FRAME_BYTES);
     let length = (payload.len() as u32).to_le_bytes();
-    let mut frame = Vec::with_capacity(FRAME_HEADER_BYTES + payload.len());
-    frame.extend_from_slice(&length);
-    frame.extend_from_slice(&checksum(length, payload).to_le_bytes());
-    frame.extend_from_slice(payload);
+    header[..4].copy_from_slice(&length);
+    header[4..].copy_from_slice(&checksum(length, payload).to_le_bytes());
     frame
 }
 
--- a/core/src/storage/writer.rs
+++ b/core/src/storage/writer.rs
@@ -123,13 +123,13 @@
         }
         let first = records.first.unwrap_or(self.next);
         let created = self.roll(first);
-        let mut payload = Vec::with_capacity(records.buf.len() + 64);
+        let mut data = frame::begin(records.buf.len() + 64);
         if created {
-            codec::put_segment(&mut payload, first);
-            codec::put_hard_state(&mut payload, &self.hard_state);
+            codec::put_segment(&mut data, first);
+            codec::put_hard_state(&mut data, &self.hard_state);
         }
-        payload.extend_from_slice(&records.buf);
-        let data = frame::encode(&payload);
+        data.extend_from_slice(&records.buf);
+        let data = frame::finish(data);
         let Some(segment) = self.segments.last_mut() else {
             return;
         };
@@ -175,7 +175,7 @@
         steps.push(Step::Write {
             file: temporary.clone(),
             offset: 0,
-            data: frame::encode(&codec::snapshot_payload(snapshot)),
+            data: codec::snapshot_file(snapshot),
         });
         steps.push(Step::Sync {
             file: temporary.clone(),
--- a/core/tests/replication.rs
+++ b/core/tests/replication.rs
@@ -415,3 +415,24 @@
     assert_ne!(new, old);
     assert!(!group.node(new).members().contains(old));
 }
+
+#[test]
+fn a_snapshot_bounds_the_entries_in_memory() {
+    let mut group = Group::new(1);
+    let leader = group.leader();
+    for _ in 0..100 {
+        group.propose(leader, "0123456789").unwrap();
+    }
+    group.run(ms(100));
+    let before = group.node(leader).log_bytes();
+    assert!(before > 1000);
+    let (now, index) = (group.now, group.node(leader).committed());
+    let node = group.node(leader);
+    node.snapshot_taken(now, index, Bytes::from_static(b"state"));
+    assert_eq!(
+        node.log_bytes(),
+        0,
+        "no entry is retained by these settings"
+    );
+    assert_eq!(node.snapshot_index(), index);
+}
--- a/lab/tests/disk.rs
+++ b/lab/tests/disk.rs
@@ -1,9 +1,9 @@
 //! Guards the file operations of a replicated group on a real file system.
 
-use std::{fs, path};
+use std::{fs, io, path};
 
 use bytes::Bytes;
-use wagtailshunt::disk::{self, DataFolder, Error};
+use wagtailshunt::disk::{self, DataFolder, Error, Files, Folder, Store};
 use wagtailshunt_core::storage::{self, Entry, Membership, Op, Payload, Recovered, Snapshot};
 use wagtailshunt_core::types::{GroupId, LogIndex, Term, VmId};
 
@@ -135,3 +135,48 @@
     let (_, recovered) = data.group(GroupId(0), None).unwrap();
     assert_eq!(recovered.entries.len(), 5);
 }
+
+/// Files whose syncs fail once.
+struct FailingSync(Folder, bool);
+
+impl Files for FailingSync {
+    fn path(&self) -> &path::Path {
+        self.0.path()
+    }
+    fn read_all(&mut self) -> io::Result<Vec<(String, Vec<u8>)>> {
+        self.0.read_all()
+    }
+    fn write(&mut self, file: &str, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.0.write(file, offset, data)
+    }
+    fn sync(&mut self, file: &str) -> io::Result<()> {
+        if std::mem::take(&mut self.1) {
+            return Err(io::Error::other("input/output error"));
+        }
+        self.0.sync(file)
+    }
+    fn set_len(&mut self, file: &str, len: u64) -> io::Result<()> {
+        self.0.set_len(file, len)
+    }
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.0.rename(from, to)
+    }
+    fn remove(&mut self, file: &str) -> io::Result<()> {
+        self.0.remove(file)
+    }
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.0.sync_folder()
+    }
+}
+
+#[test]
+fn a_failed_sync_is_not_repeated() {
+    let folder = Temporary::new("sync");
+    let files = FailingSync(Folder::open(folder.0.clone()).unwrap(), true);
+    let (mut store, _) = Store::open(files, None).unwrap();
+    let failed = store.execute(&[append(1, 1)]);
+    assert!(matches!(failed, Err(Error::Sync { .. })));
+    assert!(matches!(store.retry(), Err(Error::Stopped { .. })));
+    let next = store.execute(&[append(2, 2)]);
+    assert!(matches!(next, Err(Error::Stopped { .. })));
+}
--- a/wagtailshunt/src/disk/error.rs
+++ b/wagtailshunt/src/disk/error.rs
@@ -44,6 +44,12 @@
         /// File, offset and reason.
         source: storage::Error,
     },
+    /// An operation failed earlier, so the state of the files is not known.
+    #[error("{}: an earlier file operation failed", path.display())]
+    Stopped {
+        /// Folder of the group.
+        path: path::PathBuf,
+    },
     /// The thread that carried out a batch panicked.
     #[error("the disk thread panicked")]
     Thread,
--- a/wagtailshunt/src/disk/store.rs
+++ b/wagtailshunt/src/disk/store.rs
@@ -14,6 +14,8 @@
     writer: storage::Writer,
     pending: collections::VecDeque<Step>,
     torn_bytes: u64,
+    /// An error other than a full disk has occurred; nothing is written any more.
+    stopped: bool,
 }
 
 impl<F: Files> Store<F> {
@@ -44,6 +46,7 @@
             writer: opened.writer,
             pending: opened.repair.into(),
             torn_bytes: opened.torn_bytes,
+            stopped: false,
         };
         store.retry()?;
         if let Some(initial) = initial
@@ -82,8 +85,15 @@
     ///
     /// As for [`Store::execute`].
     pub fn retry(&mut self) -> Result<(), Error> {
+        if self.stopped {
+            let path = self.files.path().to_owned();
+            return Err(Error::Stopped { path });
+        }
         while let Some(step) = self.pending.front() {
-            carry_out(&mut self.files, step)?;
+            if let Err(err) = carry_out(&mut self.files, step) {
+                self.stopped = !err.is_full();
+                return Err(err);
+            }
             self.pending.pop_front();
         }
         Ok(())
