--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod demo;
 pub mod in_force;
 pub mod load;
+pub mod log_bench;
 pub mod policy;
 pub mod request_path;
 pub mod scenario;
