--- a/core/src/balance/balancer.rs
+++ b/core/src/balance/balancer.rs
@@ -1,6 +1,7 @@
 //! The balancer of one service on one gateway.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -17,6 +18,8 @@
 
 /// Draws for one call before all targets are examined.
 const MAX_DRAWS: usize = 8;
+/// Time after the first target within which others are taken as running for long.
+const FIRST_LISTING: time::Duration = time::Duration::from_secs(1);
 /// At most one in this many serving targets is ejected.
 const EJECTED_SHARE: usize = 3;
 
@@ -37,6 +40,7 @@
     serving: Vec<u32>,
     ejected: Vec<TargetKey>,
     cursor: usize,
+    first_upsert: Option<Instant>,
     means: ServiceMeans,
     pool: Pool,
     budget: measure::Budget,
@@ -54,6 +58,7 @@
             serving: Vec::new(),
             ejected: Vec::new(),
             cursor: 0,
+            first_upsert: None,
             means: ServiceMeans::default(),
             pool: Pool::default(),
             budget: measure::Budget::new(&cfg.measure, Instant(0)),
@@ -190,13 +195,16 @@
     }
 
     fn insert(&mut self, now: Instant, info: &TargetInfo<'_>) -> TargetKey {
+        // A gateway that has just started learns all targets at once; they are not cold.
+        let first = *self.first_upsert.get_or_insert(now);
+        let is_cold = now.since(first) > FIRST_LISTING;
         let free = self.slots.iter().position(|slot| slot.target.is_none());
         let index = free.unwrap_or_else(|| {
             self.slots.push(Slot::default());
             self.slots.len() - 1
         });
         let slot = &mut self.slots[index];
-        slot.target = Some(Target::new(now, &self.cfg, info));
+        slot.target = Some(Target::new(now, &self.cfg, info, is_cold));
         let key = TargetKey {
             index: index as u32,
             generation: slot.generation,
@@ -260,10 +268,9 @@
         pick: &Pick<'_>,
         params: &Piggyback,
     ) -> Option<TargetKey> {
-        let cfg = self.cfg;
         let means = self.means;
         self.best_of(now, pick, params.choices as usize, |local, target| {
-            target.expected_cost(now, &cfg, params, &means, local)
+            target.expected_cost(now, params, &means, local)
         })
     }
 
@@ -283,13 +290,14 @@
         })
     }
 
+    /// The held slot on the target with the smallest share of its slots in use. An ejected target
+    /// is the last choice, but its slot is used: the broker has no other to give.
     fn held_slot(&self, now: Instant, pick: &Pick<'_>) -> Option<TargetKey> {
         let keys = self.serving.iter().map(|&index| self.key_at(index));
-        keys.filter(|&key| self.eligible(now, pick, key))
-            .find(|&key| {
-                self.target(key)
-                    .is_some_and(|target| target.own < target.held)
-            })
+        let held = keys.filter_map(|key| self.target(key).map(|target| (key, target)));
+        held.filter(|(key, target)| target.own < target.held && !pick.avoid.contains(key))
+            .min_by_key(|(_, target)| (target.is_ejected(now), target.own * 1_000 / target.slots))
+            .map(|(key, _)| key)
     }
 
     fn next_in_turn(&mut self, now: Instant, pick: &Pick<'_>) -> Option<TargetKey> {
--- a/core/src/balance/limiter.rs
+++ b/core/src/balance/limiter.rs
@@ -15,6 +15,9 @@
     pub enabled: bool,
     /// Lowest limit. It is a fraction because several gateways share a target's slots.
     pub floor: f64,
+    /// Calls waiting on the target, relative to its slots, above which it counts as crowded. Short
+    /// queues form and vanish with every burst and call for no reaction.
+    pub crowded_queue: f64,
     /// Added to the limit by each answer that found the target uncrowded.
     pub increase: f64,
     /// Factor on the limit when the target was crowded.
@@ -28,8 +31,9 @@
     fn default() -> Self {
         LimiterConfig {
             enabled: true,
-            floor: 0.25,
-            increase: 0.02,
+            floor: 0.5,
+            crowded_queue: 4.0,
+            increase: 0.1,
             decrease: 0.9,
             decrease_interval_ms: 20,
         }
@@ -73,7 +77,10 @@
         if !self.cfg.enabled {
             return;
         }
-        let waiting = finish.report.is_some_and(|report| report.queue > 0);
+        let crowd = self.slots * self.cfg.crowded_queue;
+        let waiting = finish
+            .report
+            .is_some_and(|report| f64::from(report.queue) > crowd);
         match finish.outcome {
             Outcome::Shed | Outcome::Timeout => self.decrease(now),
             Outcome::Ok if waiting => self.decrease(now),
--- a/core/src/balance/mod.rs
+++ b/core/src/balance/mod.rs
@@ -145,8 +145,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Piggyback {
-    /// Targets drawn at random for comparison. Comparing all would send every gateway to the same
-    /// target.
+    /// Targets drawn at random for comparison. Up to this size of a service all are compared; in
+    /// the measurements of decision 1 more choices were always better.
     pub choices: u32,
     /// Age in microseconds at which a report counts half.
     pub half_life_us: u64,
@@ -159,9 +159,9 @@
 impl Default for Piggyback {
     fn default() -> Self {
         Piggyback {
-            choices: 3,
-            half_life_us: 30_000,
-            crowding: 1.0,
+            choices: 16,
+            half_life_us: 10_000,
+            crowding: 3.0,
             cross_domain_us: 1_000,
         }
     }
@@ -236,13 +236,16 @@
         }
     }
 
-    /// Profile for the shortest tail.
+    /// Profile for the shortest tail; services that use it are hedged.
+    ///
+    /// A probe takes as much target time as a call, so that more than one probe for 1,000 calls
+    /// lengthens the tail it is meant to shorten (decision 1).
     pub fn krittlinje() -> Self {
         let probe_cost = measure::Cost::default();
         Config {
             policy: Policy::Piggyback(Piggyback::default()),
             probe_cost,
-            measure: measure::Limits::for_probes(&probe_cost, 10, 10, 5),
+            measure: measure::Limits::for_probes(&probe_cost, 1, 2, 2),
             ..Config::default()
         }
     }
--- a/core/src/balance/target.rs
+++ b/core/src/balance/target.rs
@@ -19,6 +19,9 @@
 const MAX_PENALTY: f64 = 40.0;
 /// Time in microseconds after which the cost of failures has halved.
 const PENALTY_HALF_LIFE_US: f64 = 500_000.0;
+/// Time in microseconds without samples after which a target's latency has come half-way back to
+/// the mean.
+const SLOWNESS_HALF_LIFE_US: f64 = 1_000_000.0;
 /// Contradicted reports after which a target's reports are disregarded.
 const DISTRUST_AFTER: u32 = 3;
 /// Time in microseconds for which they are disregarded.
@@ -75,18 +78,19 @@
     pub limiter: Limiter,
     seen: Option<Seen>,
     latency_us: Option<f64>,
+    latency_at: Instant,
     penalty: f64,
     penalty_at: Instant,
     consecutive: u32,
     ejections: u32,
     contradictions: u32,
     distrusted_until: Instant,
-    ramp_from: Instant,
+    ramp_from: Option<Instant>,
     last_start: Instant,
 }
 
 impl Target {
-    pub fn new(now: Instant, cfg: &Config, info: &TargetInfo<'_>) -> Self {
+    pub fn new(now: Instant, cfg: &Config, info: &TargetInfo<'_>, is_cold: bool) -> Self {
         Target {
             id: info.id.clone(),
             incarnation: info.incarnation,
@@ -99,13 +103,14 @@
             limiter: Limiter::new(cfg.limiter, info.slots),
             seen: None,
             latency_us: None,
+            latency_at: now,
             penalty: 0.0,
             penalty_at: now,
             consecutive: 0,
             ejections: 0,
             contradictions: 0,
             distrusted_until: Instant(0),
-            ramp_from: now,
+            ramp_from: is_cold.then_some(now),
             last_start: Instant(0),
         }
     }
@@ -116,14 +121,14 @@
             let own = self.own;
             *self = Target {
                 own,
-                ..Target::new(now, cfg, info)
+                ..Target::new(now, cfg, info, true)
             };
             return;
         }
         let ready = self.availability == Availability::Starting
             && info.availability == Availability::Serving;
         if ready {
-            self.ramp_from = now;
+            self.ramp_from = Some(now);
         }
         // Draining is final for an incarnation.
         if self.availability != Availability::Draining {
@@ -154,14 +159,14 @@
         match finish.outcome {
             Outcome::Ok => {
                 self.consecutive = 0;
-                self.learn_latency(finish.latency, means);
+                self.learn_latency(now, finish.latency, means);
             }
             // A cancelled call took at least this long; shorter ones say nothing.
-            Outcome::Cancelled => self.learn_at_least(finish.latency, means),
+            Outcome::Cancelled => self.learn_at_least(now, finish.latency, means),
             Outcome::Shed => self.punish(now, cfg, SHED_COST),
             Outcome::Error | Outcome::Timeout => {
                 self.punish(now, cfg, ERROR_COST);
-                self.learn_at_least(finish.latency, means);
+                self.learn_at_least(now, finish.latency, means);
                 self.consecutive += 1;
                 let limit = cfg.ejection.consecutive;
                 return limit > 0 && self.consecutive >= limit && !self.is_ejected(now);
@@ -216,7 +221,7 @@
     /// Puts an ejected target back, cold.
     pub fn restore(&mut self, now: Instant) {
         self.ejected_until = None;
-        self.ramp_from = now;
+        self.ramp_from = Some(now);
         self.penalty = 0.0;
         self.latency_us = None;
     }
@@ -227,8 +232,11 @@
 
     /// Returns the share of calls the target gets while it warms up, from [`RAMP_START`] to 1.
     pub fn ramp(&self, now: Instant, cfg: &Config) -> f64 {
+        let Some(from) = self.ramp_from else {
+            return 1.0;
+        };
         let ramp_us = cfg.ramp_ms.saturating_mul(1000);
-        let age = micros(now.since(self.ramp_from));
+        let age = micros(now.since(from));
         if age >= ramp_us {
             return 1.0;
         }
@@ -259,7 +267,6 @@
     pub fn expected_cost(
         &self,
         now: Instant,
-        cfg: &Config,
         params: &Piggyback,
         means: &ServiceMeans,
         is_local: bool,
@@ -273,10 +280,8 @@
             None => means.others,
         };
         let occupancy = f64::from(self.own) + others + 1.0;
-        let used = occupancy / (f64::from(self.slots) * self.ramp(now, cfg));
-        let slowness = self
-            .latency_us
-            .map_or(1.0, |us| us / means.latency_us.max(1.0));
+        let used = occupancy / f64::from(self.slots);
+        let slowness = self.slowness(now, means);
         let remote = if is_local {
             0.0
         } else {
@@ -285,6 +290,17 @@
         slowness * (1.0 + params.crowding * used * used) + remote + self.penalty(now)
     }
 
+    /// Returns this target's latency relative to the mean of the service. It fades to 1 while there
+    /// are no samples, or a target that was slow once would never be tried again.
+    fn slowness(&self, now: Instant, means: &ServiceMeans) -> f64 {
+        let Some(us) = self.latency_us else {
+            return 1.0;
+        };
+        let age = micros(now.since(self.latency_at)) as f64;
+        let weight = 1.0 / (1.0 + age / SLOWNESS_HALF_LIFE_US);
+        1.0 + (us / means.latency_us.max(1.0) - 1.0) * weight
+    }
+
     fn punish(&mut self, now: Instant, cfg: &Config, cost: f64) {
         if !cfg.error_cost {
             return;
@@ -293,18 +309,20 @@
         self.penalty_at = now;
     }
 
-    fn learn_latency(&mut self, latency: time::Duration, means: &mut ServiceMeans) {
+    fn learn_latency(&mut self, now: Instant, latency: time::Duration, means: &mut ServiceMeans) {
         let us = micros(latency) as f64;
         let clamped = us.min(means.latency_us * LATENCY_CLAMP);
+        self.latency_at = now;
         let mean = self.latency_us.get_or_insert(means.latency_us);
         *mean += (clamped - *mean) * LATENCY_WEIGHT;
         ServiceMeans::learn(&mut means.latency_us, clamped.max(1.0), 0.02);
     }
 
-    fn learn_at_least(&mut self, latency: time::Duration, means: &ServiceMeans) {
+    fn learn_at_least(&mut self, now: Instant, latency: time::Duration, means: &ServiceMeans) {
         let us = (micros(latency) as f64).min(means.latency_us * LATENCY_CLAMP);
         let mean = self.latency_us.get_or_insert(means.latency_us);
         if us > *mean {
+            self.latency_at = now;
             *mean += (us - *mean) * LATENCY_WEIGHT;
         }
     }
