--- a/lab/src/worlds/keys/forward.rs
+++ b/lab/src/worlds/keys/forward.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use wagtailshunt_core::{connection, containment, ledger, outcome, time, types};
+use wagtailshunt_core::{connection, containment, outcome, time, types};
 
 use super::{
-    checker,
     gateway::{self, Claim},
     sim::{Event, Sim},
     target,
