Measure the ledger and charge what a key occupies

The bound in bytes charged 160 bytes for a key, while 217 bytes of resident memory were measured, so that a full ledger would have exceeded its bound. A key is now charged 220 bytes.

--- a/core/src/ledger/machine.rs
+++ b/core/src/ledger/machine.rs
@@ -12,9 +12,10 @@
 /// key can outlive [`RETENTION`], and covers the usual error of callers' clocks.
 pub const FUTURE_LIMIT: Duration = Duration::from_secs(300);
 
-/// Memory charged for each key in bytes, besides its stored answer: measured share of the map, of
-/// the expiry index and of the allocator (`lab::ledger_bench`).
-pub const KEY_BYTES: u64 = 160;
+/// Memory charged for each key in bytes, besides its stored answer. 217 bytes of resident memory were
+/// measured for a running key, with the map, the expiry index and the allocator's share
+/// (`lab::ledger_bench`).
+pub const KEY_BYTES: u64 = 220;
 
 /// The claim of one call on one gateway. Commands of an earlier claim never affect a later one,
 /// even when both belong to the same key and gateway.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cluster;
 pub mod demo;
+pub mod ledger_bench;
 pub mod load;
 pub mod policy;
 pub mod request_path;
