--- a/lab/src/target/announce.rs
+++ b/lab/src/target/announce.rs
@@ -53,15 +53,22 @@
 }
 
 /// Sends one announcement to the first gateway that accepts it.
+///
+/// The search starts at the gateway that accepted the last one, so that a target changes its
+/// vouching gateway only when it must. The seed spreads targets over gateways.
 pub(super) async fn announce(
     shared: &state::Ref,
     address: net::SocketAddr,
     settings: &Announce,
 ) -> bool {
     let body = body(shared, address);
-    for gateway in &settings.gateways {
-        let attempt = post(*gateway, &settings.key, body.clone());
+    let first = shared.gateway.get();
+    let count = settings.gateways.len();
+    for offset in 0..count {
+        let position = first.wrapping_add(offset) % count;
+        let attempt = post(settings.gateways[position], &settings.key, body.clone());
         if compio::time::timeout(settings.timeout, attempt).await == Ok(true) {
+            shared.gateway.set(position);
             shared.count(|counters| counters.announced += 1);
             return true;
         }
--- a/lab/src/target/config.rs
+++ b/lab/src/target/config.rs
@@ -64,7 +64,7 @@
 /// Where and how a target announces itself.
 #[derive(Clone, Debug)]
 pub struct Announce {
-    /// Admin addresses of gateways; tried in turn.
+    /// Admin addresses of gateways. The one that accepted last is tried first, then the others.
     pub gateways: Vec<net::SocketAddr>,
     /// Target key.
     pub key: String,
@@ -104,7 +104,7 @@
     pub queue_limit: usize,
     /// Time that a call occupies its slot.
     pub service_time: ServiceTime,
-    /// Seed of the service times.
+    /// Seed of the service times and of the gateway that is tried first.
     pub seed: u64,
     /// Time in which it announces `starting` after a start.
     pub starting: time::Duration,
--- a/lab/src/target/state.rs
+++ b/lab/src/target/state.rs
@@ -70,6 +70,8 @@
     /// Connections numbered up to this one are frozen.
     pub frozen_through: cell::Cell<u64>,
     pub latency_us: cell::Cell<f64>,
+    /// Position of the gateway that accepted the last announcement.
+    pub gateway: cell::Cell<usize>,
 }
 
 pub(super) type Ref = rc::Rc<Shared>;
@@ -87,6 +89,7 @@
             draining: cell::Cell::new(false),
             frozen_through: cell::Cell::new(0),
             latency_us: cell::Cell::new(0.0),
+            gateway: cell::Cell::new(config.seed as usize),
             config,
         })
     }
--- a/wagtailshunt/src/settings/gateway.rs
+++ b/wagtailshunt/src/settings/gateway.rs
@@ -78,6 +78,8 @@
         check::not_empty("failure_domain", self.failure_domain.as_str())?;
         self.check_addresses()?;
         check::in_range("drain_limit_ms", self.drain_limit_ms, 1, MAX_DRAIN_LIMIT_MS)?;
+        let lead = self.readiness_lead_ms;
+        check::in_range("readiness_lead_ms", lead, 0, MAX_DRAIN_LIMIT_MS)?;
         check::in_range("max_connections", self.max_connections as u64, 1, 1 << 20)?;
         // hyper needs a read buffer of at least 8 KiB.
         check::in_range(
