Refuse keys older than the kept window on a ledger that has no keys

Cause: a test at the border sent a key of 2022 to a new cluster and it ran. Leaders also answered ledger requests without holding their leader lease, so one that was replaced in silence could answer from its old state.

Change: a claim for an absent key compares the key's time with the replicated clock; ledger requests are redirected unless the leader lease is valid. A record that drains a VM now starts the daemon's planned stop, and the limit on request heads of the settings is in force.

--- a/core/src/ledger/machine.rs
+++ b/core/src/ledger/machine.rs
@@ -311,6 +311,10 @@
         if expires <= self.clock {
             return Reply::Expired;
         }
+        // The floor rises in steps and only while there are keys, so it can lie far behind.
+        if key.created().0 < self.clock.0.saturating_sub(millis(RETENTION)) {
+            return Reply::TooOld;
+        }
         if key.created() > plus(self.clock, FUTURE_LIMIT) {
             return Reply::TooNew;
         }
--- a/core/tests/ledger.rs
+++ b/core/tests/ledger.rs
@@ -210,6 +210,15 @@
     assert_eq!(replica.apply(future), ledger::Reply::TooNew);
 }
 
+/// Guards against running an old key again on a ledger whose floor has not risen, as after a quiet
+/// day: the floor only rises while there are keys.
+#[test]
+fn an_old_key_does_not_run_on_an_empty_ledger() {
+    let mut replica = Replica::default();
+    assert_eq!(replica.apply(claim(1, 1, DAY + 2)), ledger::Reply::TooOld);
+    assert!(replica.ledger.is_empty());
+}
+
 /// Guards against growth without bound, and against an answer that is lost with its outcome.
 #[test]
 fn bounds_hold_and_the_outcome_is_kept_without_the_answer() {
--- a/wagtailshunt/src/control/frames.rs
+++ b/wagtailshunt/src/control/frames.rs
@@ -99,6 +99,17 @@
     let shard = message.key().shard(state.cfg.ledger_shards);
     let id = types::GroupId(1 + shard);
     state.metrics.ledger_requests.inc();
+    // A leader that was replaced without knowing it must not answer from its old state.
+    let holds_lease = state.with(|inner| {
+        let until = inner
+            .groups
+            .get(&id)
+            .and_then(|group| group.node.lease_valid_until(now));
+        until.is_some_and(|until| now < until)
+    });
+    if !holds_lease {
+        return redirect(state, peer.vm, request, id);
+    }
     state.with(|inner| {
         let token = inner.token();
         let requester = state::Requester {
--- a/wagtailshunt/src/control/mod.rs
+++ b/wagtailshunt/src/control/mod.rs
@@ -200,4 +200,8 @@
     fn failed(&self) -> bool {
         self.state.stopped()
     }
+
+    fn drained_by_record(&self) -> bool {
+        reports::is_drained(&self.state)
+    }
 }
--- a/wagtailshunt/src/control/reports.rs
+++ b/wagtailshunt/src/control/reports.rs
@@ -247,6 +247,20 @@
     })
 }
 
+/// Returns whether a record drains this VM.
+pub fn is_drained(state: &state::State) -> bool {
+    let key = records::Key::new(records::Kind::Vm, state.cfg.vm.to_string());
+    with_registry(state, |registry| {
+        let text = registry
+            .get(&key)
+            .and_then(|version| version.text.as_deref());
+        let record = text.and_then(|text| records::parse(text).ok());
+        record
+            .and_then(|record| record.vm())
+            .is_some_and(|(_, spec)| spec.drain)
+    })
+}
+
 /// Reports one record.
 pub fn record(state: &state::State, key: &records::Key) -> Option<RecordReport> {
     with_registry(state, |registry| {
--- a/wagtailshunt/src/daemon/mod.rs
+++ b/wagtailshunt/src/daemon/mod.rs
@@ -16,8 +16,8 @@
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
 
-/// Interval at which a daemon looks whether it must end because of a fault.
-const FAULT_CHECK: time::Duration = time::Duration::from_millis(200);
+/// Interval at which a daemon looks whether it must end because of a fault or a record.
+const STATE_CHECK: time::Duration = time::Duration::from_millis(200);
 
 /// Command line of a daemon.
 #[derive(Debug, Options)]
@@ -37,6 +37,9 @@
 
     /// Returns whether the daemon must end because of a fault.
     fn failed(&self) -> bool;
+
+    /// Returns whether a record drains the VM of the daemon.
+    fn drained_by_record(&self) -> bool;
 }
 
 /// Reads the command line and settings, starts the daemon and runs it until a signal.
@@ -105,11 +108,13 @@
     runtime()?.block_on(async {
         let daemon = start.await?;
         let first = signal().fuse();
-        let fault = fault(&daemon).fuse();
-        pin_mut!(first, fault);
+        let fault = wait_until(|| daemon.failed()).fuse();
+        let record = wait_until(|| daemon.drained_by_record()).fuse();
+        pin_mut!(first, fault, record);
         select_biased! {
             () = first => {}
             () = fault => return Ok(false),
+            () = record => {}
         }
         let stop = daemon.stop().fuse();
         let second = signal().fuse();
@@ -135,8 +140,8 @@
     }
 }
 
-async fn fault(daemon: &impl Daemon) {
-    while !daemon.failed() {
-        compio::time::sleep(FAULT_CHECK).await;
+async fn wait_until(condition: impl Fn() -> bool) {
+    while !condition() {
+        compio::time::sleep(STATE_CHECK).await;
     }
 }
--- a/wagtailshunt/src/gateway/mod.rs
+++ b/wagtailshunt/src/gateway/mod.rs
@@ -56,6 +56,7 @@
         let admin_address = admin_listener.local_addr().unwrap_or(cfg.admin);
         let limits = http::Limits {
             connections: cfg.max_connections,
+            header_bytes: cfg.max_header_bytes,
             ..http::Limits::default()
         };
         let incarnation = types::Incarnation(clock.wall().0);
@@ -183,4 +184,9 @@
     fn failed(&self) -> bool {
         self.state.links.is_stopped()
     }
+
+    fn drained_by_record(&self) -> bool {
+        self.state
+            .with(|inner| inner.table.drains_vm(self.state.cfg.vm))
+    }
 }
