--- /dev/null
+++ b/lab/src/control_bench/traffic.rs
@@ -0,0 +1,299 @@
+//! Bytes per second of leader and gateways.
+
+use std::{fmt, time};
+
+use wagtailshunt_core::time::Instant;
+use wagtailshunt_core::{directory, lease, types};
+use wagtailshunt_wire::membership::Message;
+
+use super::{CHANGES_PER_DAY, RESTARTS_PER_HOUR, Size};
+use crate::worlds::control::{Content, Node, Settings, Sim, Task, encode};
+
+/// Time until all gateways hold a lease and the full lists have been sent.
+const WARM_UP: time::Duration = time::Duration::from_secs(10);
+
+/// Time over which bytes are counted.
+const WINDOW: time::Duration = time::Duration::from_secs(600);
+
+/// Bytes per second, sent and received, on encoded frames.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Traffic {
+    /// Leader without changes.
+    pub leader_idle: f64,
+    /// Mean gateway without changes.
+    pub gateway_idle: f64,
+    /// Leader with the changes of an ordinary day and all restarts of a day in one hour, each the
+    /// restart of a gateway.
+    pub leader_restarts: f64,
+    /// Mean gateway meanwhile.
+    pub gateway_restarts: f64,
+    /// Leader while targets restart in place of gateways.
+    pub leader_target_restarts: f64,
+    /// Bytes that the leader sends and receives because of one change of leader.
+    pub leader_change: u64,
+    /// Payload of an idle renewal, without envelope.
+    pub renewal: usize,
+    /// Payload of an idle grant, without envelope.
+    pub grant: usize,
+    /// Frame of a change of one target to one gateway.
+    pub target_change: usize,
+}
+
+/// Measures the traffic at one size.
+pub fn traffic(size: Size, seed: u64) -> Traffic {
+    let (leader_idle, gateway_idle) = rates(size, seed, |_, _, _| {});
+    let gateways = size.gateways;
+    let (leader_restarts, gateway_restarts) = rates(size, seed, |sim, now, step| {
+        order(sim, now, step);
+        if restart_due(step) {
+            let vm = 1 + step % gateways;
+            sim.kill_gateway(vm);
+            sim.start_gateway(now, vm);
+        }
+    });
+    let (leader_target_restarts, _) = rates(size, seed, |sim, now, step| {
+        order(sim, now, step);
+        if restart_due(step) {
+            sim.stop_target(now, step % size.targets, true);
+        }
+    });
+    let (renewal, grant) = payloads();
+    Traffic {
+        leader_idle,
+        gateway_idle,
+        leader_restarts,
+        gateway_restarts,
+        leader_target_restarts,
+        leader_change: leader_change(size, seed),
+        renewal,
+        grant,
+        target_change: target_change(),
+    }
+}
+
+fn settings(size: Size) -> Settings {
+    Settings {
+        gateways: size.gateways,
+        services: size.services,
+        targets: size.targets,
+        delay: time::Duration::from_millis(1),
+        judge: false,
+        ..Settings::default()
+    }
+}
+
+/// Runs the world to a time and calls `act` once a second of virtual time.
+fn advance(
+    sim: &mut Sim,
+    from: Instant,
+    until: Instant,
+    mut act: impl FnMut(&mut Sim, Instant, u32),
+) {
+    let mut second = from;
+    let mut step = 0;
+    while second < until {
+        act(sim, second, step);
+        step += 1;
+        second = second + time::Duration::from_secs(1);
+        while let Some(at) = sim.net.next().filter(|at| *at < second) {
+            sim.step(at);
+        }
+    }
+}
+
+/// Returns bytes per second of the leader and of the mean gateway.
+fn rates(size: Size, seed: u64, act: impl FnMut(&mut Sim, Instant, u32)) -> (f64, f64) {
+    let mut sim = Sim::new(settings(size), seed);
+    let start = Instant(0) + WARM_UP;
+    advance(&mut sim, Instant(0), start, |_, _, _| {});
+    sim.net.bytes.clear();
+    advance(&mut sim, start, start + WINDOW, act);
+    let bytes = |node| sim.net.bytes.get(&node).copied().unwrap_or_default() as f64;
+    let gateways: f64 = (1..=size.gateways).map(|vm| bytes(Node::Gateway(vm))).sum();
+    let seconds = WINDOW.as_secs_f64();
+    (
+        bytes(Node::Control) / seconds,
+        gateways / f64::from(size.gateways) / seconds,
+    )
+}
+
+fn restart_due(step: u32) -> bool {
+    crosses(step, RESTARTS_PER_HOUR, 3600)
+}
+
+fn order(sim: &mut Sim, now: Instant, step: u32) {
+    if crosses(step, CHANGES_PER_DAY, 86_400) {
+        let service = step % sim.cfg.services;
+        sim.order(
+            now,
+            1,
+            Task {
+                service,
+                schema: 1,
+                insist: true,
+                ..Task::default()
+            },
+        );
+    }
+}
+
+/// Returns whether an event that happens `count` times in `period` seconds happens in this second.
+fn crosses(second: u32, count: u32, period: u32) -> bool {
+    second * count / period != (second + 1) * count / period
+}
+
+fn leader_change(size: Size, seed: u64) -> u64 {
+    let total = |change: bool| {
+        let mut sim = Sim::new(settings(size), seed);
+        let start = Instant(0) + WARM_UP;
+        advance(&mut sim, Instant(0), start, |_, _, _| {});
+        sim.net.bytes.clear();
+        if change {
+            sim.change_leader(start);
+        }
+        advance(&mut sim, start, start + WARM_UP, |_, _, _| {});
+        sim.net
+            .bytes
+            .get(&Node::Control)
+            .copied()
+            .unwrap_or_default()
+    };
+    total(true).saturating_sub(total(false))
+}
+
+/// Returns the payloads of a renewal and a grant after a year at the design size.
+fn payloads() -> (usize, usize) {
+    let version = directory::Version {
+        term: types::Term(1000),
+        sequence: 100_000,
+    };
+    let digest = directory::Digest(u64::MAX);
+    let revision = types::Revision(570 * 365);
+    let renewal = lease::Renewal {
+        vm: types::VmId(1),
+        incarnation: types::Incarnation(1_800_000_000_000),
+        sequence: 2 * 86_400 * 30,
+        revision,
+        directory: version,
+        vouched: digest,
+        vouched_count: 40,
+        release: false,
+    };
+    let current = lease::Current {
+        revision,
+        directory: version,
+        digest: Some(digest),
+        list_wanted: false,
+    };
+    let grant = lease::Grant {
+        sequence: renewal.sequence,
+        length: lease::Config::default().length,
+        transitions: 100,
+        current,
+    };
+    let payload =
+        |message: Message| encode(types::VmId(1), renewal.incarnation, &wrap(message)).len();
+    let envelope = payload(Message::List(directory::List::default()));
+    // An empty list has 4 bytes: the tags and lengths of message, list and names.
+    let empty = envelope - 4;
+    (
+        payload(Message::Renewal(renewal.clone())) - empty,
+        payload(Message::Grant(grant)) - empty,
+    )
+}
+
+fn wrap(message: Message) -> Content {
+    Content::Membership(Box::new(message))
+}
+
+fn target_change() -> usize {
+    let version = |sequence| directory::Version {
+        term: types::Term(1000),
+        sequence,
+    };
+    let target = directory::Target {
+        key: directory::Key {
+            service: types::ServiceName::from("bookings"),
+            id: types::TargetId::from("bookings-12"),
+        },
+        incarnation: types::Incarnation(1_800_000_000_000),
+        address: std::net::SocketAddr::from(([10, 0, 0, 1], 8080)),
+        failure_domain: types::FailureDomain::from("suva-1"),
+        slots: 3,
+        state: directory::State::Serving,
+    };
+    let delta = directory::Delta {
+        from: version(100_000),
+        to: version(100_001),
+        full: false,
+        news: vec![directory::News::Set(target)],
+    };
+    let incarnation = types::Incarnation(1_800_000_000_000);
+    encode(types::VmId(1), incarnation, &wrap(Message::Delta(delta))).len()
+}
+
+/// Returns the bytes of one announcement over HTTP, request and answer, as short as a client can
+/// write them.
+pub fn announcement_bytes() -> usize {
+    let body = serde_json::json!({
+        "service": "bookings", "target": "bookings-12", "incarnation": 1_800_000_000_000_u64,
+        "address": "10.0.0.1:8080", "failure_domain": "suva-1", "slots": 3, "state": "serving",
+        "load": { "in_flight": 2, "queue": 0, "latency_us": 900 },
+    });
+    let body = body.to_string();
+    let request = format!(
+        "POST /v1/announce HTTP/1.1\r\nHost: 10.0.0.2:8081\r\nAuthorization: Bearer \
+         0123456789abcdef0123456789abcdef\r\nContent-Type: application/json\r\nContent-Length: \
+         {}\r\n\r\n{body}",
+        body.len()
+    );
+    let answer = r#"{"renew_within_ms":3000,"serving":true}"#;
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\ndate: Fri, \
+         04 Dec 2026 06:30:00 GMT\r\n\r\n{answer}",
+        answer.len()
+    );
+    request.len() + answer.len()
+}
+
+impl fmt::Display for Traffic {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "  leader, idle               {:8.0} B/s",
+            self.leader_idle
+        )?;
+        writeln!(
+            f,
+            "  leader, gateways restart   {:8.0} B/s",
+            self.leader_restarts
+        )?;
+        writeln!(
+            f,
+            "  leader, targets restart    {:8.0} B/s",
+            self.leader_target_restarts
+        )?;
+        writeln!(
+            f,
+            "  gateway, idle              {:8.0} B/s",
+            self.gateway_idle
+        )?;
+        writeln!(
+            f,
+            "  gateway, gateways restart  {:8.0} B/s",
+            self.gateway_restarts
+        )?;
+        writeln!(f, "  change of leader           {:8} B", self.leader_change)?;
+        writeln!(
+            f,
+            "  renewal, grant payload     {:3}, {:3} B",
+            self.renewal, self.grant
+        )?;
+        writeln!(f, "  change of a target, frame  {:8} B", self.target_change)?;
+        writeln!(
+            f,
+            "  announcement, HTTP         {:8} B",
+            announcement_bytes()
+        )
+    }
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Scenarios, policy comparison, fake targets and load generation.
 
 pub mod cluster;
+pub mod control_bench;
 pub mod demo;
 pub mod load;
 pub mod policy;
--- a/lab/src/worlds/control/mod.rs
+++ b/lab/src/worlds/control/mod.rs
@@ -43,6 +43,7 @@
 use crate::scenario::{self, Verdict, WorldError};
 
 pub(crate) use actors::Task;
+pub(crate) use frame::{Content, decode, encode};
 pub(crate) use net::Node;
 pub(crate) use settings::Settings;
 pub(crate) use sim::Sim;
