--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,7 +3,10 @@
 pub mod cluster;
 pub mod control_bench;
 pub mod demo;
+pub mod in_force;
+pub mod ledger_bench;
 pub mod load;
+pub mod log_bench;
 pub mod policy;
 pub mod request_path;
 pub mod scenario;
--- a/wagtailshunt/src/gateway/control_link.rs
+++ b/wagtailshunt/src/gateway/control_link.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    gateway::{keyed, state},
+    gateway::{isolation, keyed, state},
     transport,
 };
 
@@ -29,6 +29,10 @@
 /// Pause between two attempts of a ledger request.
 pub const LEDGER_RETRY: time::Duration = time::Duration::from_millis(20);
 
+/// Attempts of a ledger request before the next control VM is asked. With [`LEDGER_RETRY`] it
+/// leaves a new connection 100 ms to open.
+const ATTEMPTS_PER_VM: u32 = 5;
+
 /// Connections of a gateway to the control VMs. A connection is opened when it is first needed.
 #[derive(Default)]
 pub struct Links {
@@ -41,6 +45,8 @@
     next_request: cell::Cell<u64>,
     wake: cell::RefCell<Option<oneshot::Sender<()>>>,
     stopped: cell::Cell<bool>,
+    /// Term of the leader that granted last.
+    term: cell::Cell<types::Term>,
 }
 
 impl Links {
@@ -211,6 +217,10 @@
             }
             Err(err) => log::warn!("record changes of VM {} rejected: {err}", peer.vm),
         },
+        Some(Body::Containment(msg)) => match wire::containment::Message::try_from(msg) {
+            Ok(message) => isolation::received(state, &message),
+            Err(err) => log::warn!("containment message of VM {} rejected: {err}", peer.vm),
+        },
         Some(Body::Redirect(redirect)) => redirected(state, envelope.request, &redirect),
         Some(Body::Ledger(msg)) => match ledger_reply(msg) {
             Ok(Some(answered)) => ledger_answered(state, envelope.request, answered),
@@ -261,6 +271,10 @@
             state.links.heard.set(now);
             state.links.leaders.borrow_mut().insert(REGISTRY, peer.vm);
             granted(state, &grant);
+            let term = grant.current.directory.term;
+            if state.links.term.replace(term) != term {
+                isolation::leader_changed(state);
+            }
         }
         wire::membership::Message::Refusal(refusal) => {
             state.links.heard.set(now);
@@ -315,6 +329,14 @@
     handle.is_some_and(|handle| handle.send(0, Body::Membership(message.encode())))
 }
 
+/// Sends a containment message to the leader.
+pub fn send_containment(state: &state::State, message: &wire::containment::Message) -> bool {
+    let leader = state.links.leader();
+    let dialers = state.links.dialers.borrow();
+    let handle = leader.and_then(|leader| dialers.get(&leader)?.handle());
+    handle.is_some_and(|handle| handle.send(0, Body::Containment(message.into())))
+}
+
 /// Tells the leader a change of what this gateway vouches for. A change that is lost is found by
 /// the digest of the next renewal.
 pub fn send_change(state: &state::State, change: &directory::Change) {
@@ -356,10 +378,16 @@
 ) -> Option<ledger::ServiceReply> {
     let shard = request.key().shard(state.cfg.ledger_shards);
     let group = types::GroupId(1 + shard);
+    let mut failed = 0;
     while state.now() < deadline && !state.links.stopped.get() {
         if let Some(reply) = ask_once(state, group, request, deadline).await {
             return Some(reply);
         }
+        failed += 1;
+        if failed % ATTEMPTS_PER_VM == 0 {
+            // The VM may be gone: nothing tells the gateway who leads the shard now.
+            state.links.next_candidate(state, group);
+        }
         let pause = LEDGER_RETRY.min(deadline.since(state.now()));
         compio::time::sleep(pause).await;
     }
