--- a/lab/src/policy/faults.rs
+++ b/lab/src/policy/faults.rs
@@ -43,6 +43,11 @@
         /// Whether it does.
         on: bool,
     },
+    /// A target is neither slow nor failing nor lying any more.
+    Heal {
+        /// The target.
+        target: usize,
+    },
     /// A target falls silent.
     Lose {
         /// The target.
@@ -84,6 +89,12 @@
             }
             Fault::FailFast { target, on } => self.targets[target].fails_fast = on,
             Fault::Lie { target, on } => self.targets[target].lies = on,
+            Fault::Heal { target } => {
+                let fake = &mut self.targets[target];
+                fake.slow = 1.0;
+                fake.fails_fast = false;
+                fake.lies = false;
+            }
             Fault::Lose { target } => {
                 self.lose_target(target);
                 self.schedule_in(TARGET_TTL, Event::Directory(target));
--- a/lab/src/policy/stats.rs
+++ b/lab/src/policy/stats.rs
@@ -4,6 +4,8 @@
 use wagtailshunt_core::measure;
 use wagtailshunt_core::time::Instant;
 
+use super::cluster::Cluster;
+
 /// Longest latency that is told apart, in microseconds.
 const MAX_LATENCY_US: u64 = 60_000_000;
 
@@ -30,6 +32,8 @@
     pub hedges: u64,
     /// Attempts cancelled because another one answered.
     pub cancelled: u64,
+    /// Attempts that a target ran to the end after their call was answered.
+    pub wasted: u64,
     /// Attempts that were sent to a target that was leaving.
     pub sent_to_draining: u64,
     /// Calls passed on to the owner.
@@ -54,6 +58,7 @@
             retries: 0,
             hedges: 0,
             cancelled: 0,
+            wasted: 0,
             sent_to_draining: 0,
             handed: 0,
             reports: 0,
@@ -73,3 +78,56 @@
         self.latencies.saturating_record(us.max(1));
     }
 }
+
+/// Figures of a run that scenarios check.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// 99th percentile of the latency in milliseconds.
+    pub p99_ms: f64,
+    /// 99.9th percentile of the latency in milliseconds.
+    pub p999_ms: f64,
+    /// Calls answered in time per second.
+    pub goodput: f64,
+    /// Calls that failed or missed their deadline, in percent.
+    pub errors_pct: f64,
+    /// Calls refused as not run, in percent.
+    pub refused_pct: f64,
+    /// Attempts for each call.
+    pub attempts: f64,
+    /// Hedges in percent of the calls.
+    pub hedges_pct: f64,
+    /// Wasted attempts in percent of the calls.
+    pub wasted_pct: f64,
+    /// Probe messages for each call.
+    pub messages: f64,
+    /// Target time spent on probes for each call, in microseconds.
+    pub probe_us: f64,
+}
+
+impl Cluster {
+    /// Returns what was measured since the last reset.
+    pub fn figures(&self, now: Instant) -> Figures {
+        let stats = &self.stats;
+        let (_, spent) = self.measuring_totals();
+        let (_, before) = stats.measured_before;
+        let per_call = |value: u64| value as f64 / stats.offered.max(1) as f64;
+        let seconds = now.since(stats.since).as_secs_f64().max(1e-6);
+        Figures {
+            p99_ms: stats.latency_ms(0.99),
+            p999_ms: stats.latency_ms(0.999),
+            goodput: stats.ok as f64 / seconds,
+            errors_pct: per_call(stats.failed + stats.timeouts) * 100.0,
+            refused_pct: per_call(stats.refused) * 100.0,
+            attempts: per_call(stats.attempts),
+            hedges_pct: per_call(stats.hedges) * 100.0,
+            wasted_pct: per_call(stats.wasted) * 100.0,
+            messages: per_call(spent.messages - before.messages),
+            probe_us: per_call(spent.target_time_us - before.target_time_us),
+        }
+    }
+
+    /// Returns how many attempts each target was given.
+    pub fn received(&self) -> Vec<u64> {
+        self.targets.iter().map(|target| target.received).collect()
+    }
+}
--- a/lab/src/policy/targets.rs
+++ b/lab/src/policy/targets.rs
@@ -98,6 +98,7 @@
         match job {
             Job::Attempt(number) => {
                 let reached = self.attempts[number].reached;
+                self.stats.wasted += u64::from(self.calls[self.attempts[number].call].done);
                 let fake = &mut self.targets[target];
                 fake.learn(self.now.0 - reached.0);
                 let attempt = &mut self.attempts[number];
