Return the permit of a run with its suspicion

A retry of the same call asked for a permit while the gateway still held that of the lost run under the same id, so that ending one could end the other. The permit is now returned right after the suspicion, which by itself keeps the leader from a further permit.

--- a/core/src/containment/gateway.rs
+++ b/core/src/containment/gateway.rs
@@ -56,7 +56,7 @@
 /// A call in flight, as its end is reported.
 #[derive(Clone, Copy, Debug)]
 pub struct Call<'a> {
-    /// Number of the run, unique within the gateway; each try of a call has a new one.
+    /// Id of the call, unique within the gateway.
     pub id: u64,
     /// Request of the call.
     pub fingerprint: fingerprint::Fingerprint,
@@ -157,8 +157,7 @@
         }
     }
 
-    /// Asks the leader for a permit. `call` is a new number for each try, since the permit of an
-    /// earlier try is held until its end is attributed.
+    /// Asks the leader for a permit.
     pub fn ask(
         &mut self,
         now: time::Instant,
@@ -293,9 +292,9 @@
         opened: time::Instant,
         end: instance::End,
     ) {
-        let mut suspected = None;
-        if let instance::End::Unanswered { suspect, .. } = &end {
-            suspected = Some(suspect.clone());
+        let mut unanswered = None;
+        if let instance::End::Unanswered { call, suspect } = &end {
+            unanswered = Some((*call, suspect.clone()));
             let until = now + self.cfg.window;
             let local = Local {
                 until,
@@ -305,12 +304,22 @@
         }
         self.instance(target).connection_ended(now, opened, end);
         let attributed = self.attribute(now, target);
-        if let Some(suspect) = suspected.filter(|_| !attributed) {
-            self.outputs
-                .push_back(Output::Suspect(message::CrashReport {
-                    target: target.clone(),
-                    suspects: vec![suspect],
-                }));
+        let Some((call, suspect)) = unanswered else {
+            return;
+        };
+        let fingerprint = suspect.fingerprint;
+        let mut result = message::RunResult::Lost;
+        if !attributed {
+            result = message::RunResult::Inconclusive;
+            let target = target.clone();
+            let suspects = vec![suspect];
+            let doubt = message::CrashReport { target, suspects };
+            self.outputs.push_back(Output::Suspect(doubt));
+        }
+        // The open suspicion keeps the leader from a further permit, so that a retry of the same
+        // call can ask for one.
+        if self.release(call).is_some() {
+            self.done(call, fingerprint, result);
         }
     }
 
@@ -375,7 +384,7 @@
             let calls = &instance.broken.as_ref()?.calls;
             Some(message::CrashReport {
                 target: target.clone(),
-                suspects: calls.iter().map(|(_, suspect)| suspect.clone()).collect(),
+                suspects: calls.clone(),
             })
         };
         message::Rebuild {
@@ -427,7 +436,7 @@
             return false;
         };
         let mut suspects: Vec<message::Suspect> = Vec::new();
-        for (_, suspect) in &broken.calls {
+        for suspect in &broken.calls {
             let until = now + self.cfg.report_lifetime;
             let local = Local {
                 until,
@@ -450,11 +459,6 @@
         }
         self.unconfirmed.push(report.clone());
         self.outputs.push_back(Output::Report(report));
-        for (call, suspect) in broken.calls {
-            if self.release(call).is_some() {
-                self.done(call, suspect.fingerprint, message::RunResult::Lost);
-            }
-        }
         self.forget_unused(target);
         true
     }
@@ -476,17 +480,15 @@
 
     /// The target lives, or nothing showed within the window that it was lost.
     fn acquit(&mut self, target: &message::Target, broken: instance::Break) {
-        let suspects = broken.calls.iter().map(|(_, suspect)| suspect.clone());
         self.outputs.push_back(Output::Acquit(message::CrashReport {
             target: target.clone(),
-            suspects: suspects.collect(),
+            suspects: broken.calls.clone(),
         }));
-        for (call, suspect) in broken.calls {
+        for suspect in broken.calls {
             let reported = |local: &Local| local.reported;
             if !self.local.get(&suspect.fingerprint).is_some_and(reported) {
                 self.local.remove(&suspect.fingerprint);
             }
-            self.give_up(call);
         }
     }
 
--- a/core/src/containment/instance.rs
+++ b/core/src/containment/instance.rs
@@ -16,7 +16,7 @@
     Idle,
     /// The target ended it before a complete answer of this call.
     Unanswered {
-        /// Number of the run.
+        /// Id of the call.
         call: u64,
         /// Request of the call.
         suspect: message::Suspect,
@@ -34,7 +34,7 @@
     // Connections that the target ended, including those of the calls.
     ended: usize,
     refused: bool,
-    pub(super) calls: Vec<(u64, message::Suspect)>,
+    pub(super) calls: Vec<message::Suspect>,
 }
 
 /// Connections and calls of this gateway on one incarnation.
@@ -60,7 +60,7 @@
                 broken.remaining = broken.remaining.saturating_sub(1);
             }
         }
-        if let End::Unanswered { call, suspect } = end {
+        if let End::Unanswered { suspect, .. } = end {
             let broken = self.broken.get_or_insert_with(|| Break {
                 since: now,
                 remaining: self.open,
@@ -72,7 +72,7 @@
                 refused: false,
                 calls: Vec::new(),
             });
-            broken.calls.push((call, suspect));
+            broken.calls.push(suspect);
         }
         if own {
             return;
--- a/core/src/containment/leader.rs
+++ b/core/src/containment/leader.rs
@@ -208,9 +208,6 @@
         };
         let entry = self.published(now, &request.suspect);
         let repeated = |t: &Turn| (t.vm, t.call) == (turn.vm, turn.call);
-        if entry.permit.as_ref().is_some_and(repeated) {
-            return self.reply(fingerprint, turn, message::PermitReply::Granted);
-        }
         if entry.waiting.iter().any(repeated) {
             return;
         }
--- a/core/src/containment/message.rs
+++ b/core/src/containment/message.rs
@@ -38,7 +38,7 @@
 /// Asks to run a suspect.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PermitRequest {
-    /// Run that asks, unique within the gateway; each try of a call has a new one.
+    /// Call that wants to run; unique within the gateway.
     pub call: u64,
     /// Request of the call.
     pub suspect: Suspect,
--- a/core/tests/containment.rs
+++ b/core/tests/containment.rs
@@ -213,6 +213,24 @@
     );
 }
 
+/// Guards against a retry that cannot get a permit because its call still holds that of the lost run.
+#[test]
+fn a_lost_run_returns_its_permit_after_the_suspicion() {
+    let mut gateway = with_calls(1, 1);
+    let fingerprint = containment::Fingerprint(10);
+    let granted = containment::PermitReply::Granted;
+    gateway.ask(ms(0), 7, suspect(10), Duration::from_secs(1));
+    gateway.permit_reply(7, fingerprint, granted);
+    outputs(&mut gateway);
+    gateway.connection_ended(ms(1), &target(1), START, unanswered(7, 10));
+    let suspected = containment::Output::Suspect(report(1, &[10]));
+    let returned = containment::Output::Done(done(7, 10, containment::RunResult::Inconclusive));
+    assert_eq!(outputs(&mut gateway), [suspected, returned]);
+    gateway.ask(ms(2), 7, suspect(10), Duration::from_secs(1));
+    let verdict = gateway.permit_reply(7, fingerprint, granted);
+    assert_eq!(verdict, containment::Verdict::Isolated);
+}
+
 /// Guards against a permit that is held forever by a call that gave up before the grant arrived.
 #[test]
 fn a_late_permit_is_returned() {
--- a/lab/src/worlds/keys/answers.rs
+++ b/lab/src/worlds/keys/answers.rs
@@ -83,7 +83,7 @@
             health.answered(now, latency);
         }
         let ended = containment::Call {
-            id: entry.run,
+            id: call,
             fingerprint: entry.request.fingerprint(),
             target: &target,
             opened,
@@ -173,7 +173,7 @@
             return self.drain_guard(gateway);
         };
         let end = containment::End::Unanswered {
-            call: calls[&call].run,
+            call,
             suspect: calls[&call].request.suspect(),
         };
         self.end_busy(gateway, call, end);
--- a/lab/src/worlds/keys/forward.rs
+++ b/lab/src/worlds/keys/forward.rs
@@ -28,9 +28,9 @@
         if !idle || now >= state.deadline || state.tries >= gateway::MAX_TRIES {
             return;
         }
-        let (permitted, run, avoid) = (state.permitted, state.run, state.avoid.clone());
+        let (permitted, avoid) = (state.permitted, state.avoid.clone());
         let idempotent = state.request.idempotent && state.request.key.is_none();
-        let Some(number) = self.choose(gateway, run, permitted, &avoid) else {
+        let Some(number) = self.choose(gateway, call, permitted, &avoid) else {
             if let Some(state) = self.gateways[gateway].calls.get_mut(&call) {
                 state.avoid.clear();
             }
@@ -84,7 +84,7 @@
     fn choose(
         &mut self,
         gateway: usize,
-        run: u64,
+        call: u64,
         permitted: bool,
         avoid: &[usize],
     ) -> Option<usize> {
@@ -93,7 +93,7 @@
         let identities: Vec<containment::Target> = numbers.iter().map(identity).collect();
         let guard = &mut self.gateways[gateway].guard;
         let chosen = match permitted {
-            true => guard.isolated_target(run, identities.iter()),
+            true => guard.isolated_target(call, identities.iter()),
             false => identities.iter().find(|target| !guard.is_reserved(target)),
         }?;
         let at = identities.iter().position(|target| target == chosen)?;
@@ -245,7 +245,7 @@
         state.guard.connection_ended(now, &target, opened, end);
         if dispatched {
             let ended = containment::Call {
-                id: entry.run,
+                id: call,
                 fingerprint: entry.request.fingerprint(),
                 target: &target,
                 opened,
@@ -254,7 +254,7 @@
             state.guard.finished(&ended, false);
         }
         if own && entry.permitted {
-            state.guard.give_up(entry.run);
+            state.guard.give_up(call);
         }
         entry.permitted = false;
         self.drain_guard(gateway);
--- a/lab/src/worlds/keys/gateway.rs
+++ b/lab/src/worlds/keys/gateway.rs
@@ -16,9 +16,6 @@
 /// Time before the deadline at which a gateway gives up on a claim.
 pub(super) const GIVE_UP_MARGIN: Duration = Duration::from_millis(10);
 
-/// Numbers reserved for the tries of one call.
-pub(super) const RUNS_PER_CALL: u64 = 64;
-
 /// Most targets that one call is sent to.
 pub(super) const MAX_TRIES: u32 = 4;
 
@@ -44,8 +41,6 @@
     /// Another claim runs the key.
     pub(super) runs_elsewhere: bool,
     pub(super) asked: time::Instant,
-    /// Number of the current try for containment; each permit is for one try.
-    pub(super) run: u64,
     pub(super) permitted: bool,
     pub(super) waits_for_permit: bool,
     pub(super) opening: Option<connection::Connecting>,
@@ -155,7 +150,6 @@
             claim: Claim::None,
             runs_elsewhere: false,
             asked: self.now,
-            run: call * RUNS_PER_CALL,
             permitted: false,
             waits_for_permit: false,
             opening: None,
@@ -274,7 +268,7 @@
                 let guard = &mut self.gateways[gateway].guard;
                 let verdict = guard.permit_reply(call, fingerprint, reply);
                 self.drain_guard(gateway);
-                self.permit_replied(gateway, call / RUNS_PER_CALL, verdict);
+                self.permit_replied(gateway, call, verdict);
             }
             ToGateway::Notice(notice) => self.gateways[gateway].guard.notice(now, &notice),
             ToGateway::Records(records) => self.gateways[gateway].guard.replace(now, &records),
@@ -395,10 +389,8 @@
                     return;
                 };
                 entry.waits_for_permit = true;
-                entry.run += 1;
-                let run = entry.run;
                 let remaining = entry.deadline.since(now);
-                state.guard.ask(now, run, request.suspect(), remaining);
+                state.guard.ask(now, call, request.suspect(), remaining);
                 self.drain_guard(gateway);
             }
         }
@@ -493,7 +485,7 @@
                     state.by_claim.remove(&(key, entry.holder.claim));
                 }
                 if entry.waits_for_permit || entry.permitted && entry.busy.is_none() {
-                    state.guard.give_up(entry.run);
+                    state.guard.give_up(call);
                 }
             }
             self.drain_guard(gateway);
