--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cluster;
 pub mod demo;
 pub mod in_force;
+pub mod ledger_bench;
 pub mod load;
 pub mod log_bench;
 pub mod policy;
