--- a/wagtailshunt/src/settings/control.rs
+++ b/wagtailshunt/src/settings/control.rs
@@ -39,7 +39,7 @@
 impl Default for Timing {
     fn default() -> Self {
         Timing {
-            lease_ms: 2200,
+            lease_ms: 1900,
             heartbeat_ms: 200,
             election_min_ms: 500,
             election_max_ms: 1000,
