Refuse announcements on a gateway without a lease

A gateway that is cut off cannot vouch for a target; the target now goes on to the next gateway at once.

--- a/wagtailshunt/src/gateway/announce.rs
+++ b/wagtailshunt/src/gateway/announce.rs
@@ -78,6 +78,8 @@
         field: &'static str,
         fault: &'static str,
     },
+    #[error("the gateway holds no lease; announce to another one")]
+    NoLease,
     #[error("{0}")]
     Refused(directory::Refusal),
 }
@@ -87,7 +89,9 @@
         match self {
             Error::Key => StatusCode::UNAUTHORIZED,
             Error::Body(_) | Error::Field { .. } => StatusCode::BAD_REQUEST,
-            Error::Refused(directory::Refusal::Full) => StatusCode::SERVICE_UNAVAILABLE,
+            Error::NoLease | Error::Refused(directory::Refusal::Full) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Error::Refused(_) => StatusCode::CONFLICT,
         }
     }
@@ -102,6 +106,11 @@
     let body: Body = serde_json::from_slice(&bytes).map_err(|err| Error::Body(err.to_string()))?;
     check(&body)?;
     let announcement = announcement(body);
+    // A gateway without a lease may be cut off; its word for a target would reach nobody, and a
+    // target that announces itself here would stay unknown.
+    if !state.is_serving() {
+        return Err(Error::NoLease);
+    }
     let now = state.now();
     let change = state.with(|inner| inner.vouched.announce(now, &announcement));
     let change = change.map_err(Error::Refused)?;
--- a/wagtailshunt/tests/settings.rs
+++ b/wagtailshunt/tests/settings.rs
@@ -28,7 +28,7 @@
     },
     "bootstrap": [1, 2],
     "keys": { "cluster": "c-key", "target": "t-key", "operator": "o-key" },
-    "timing": { "lease_ms": 2200 }
+    "timing": { "lease_ms": 1900 }
 }"#;
 
 fn examples() -> path::PathBuf {
@@ -192,8 +192,8 @@
                 "no entry for this VM",
             ),
             ("[1, 2]", "[1, 3]", "line 11: key `bootstrap`", "VM 3"),
-            ("2200", "3000", "line 13: key `timing.lease_ms`", "2900"),
-            ("2200", "\"2s\"", "line 13: key `timing.lease_ms`", "u64"),
+            ("1900", "3000", "line 13: key `timing.lease_ms`", "2900"),
+            ("1900", "\"2s\"", "line 13: key `timing.lease_ms`", "u64"),
             (
                 "\"lease_ms\"",
                 "\"lease_s\"",
@@ -201,7 +201,7 @@
                 "lease_ms",
             ),
             (
-                "\"lease_ms\": 2200",
+                "\"lease_ms\": 1900",
                 "\"election_min_ms\": 1000",
                 "line 13: key `timing.election_max_ms`",
                 "between 1001",
