--- a/core/tests/replication.rs
+++ b/core/tests/replication.rs
@@ -9,7 +9,7 @@
     AppendReply, Config, Membership, MembershipChange, Message, Node, Output, ProposeError, Role,
     Vote,
 };
-use wagtailshunt_core::storage::{Entry, HardState, Payload, Recovered};
+use wagtailshunt_core::storage::{Entry, HardState, Op, Payload, Recovered};
 use wagtailshunt_core::time::Instant;
 use wagtailshunt_core::types::{LogIndex, Term, VmId};
 
@@ -485,13 +485,19 @@
 fn synced(term: u64, index: u64) -> Message {
     Message::AppendReply(AppendReply {
         term: Term(term),
-        round: 1,
+        // Answers every round so far.
+        round: 100,
         verified: LogIndex(index),
         durable: LogIndex(index),
         conflict: None,
     })
 }
 
+fn reads(node: &mut Node) -> bool {
+    std::iter::from_fn(|| node.poll_output())
+        .any(|output| matches!(output, Output::ReadReady { .. }))
+}
+
 /// A majority that has an entry of an earlier term may still lose it to a later leader (figure 8 of
 /// the Raft paper), so only an entry of the own term is committed by counting.
 #[test]
@@ -505,15 +511,16 @@
         "earlier entries may be unknown"
     );
     node.read_index(now, 5).unwrap();
-    let answered = std::iter::from_fn(|| node.poll_output())
-        .any(|output| matches!(output, Output::ReadReady { .. }));
+    node.step(now, VmId(2), synced(4, 2));
     assert!(
-        !answered,
+        !reads(&mut node),
         "the commit index may lag behind earlier leaders'"
     );
     node.step(now, VmId(2), synced(4, 3));
     assert_eq!(node.committed(), LogIndex(3));
     assert!(node.lease_valid_until(now).is_some());
+    node.step(now, VmId(2), synced(4, 3));
+    assert!(reads(&mut node));
 }
 
 /// A request to run that arrives late, after the transfer was given up, must find no lease.
@@ -535,3 +542,51 @@
         "it steps down"
     );
 }
+
+/// Two leaders in one term would commit different entries.
+#[test]
+fn a_node_gives_one_vote_in_a_term_also_after_a_restart() {
+    let voters = Membership::of_voters((1..=3).map(VmId));
+    let mut recovered = Recovered::bootstrap(voters);
+    let now = Instant(1_000_000);
+    let cfg = Config {
+        id: VmId(1),
+        ..Config::default()
+    };
+    let vote = Message::Vote(Vote {
+        term: Term(5),
+        last_index: LogIndex(9),
+        last_term: Term(4),
+        transfer: true,
+    });
+    let mut granted = Vec::new();
+    let mut node = Node::new(cfg.clone(), recovered.clone(), now);
+    for (candidate, restart) in [(2, false), (3, false), (3, true), (2, false)] {
+        if restart {
+            node = Node::new(cfg.clone(), recovered.clone(), now);
+        }
+        node.step(now, VmId(candidate), vote.clone());
+        while let Some(output) = node.poll_output() {
+            match output {
+                Output::Persist { ticket, ops } => {
+                    for op in ops {
+                        if let Op::HardState(state) = op {
+                            recovered.hard_state = state;
+                        }
+                    }
+                    node.persisted(now, ticket);
+                }
+                Output::Send { msg, .. } => granted.push(msg),
+                _ => {}
+            }
+        }
+    }
+    let reply = |granted| Message::VoteReply {
+        term: Term(5),
+        granted,
+    };
+    assert_eq!(
+        granted,
+        [reply(true), reply(false), reply(false), reply(true)]
+    );
+}
