--- /dev/null
+++ b/core/tests/replication_rules.rs
@@ -0,0 +1,162 @@
+//! Guards rules of a single node that random schedules seldom reach; the messages of the other
+//! nodes are made up.
+
+use wagtailshunt_core::replication::{
+    AppendReply, Config, Membership, Message, Node, Output, Role, Vote,
+};
+use wagtailshunt_core::storage::{Entry, HardState, Op, Payload, Recovered};
+use wagtailshunt_core::time::Instant;
+use wagtailshunt_core::types::{LogIndex, Term, VmId};
+
+/// Makes a node with the given log the leader of three, with the help of its second member.
+fn elected(entries: Vec<Entry>, term: u64) -> (Node, Instant) {
+    let recovered = Recovered {
+        hard_state: HardState {
+            term: Term(term),
+            voted_for: None,
+        },
+        entries,
+        ..Recovered::bootstrap(Membership::of_voters((1..=3).map(VmId)))
+    };
+    let cfg = Config {
+        id: VmId(1),
+        ..Config::default()
+    };
+    let now = Instant(1_000_000);
+    let mut node = Node::new(cfg, recovered, now);
+    let now = node.next_deadline().unwrap();
+    node.tick(now);
+    let (granted, term) = (true, Term(term + 1));
+    node.step(now, VmId(2), Message::PreVoteReply { term, granted });
+    sync(&mut node, now);
+    node.step(now, VmId(2), Message::VoteReply { term, granted });
+    sync(&mut node, now);
+    assert_eq!(node.role(), Role::Leader);
+    (node, now)
+}
+
+/// Syncs all batches of a node and drops its messages.
+fn sync(node: &mut Node, now: Instant) {
+    while let Some(output) = node.poll_output() {
+        if let Output::Persist { ticket, .. } = output {
+            node.persisted(now, ticket);
+        }
+    }
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index: LogIndex(index),
+        term: Term(term),
+        payload: Payload::Noop,
+    }
+}
+
+fn synced(term: u64, index: u64) -> Message {
+    Message::AppendReply(AppendReply {
+        term: Term(term),
+        // Answers every round so far.
+        round: 100,
+        verified: LogIndex(index),
+        durable: LogIndex(index),
+        conflict: None,
+    })
+}
+
+fn reads(node: &mut Node) -> bool {
+    std::iter::from_fn(|| node.poll_output())
+        .any(|output| matches!(output, Output::ReadReady { .. }))
+}
+
+/// A majority that has an entry of an earlier term may still lose it to a later leader (figure 8 of
+/// the Raft paper), so only an entry of the own term is committed by counting.
+#[test]
+fn an_entry_of_an_earlier_term_is_not_committed_by_counting() {
+    let (mut node, now) = elected(vec![entry(1, 1), entry(2, 2)], 3);
+    node.step(now, VmId(2), synced(4, 2));
+    assert_eq!(node.committed(), LogIndex(0));
+    assert_eq!(
+        node.lease_valid_until(now),
+        None,
+        "earlier entries may be unknown"
+    );
+    node.read_index(now, 5).unwrap();
+    node.step(now, VmId(2), synced(4, 2));
+    assert!(
+        !reads(&mut node),
+        "the commit index may lag behind earlier leaders'"
+    );
+    node.step(now, VmId(2), synced(4, 3));
+    assert_eq!(node.committed(), LogIndex(3));
+    assert!(node.lease_valid_until(now).is_some());
+    node.step(now, VmId(2), synced(4, 3));
+    assert!(reads(&mut node));
+}
+
+/// A request to run that arrives late, after the transfer was given up, must find no lease.
+#[test]
+fn the_lease_ends_when_another_node_is_asked_to_run() {
+    let (mut node, now) = elected(vec![entry(1, 1)], 1);
+    node.step(now, VmId(2), synced(2, 2));
+    assert!(node.lease_valid_until(now).is_some());
+    node.transfer_leadership(now, Some(VmId(2)));
+    assert_eq!(node.lease_valid_until(now), None);
+    let mut end = now;
+    while node.role() == Role::Leader {
+        end = node.next_deadline().unwrap();
+        node.tick(end);
+        assert_eq!(node.lease_valid_until(end), None);
+    }
+    assert!(
+        end.since(now) <= Config::default().election_max,
+        "it steps down"
+    );
+}
+
+/// Two leaders in one term would commit different entries.
+#[test]
+fn a_node_gives_one_vote_in_a_term_also_after_a_restart() {
+    let voters = Membership::of_voters((1..=3).map(VmId));
+    let mut recovered = Recovered::bootstrap(voters);
+    let now = Instant(1_000_000);
+    let cfg = Config {
+        id: VmId(1),
+        ..Config::default()
+    };
+    let vote = Message::Vote(Vote {
+        term: Term(5),
+        last_index: LogIndex(9),
+        last_term: Term(4),
+        transfer: true,
+    });
+    let mut granted = Vec::new();
+    let mut node = Node::new(cfg.clone(), recovered.clone(), now);
+    for (candidate, restart) in [(2, false), (3, false), (3, true), (2, false)] {
+        if restart {
+            node = Node::new(cfg.clone(), recovered.clone(), now);
+        }
+        node.step(now, VmId(candidate), vote.clone());
+        while let Some(output) = node.poll_output() {
+            match output {
+                Output::Persist { ticket, ops } => {
+                    for op in ops {
+                        if let Op::HardState(state) = op {
+                            recovered.hard_state = state;
+                        }
+                    }
+                    node.persisted(now, ticket);
+                }
+                Output::Send { msg, .. } => granted.push(msg),
+                _ => {}
+            }
+        }
+    }
+    let reply = |granted| Message::VoteReply {
+        term: Term(5),
+        granted,
+    };
+    assert_eq!(
+        granted,
+        [reply(true), reply(false), reply(false), reply(true)]
+    );
+}
