--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,7 +1,10 @@
 //! Scenarios, policy comparison, fake targets and load generation.
 
 pub mod cluster;
+pub mod control_bench;
 pub mod demo;
+pub mod in_force;
+pub mod ledger_bench;
 pub mod load;
 pub mod log_bench;
 pub mod policy;
