--- a/core/src/balance/target.rs
+++ b/core/src/balance/target.rs
@@ -14,7 +14,7 @@
 /// Cost added by one failed answer, in mean latencies.
 const ERROR_COST: f64 = 4.0;
 /// Cost added by one shed answer, in mean latencies.
-const SHED_COST: f64 = 1.0;
+const SHED_COST: f64 = 4.0;
 /// Highest cost that failures add up to.
 const MAX_PENALTY: f64 = 40.0;
 /// Time in microseconds after which the cost of failures has halved.
@@ -163,8 +163,9 @@
             }
             // A cancelled call took at least this long; shorter ones say nothing.
             Outcome::Cancelled => self.learn_at_least(now, finish.latency, means),
-            Outcome::Shed => self.punish(now, cfg, SHED_COST),
-            Outcome::Error | Outcome::Timeout => {
+            Outcome::Shed if !self.has_room(finish) => self.punish(now, cfg, SHED_COST),
+            // A target that sheds with slots to spare is leaving or broken.
+            Outcome::Shed | Outcome::Error | Outcome::Timeout => {
                 self.punish(now, cfg, ERROR_COST);
                 self.learn_at_least(now, finish.latency, means);
                 self.consecutive += 1;
@@ -301,6 +302,12 @@
         1.0 + (us / means.latency_us.max(1.0) - 1.0) * weight
     }
 
+    fn has_room(&self, finish: &Finish) -> bool {
+        finish
+            .report
+            .is_some_and(|report| report.queue == 0 && report.in_flight < self.slots)
+    }
+
     fn punish(&mut self, now: Instant, cfg: &Config, cost: f64) {
         if !cfg.error_cost {
             return;
