--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -17,7 +17,7 @@
         Some(options::BenchCommand::InForce(opts)) => bench_core::in_force(global, opts).await,
         Some(options::BenchCommand::Control(_)) => missing("control"),
         Some(options::BenchCommand::Log(opts)) => bench_core::log(global, opts),
-        Some(options::BenchCommand::Ledger(_)) => missing("ledger"),
+        Some(options::BenchCommand::Ledger(opts)) => bench_core::ledger(global, opts),
         None => {
             let message = "a measurement is missing; `wagtailshunt bench --help` lists them";
             Err(exit::Error::Usage(message.to_owned()))
--- a/cli/src/bench_core.rs
+++ b/cli/src/bench_core.rs
@@ -1,10 +1,10 @@
-//! Measurements of the core: policies and the replicated log.
+//! Measurements of the core: policies, replicated log and ledger.
 
 use std::{path, time};
 
 use serde::Serialize;
 use serde_json::{Value, json};
-use wagtailshunt_lab::{in_force, log_bench, policy};
+use wagtailshunt_lab::{in_force, ledger_bench, log_bench, policy};
 
 use crate::{exit, folder, options};
 
@@ -48,6 +48,29 @@
     Ok(exit::Code::Ok)
 }
 
+/// Runs `bench ledger`.
+pub fn ledger(
+    global: &options::Program,
+    opts: &options::Ledger,
+) -> Result<exit::Code, exit::Error> {
+    let figures = ledger_bench::measure(opts.keys, opts.seed);
+    let value = json!({
+        "keys": figures.keys,
+        "claim_us": micros(figures.claim),
+        "complete_us": micros(figures.complete),
+        "replay_us": micros(figures.replay),
+        "running_bytes": figures.running_bytes,
+        "completed_bytes": figures.completed_bytes,
+        "charged_bytes": figures.charged_bytes,
+        "snapshot_us": micros(figures.snapshot),
+        "snapshot_bytes": figures.snapshot_bytes,
+        "restore_us": micros(figures.restore),
+        "drop_all_us": micros(figures.drop_all),
+    });
+    show(global, "ledger", &figures, value);
+    Ok(exit::Code::Ok)
+}
+
 /// Runs `bench policy`.
 pub fn policy(
     global: &options::Program,
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -196,7 +196,7 @@
     #[options(help = "time from accepting a change to its being in force")]
     InForce(InForce),
     #[options(help = "time and memory of the idempotency ledger")]
-    Ledger(Plain),
+    Ledger(Ledger),
 }
 
 /// Options of `bench policy`.
@@ -241,6 +241,17 @@
     pub revision: String,
 }
 
+/// Options of `bench ledger`.
+#[derive(Debug, Options)]
+pub struct Ledger {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(help = "idempotency keys", default = "100000", no_short)]
+    pub keys: usize,
+    #[options(help = "seed", default = "1", no_short)]
+    pub seed: u64,
+}
+
 /// Options of `bench log`.
 #[derive(Debug, Options)]
 pub struct Log {
