--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -15,7 +15,7 @@
         Some(options::BenchCommand::RequestPath(opts)) => request_path(global, opts).await,
         Some(options::BenchCommand::Policy(opts)) => bench_core::policy(global, opts),
         Some(options::BenchCommand::InForce(opts)) => bench_core::in_force(global, opts).await,
-        Some(options::BenchCommand::Control(_)) => missing("control"),
+        Some(options::BenchCommand::Control(opts)) => bench_core::control(global, opts),
         Some(options::BenchCommand::Log(opts)) => bench_core::log(global, opts),
         Some(options::BenchCommand::Ledger(opts)) => bench_core::ledger(global, opts),
         None => {
@@ -25,11 +25,6 @@
     }
 }
 
-fn missing(name: &str) -> Result<exit::Code, exit::Error> {
-    let message = format!("the measurement `{name}` is not part of this version yet");
-    Err(exit::Error::Failed(message))
-}
-
 async fn request_path(
     global: &options::Program,
     opts: &options::RequestPath,
--- a/cli/src/bench_core.rs
+++ b/cli/src/bench_core.rs
@@ -1,10 +1,10 @@
-//! Measurements of the core: policies, replicated log and ledger.
+//! Measurements of the core: policies, control, replicated log and ledger.
 
 use std::{path, time};
 
 use serde::Serialize;
 use serde_json::{Value, json};
-use wagtailshunt_lab::{in_force, ledger_bench, log_bench, policy};
+use wagtailshunt_lab::{control_bench, in_force, ledger_bench, log_bench, policy};
 
 use crate::{exit, folder, options};
 
@@ -71,6 +71,38 @@
     Ok(exit::Code::Ok)
 }
 
+/// Runs `bench control`.
+pub fn control(
+    global: &options::Program,
+    opts: &options::Control,
+) -> Result<exit::Code, exit::Error> {
+    for size in control_bench::SIZES {
+        let report = control_bench::run(size, opts.seed);
+        let (traffic, cost) = (&report.traffic, &report.cost);
+        let operations = cost.operations.iter();
+        let operations = operations.map(|op| (op.name.to_owned(), json!(op.micros)));
+        let value = json!({
+            "gateways": size.gateways,
+            "services": size.services,
+            "targets": size.targets,
+            "leader_idle_bytes_per_s": traffic.leader_idle,
+            "gateway_idle_bytes_per_s": traffic.gateway_idle,
+            "leader_restarts_bytes_per_s": traffic.leader_restarts,
+            "gateway_restarts_bytes_per_s": traffic.gateway_restarts,
+            "leader_change_bytes": traffic.leader_change,
+            "operations_us": Value::Object(operations.collect()),
+            "leader_core_percent": cost.leader_core_percent,
+            "registry_kib": cost.registry_kib,
+            "ids_kib": cost.ids_kib,
+            "directory_kib": cost.directory_kib,
+            "gateway_kib": cost.gateway_kib,
+            "snapshot_kib": cost.snapshot_kib,
+        });
+        show(global, "control", &report, value);
+    }
+    Ok(exit::Code::Ok)
+}
+
 /// Runs `bench policy`.
 pub fn policy(
     global: &options::Program,
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -190,7 +190,7 @@
     #[options(help = "latency of calls, direct and through gateways")]
     RequestPath(RequestPath),
     #[options(help = "cost of control")]
-    Control(Plain),
+    Control(Control),
     #[options(help = "elections, commits with real syncs and restarts of the replicated log")]
     Log(Log),
     #[options(help = "time from accepting a change to its being in force")]
@@ -252,6 +252,15 @@
     pub seed: u64,
 }
 
+/// Options of `bench control`.
+#[derive(Debug, Options)]
+pub struct Control {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(help = "seed", default = "1", no_short)]
+    pub seed: u64,
+}
+
 /// Options of `bench log`.
 #[derive(Debug, Options)]
 pub struct Log {
