--- a/cli/src/bench_core.rs
+++ b/cli/src/bench_core.rs
@@ -1,10 +1,10 @@
-//! Measurements of the core: policies and the replicated log.
+//! Measurements of the core: policies, control, replicated log and ledger.
 
 use std::{path, time};
 
 use serde::Serialize;
 use serde_json::{Value, json};
-use wagtailshunt_lab::{in_force, log_bench, policy};
+use wagtailshunt_lab::{control_bench, in_force, ledger_bench, log_bench, policy};
 
 use crate::{exit, folder, options};
 
@@ -48,6 +48,61 @@
     Ok(exit::Code::Ok)
 }
 
+/// Runs `bench ledger`.
+pub fn ledger(
+    global: &options::Program,
+    opts: &options::Ledger,
+) -> Result<exit::Code, exit::Error> {
+    let figures = ledger_bench::measure(opts.keys, opts.seed);
+    let value = json!({
+        "keys": figures.keys,
+        "claim_us": micros(figures.claim),
+        "complete_us": micros(figures.complete),
+        "replay_us": micros(figures.replay),
+        "running_bytes": figures.running_bytes,
+        "completed_bytes": figures.completed_bytes,
+        "charged_bytes": figures.charged_bytes,
+        "snapshot_us": micros(figures.snapshot),
+        "snapshot_bytes": figures.snapshot_bytes,
+        "restore_us": micros(figures.restore),
+        "drop_all_us": micros(figures.drop_all),
+    });
+    show(global, "ledger", &figures, value);
+    Ok(exit::Code::Ok)
+}
+
+/// Runs `bench control`.
+pub fn control(
+    global: &options::Program,
+    opts: &options::Control,
+) -> Result<exit::Code, exit::Error> {
+    for size in control_bench::SIZES {
+        let report = control_bench::run(size, opts.seed);
+        let (traffic, cost) = (&report.traffic, &report.cost);
+        let operations = cost.operations.iter();
+        let operations = operations.map(|op| (op.name.to_owned(), json!(op.micros)));
+        let value = json!({
+            "gateways": size.gateways,
+            "services": size.services,
+            "targets": size.targets,
+            "leader_idle_bytes_per_s": traffic.leader_idle,
+            "gateway_idle_bytes_per_s": traffic.gateway_idle,
+            "leader_restarts_bytes_per_s": traffic.leader_restarts,
+            "gateway_restarts_bytes_per_s": traffic.gateway_restarts,
+            "leader_change_bytes": traffic.leader_change,
+            "operations_us": Value::Object(operations.collect()),
+            "leader_core_percent": cost.leader_core_percent,
+            "registry_kib": cost.registry_kib,
+            "ids_kib": cost.ids_kib,
+            "directory_kib": cost.directory_kib,
+            "gateway_kib": cost.gateway_kib,
+            "snapshot_kib": cost.snapshot_kib,
+        });
+        show(global, "control", &report, value);
+    }
+    Ok(exit::Code::Ok)
+}
+
 /// Runs `bench policy`.
 pub fn policy(
     global: &options::Program,
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -190,13 +190,13 @@
     #[options(help = "latency of calls, direct and through gateways")]
     RequestPath(RequestPath),
     #[options(help = "cost of control")]
-    Control(Plain),
+    Control(Control),
     #[options(help = "elections, commits with real syncs and restarts of the replicated log")]
     Log(Log),
     #[options(help = "time from accepting a change to its being in force")]
     InForce(InForce),
     #[options(help = "time and memory of the idempotency ledger")]
-    Ledger(Plain),
+    Ledger(Ledger),
 }
 
 /// Options of `bench policy`.
@@ -241,6 +241,26 @@
     pub revision: String,
 }
 
+/// Options of `bench ledger`.
+#[derive(Debug, Options)]
+pub struct Ledger {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(help = "idempotency keys", default = "100000", no_short)]
+    pub keys: usize,
+    #[options(help = "seed", default = "1", no_short)]
+    pub seed: u64,
+}
+
+/// Options of `bench control`.
+#[derive(Debug, Options)]
+pub struct Control {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(help = "seed", default = "1", no_short)]
+    pub seed: u64,
+}
+
 /// Options of `bench log`.
 #[derive(Debug, Options)]
 pub struct Log {
