--- a/cli/tests/cli/stub.rs
+++ b/cli/tests/cli/stub.rs
@@ -1,6 +1,10 @@
 //! A stand-in for control daemons, and runs of the program.
 
-use std::{cell, fs, net, path, process, rc, sync, thread};
+use std::{
+    cell, fs, net, path, process, rc,
+    sync::{self, atomic},
+    thread,
+};
 
 use compio::net::TcpListener;
 use http_body_util::BodyExt;
@@ -147,10 +151,15 @@
 
 /// Writes a file to the test's folder and returns its path.
 pub fn file(name: &str, text: &str) -> String {
+    static NEXT_FILE: atomic::AtomicU32 = atomic::AtomicU32::new(0);
     let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(process::id().to_string());
     fs::create_dir_all(&folder).expect("folder");
     let path = folder.join(name);
-    fs::write(&path, text).expect("writable");
+    // Tests that run side by side write the same file; a rename never shows a part of it.
+    let number = NEXT_FILE.fetch_add(1, atomic::Ordering::Relaxed);
+    let partial = folder.join(format!("{name}.{number}"));
+    fs::write(&partial, text).expect("writable");
+    fs::rename(&partial, &path).expect("renamable");
     path.to_str().expect("text").to_owned()
 }
 
