--- a/cli/src/api.rs
+++ b/cli/src/api.rs
@@ -194,7 +194,13 @@
         path: path.to_owned(),
         source,
     })?;
-    Ok(text.trim().to_owned())
+    match text.trim() {
+        "" => {
+            let message = format!("key file {} is empty", path.display());
+            Err(exit::Error::Usage(message))
+        }
+        key => Ok(key.to_owned()),
+    }
 }
 
 /// Returns a new request id.
--- a/cli/tests/cli/commands.rs
+++ b/cli/tests/cli/commands.rs
@@ -12,6 +12,9 @@
     for args in [&["put"][..], &["fly"], &[], &["get", "bookings"], &["list"]] {
         assert_eq!(run(args).code, 2, "{args:?}");
     }
+    let key = file("empty.key", "\n");
+    let empty_key = run(&["list", "--control", "127.0.0.1:1", "--key-file", &key]);
+    assert_eq!(empty_key.code, 2, "{empty_key:?}");
     let commands = [
         "check", "put", "get", "list", "history", "drain", "status", "timeline", "bench", "demo",
         "scenario",
