--- a/cli/src/api.rs
+++ b/cli/src/api.rs
@@ -195,10 +195,10 @@
         source,
     })?;
     match text.trim() {
-        "" => Err(exit::Error::Usage(format!(
-            "{}: the key is empty",
-            path.display()
-        ))),
+        "" => {
+            let message = format!("key file {} is empty", path.display());
+            Err(exit::Error::Usage(message))
+        }
         key => Ok(key.to_owned()),
     }
 }
