--- a/wagtailshunt/src/bin/wagtailshunt-control.rs
+++ b/wagtailshunt/src/bin/wagtailshunt-control.rs
@@ -5,7 +5,13 @@
 use wagtailshunt::{control, daemon, settings};
 
 fn main() -> process::ExitCode {
-    daemon::main("wagtailshunt-control", async |cfg: settings::Control| {
-        Ok(control::Control::start(cfg).await?)
-    })
+    daemon::main(
+        "wagtailshunt-control",
+        async |mut cfg: settings::Control, flags: daemon::Flags| {
+            if !flags.bootstrap {
+                cfg.bootstrap.clear();
+            }
+            Ok(control::Control::start(cfg).await?)
+        },
+    )
 }
--- a/wagtailshunt/src/bin/wagtailshunt-gateway.rs
+++ b/wagtailshunt/src/bin/wagtailshunt-gateway.rs
@@ -5,7 +5,7 @@
 use wagtailshunt::{daemon, gateway, settings};
 
 fn main() -> process::ExitCode {
-    daemon::main("wagtailshunt-gateway", async |cfg: settings::Gateway| {
+    daemon::main("wagtailshunt-gateway", async |cfg: settings::Gateway, _| {
         Ok(gateway::Gateway::start(cfg).await?)
     })
 }
--- a/wagtailshunt/src/control/group.rs
+++ b/wagtailshunt/src/control/group.rs
@@ -22,6 +22,10 @@
 /// A snapshot is taken when this many entries have been applied since the last one.
 const SNAPSHOT_ENTRIES: u64 = 8192;
 
+/// A snapshot is also taken after this many bytes of commands: stored answers reach 64 KiB, so that
+/// the entries alone could hold 512 MiB.
+const SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
+
 type Batch = (u64, Vec<storage::Op>);
 
 /// A replicated group on this VM.
@@ -36,6 +40,8 @@
     waiters: collections::BTreeMap<types::LogIndex, oneshot::Sender<registry::Reply>>,
     reads: collections::BTreeMap<u64, oneshot::Sender<()>>,
     snapshot_at: u64,
+    /// Bytes of commands applied since the last snapshot.
+    applied_bytes: usize,
     leading: bool,
 }
 
@@ -102,6 +108,7 @@
             waiters: collections::BTreeMap::new(),
             reads: collections::BTreeMap::new(),
             snapshot_at: applied.0 + SNAPSHOT_ENTRIES,
+            applied_bytes: 0,
             leading: false,
         })
     }
@@ -334,6 +341,7 @@
     let applied = state.with(|inner| {
         let group = inner.groups.get_mut(&id)?;
         group.applied = index;
+        group.applied_bytes += command.len();
         Some(group.machine.apply(index, command))
     });
     match applied {
@@ -369,9 +377,10 @@
     let now = state.clock.now();
     let taken = state.with(|inner| {
         let group = inner.groups.get_mut(&id)?;
-        if group.applied.0 < group.snapshot_at {
+        if group.applied.0 < group.snapshot_at && group.applied_bytes < SNAPSHOT_BYTES {
             return None;
         }
+        group.applied_bytes = 0;
         let data = group.machine.snapshot();
         let bytes = data.len();
         group.snapshot_at = group.applied.0 + SNAPSHOT_ENTRIES;
--- a/wagtailshunt/src/daemon/mod.rs
+++ b/wagtailshunt/src/daemon/mod.rs
@@ -28,6 +28,16 @@
     config: Option<path::PathBuf>,
     #[options(help = "check the settings file and exit", no_short)]
     check: bool,
+    #[options(help = "first start of a new cluster (control only)", no_short)]
+    bootstrap: bool,
+}
+
+/// What the command line adds to the settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Flags {
+    /// An empty data folder starts a new cluster. Without it an empty folder waits for a leader: a
+    /// VM that lost its disk has forgotten its votes and must not form a quorum from them.
+    pub bootstrap: bool,
 }
 
 /// A started daemon.
@@ -45,7 +55,7 @@
 /// Reads the command line and settings, starts the daemon and runs it until a signal.
 ///
 /// The first SIGTERM or SIGINT starts a planned stop, a second one ends it at once.
-pub fn main<S, D, F>(name: &str, start: impl FnOnce(S) -> F) -> process::ExitCode
+pub fn main<S, D, F>(name: &str, start: impl FnOnce(S, Flags) -> F) -> process::ExitCode
 where
     S: settings::Settings,
     D: Daemon,
@@ -75,7 +85,12 @@
         return process::ExitCode::SUCCESS;
     }
     init_log();
-    match run(start(cfg)) {
+    match run(start(
+        cfg,
+        Flags {
+            bootstrap: parsed.bootstrap,
+        },
+    )) {
         Ok(true) => process::ExitCode::SUCCESS,
         Ok(false) => process::ExitCode::from(EXIT_FAILED),
         Err(err) => {
