Tell containment on the leader when an incarnation ends

Cause: a suspicion whose gateway was lost was not settled by the directory, so a crashing request could cost a third target.

Change: a newer incarnation, or a target whose announcements ended without a drain, is reported to the leader's containment.

--- a/core/src/directory/leader.rs
+++ b/core/src/directory/leader.rs
@@ -97,6 +97,11 @@
         self.entries.is_empty()
     }
 
+    /// Returns a target.
+    pub fn get(&self, key: &Key) -> Option<&Target> {
+        self.entries.get(key).map(|entry| &entry.target)
+    }
+
     /// Returns all targets with the VMs that vouch for them.
     pub fn targets(&self) -> impl Iterator<Item = (&Target, Vec<types::VmId>)> {
         let vms = |entry: &Entry| entry.vouchers.iter().map(|(vm, _)| *vm).collect();
--- a/wagtailshunt/src/control/leader.rs
+++ b/wagtailshunt/src/control/leader.rs
@@ -69,6 +69,26 @@
         }
     }
 
+    /// Returns the incarnation that news of a gateway shows as ended without a planned stop. It
+    /// settles suspicions whose own gateway was lost.
+    fn ended_by(&self, news: &directory::News) -> Option<containment::Target> {
+        let key = match news {
+            directory::News::Set(target) => &target.key,
+            directory::News::Gone { key, .. } => key,
+        };
+        let known = self.directory.get(key)?;
+        let ended = match news {
+            directory::News::Set(target) => target.incarnation > known.incarnation,
+            directory::News::Gone { incarnation, .. } => *incarnation == known.incarnation,
+        };
+        let planned = known.state == directory::State::Draining;
+        (ended && !planned).then(|| containment::Target {
+            service: key.service.clone(),
+            id: key.id.clone(),
+            incarnation: known.incarnation,
+        })
+    }
+
     /// Returns when [`tick`] must be called.
     pub fn next_deadline(&self, now: core_time::Instant) -> Option<core_time::Instant> {
         let lease = self.grantor.next_deadline(now);
@@ -149,10 +169,15 @@
         wire::membership::Message::Renewal(renewal) => renew(state, peer, request, &renewal),
         wire::membership::Message::Change(change) => {
             with_leader(state, |leader| {
+                let ended = leader.ended_by(&change.news);
                 leader
                     .directory
                     .vouch(now, peer.vm, peer.incarnation, &change);
+                if let Some(target) = ended {
+                    leader.containment.incarnation_ended(now, &target);
+                }
             });
+            pump_containment(state);
             push(state);
         }
         wire::membership::Message::List(list) => {
