Keep as many idle connections as calls use and queue calls beyond them

Change: 22 connections, all of them kept while idle; admission runs at most 16 calls for each target of a gateway.

--- a/core/src/connection/pool.rs
+++ b/core/src/connection/pool.rs
@@ -8,10 +8,11 @@
 /// Bounds of a pool.
 #[derive(Clone, Debug)]
 pub struct PoolConfig {
-    /// Most connections to the target, in any state. 11 gateways with 24 each stay below the 300
+    /// Most connections to the target, in any state. 11 gateways with 22 each stay below the 250
     /// connections that a target accepts.
     pub max_connections: usize,
-    /// Most idle connections.
+    /// Most idle connections. With fewer than `max_connections`, each burst would close connections
+    /// and open new ones.
     pub max_idle: usize,
     /// Longest idle time. It stays below the keep-alive timeouts of common servers, so that the
     /// target rarely closes a connection while a call is being written to it.
@@ -25,8 +26,8 @@
 impl Default for PoolConfig {
     fn default() -> Self {
         PoolConfig {
-            max_connections: 24,
-            max_idle: 8,
+            max_connections: 22,
+            max_idle: 22,
             max_idle_time: Duration::from_secs(4),
             max_age: Duration::from_secs(300),
             proof_of_life: Duration::from_millis(500),
--- a/wagtailshunt/src/gateway/service.rs
+++ b/wagtailshunt/src/gateway/service.rs
@@ -8,6 +8,10 @@
 
 use crate::{gateway::upstream, settings};
 
+/// Calls per target that admission lets run. It is below the bound of a target's connections, since
+/// the balancer does not spread calls evenly.
+const CONNECTIONS_PER_TARGET: u32 = 16;
+
 /// A target with its connections.
 pub struct Target {
     pub id: types::TargetId,
@@ -146,7 +150,10 @@
 
     /// Returns how many calls the targets can take from this gateway, if there are targets.
     pub fn capacity(&self, now: time::Instant) -> Option<u32> {
-        (self.target_count() > 0).then(|| self.balancer.borrow().capacity(now))
+        let targets = u32::try_from(self.target_count()).unwrap_or(u32::MAX);
+        // Calls beyond the connections would be refused; in the queue they wait for one.
+        let connections = targets.saturating_mul(CONNECTIONS_PER_TARGET);
+        (targets > 0).then(|| self.balancer.borrow().capacity(now).min(connections))
     }
 
     /// Closes connections that were idle for too long.
