--- a/core/tests/replication_rules.rs
+++ b/core/tests/replication_rules.rs
@@ -1,8 +1,9 @@
 //! Guards rules of a single node that random schedules seldom reach; the messages of the other
 //! nodes are made up.
 
+use bytes::Bytes;
 use wagtailshunt_core::replication::{
-    AppendReply, Config, Membership, Message, Node, Output, Role, Vote,
+    Append, AppendReply, Config, Membership, Message, Node, Output, Role, Vote,
 };
 use wagtailshunt_core::storage::{Entry, HardState, Op, Payload, Recovered};
 use wagtailshunt_core::time::Instant;
@@ -160,3 +161,39 @@
         [reply(true), reply(false), reply(false), reply(true)]
     );
 }
+
+/// An entry that a new leader overwrites may come back with a later leader and be committed, so its
+/// proposal is not reported as rejected before something else is committed in its place.
+#[test]
+fn an_overwritten_proposal_that_comes_back_is_applied_and_not_rejected() {
+    let (mut node, now) = elected(vec![entry(1, 1)], 1);
+    let command = Bytes::from_static(b"command");
+    let index = node.propose(now, command.clone()).unwrap();
+    let append = |term, entries| {
+        Message::Append(Append {
+            term: Term(term),
+            round: 1,
+            prev_index: LogIndex(1),
+            prev_term: Term(1),
+            commit: LogIndex(if term == 4 { 4 } else { 1 }),
+            entries,
+        })
+    };
+    node.step(now, VmId(2), append(3, vec![entry(2, 3)]));
+    let proposed = Entry {
+        payload: Payload::Command(command.clone()),
+        ..entry(3, 2)
+    };
+    node.step(
+        now,
+        VmId(3),
+        append(4, vec![entry(2, 2), proposed, entry(4, 4)]),
+    );
+    let outputs: Vec<_> = std::iter::from_fn(|| node.poll_output()).collect();
+    assert!(outputs.contains(&Output::Apply {
+        index,
+        term: Term(2),
+        command,
+    }));
+    assert!(!outputs.contains(&Output::Rejected { index }));
+}
