--- a/wagtailshunt/src/control/mod.rs
+++ b/wagtailshunt/src/control/mod.rs
@@ -10,7 +10,7 @@
 mod reports;
 mod state;
 
-use std::{io, net, rc, time};
+use std::{net, rc, time};
 
 use compio::net::TcpListener;
 use wagtailshunt_core::{event, types};
@@ -31,13 +31,8 @@
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
     /// An address could not be bound.
-    #[error("cannot listen on {address}: {source}")]
-    Bind {
-        /// Address from the settings.
-        address: net::SocketAddr,
-        /// Cause.
-        source: io::Error,
-    },
+    #[error(transparent)]
+    Bind(#[from] daemon::BindError),
     /// The data folder could not be opened or is damaged.
     #[error(transparent)]
     Disk(#[from] disk::Error),
@@ -54,8 +49,8 @@
 impl Control {
     /// Opens the data folder, binds the addresses and starts the tasks on the current runtime.
     pub async fn start(cfg: settings::Control) -> Result<Control, StartError> {
-        let peer_listener = bind(cfg.listen).await?;
-        let admin_listener = bind(cfg.admin).await?;
+        let peer_listener = daemon::bind(cfg.listen).await?;
+        let admin_listener = daemon::bind(cfg.admin).await?;
         Control::start_with(cfg, peer_listener, admin_listener)
     }
 
@@ -153,7 +148,7 @@
             move |peer: &transport::Peer, handle| links::opened(&opened, peer, handle),
             move |peer: &transport::Peer, envelope| frames::received(&frames, peer, envelope),
         );
-        self.spawn_listener("peers", listen);
+        daemon::spawn_listener(&self.state.events, "peers", listen);
     }
 
     fn serve_admin(&self, listener: TcpListener) {
@@ -165,31 +160,8 @@
             self.admin.clone(),
             handler,
         );
-        self.spawn_listener("admin", serve);
+        daemon::spawn_listener(&self.state.events, "admin", serve);
     }
-
-    fn spawn_listener(
-        &self,
-        name: &'static str,
-        serve: impl Future<Output = io::Result<()>> + 'static,
-    ) {
-        let events = self.state.events.clone();
-        compio::runtime::spawn(async move {
-            if let Err(err) = serve.await {
-                events.emit(
-                    event::Id::ListenerFailed,
-                    &[("listener", &name), ("reason", &err)],
-                );
-            }
-        })
-        .detach();
-    }
-}
-
-async fn bind(address: net::SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| StartError::Bind { address, source })
 }
 
 impl daemon::Daemon for Control {
--- a/wagtailshunt/src/daemon/mod.rs
+++ b/wagtailshunt/src/daemon/mod.rs
@@ -1,11 +1,15 @@
 //! What the daemons have in common: command line, signals, exit codes.
 
-use std::{io, path, process, time};
+use std::{io, net, path, process, time};
+
+use compio::net::TcpListener;
 
 use futures_util::{FutureExt, pin_mut, select_biased};
 use gumdrop::Options;
 
-use crate::settings;
+use wagtailshunt_core::event;
+
+use crate::{events, settings};
 
 /// Exit code of a wrong command line or settings file.
 pub const EXIT_SETTINGS: u8 = 2;
@@ -40,6 +44,41 @@
     pub bootstrap: bool,
 }
 
+/// An address of the settings could not be bound.
+#[derive(Debug, thiserror::Error)]
+#[error("cannot listen on {address}: {source}")]
+pub struct BindError {
+    /// Address from the settings.
+    pub address: net::SocketAddr,
+    /// Cause.
+    pub source: io::Error,
+}
+
+/// Binds an address of the settings.
+pub async fn bind(address: net::SocketAddr) -> Result<TcpListener, BindError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| BindError { address, source })
+}
+
+/// Runs a listener's accept loop and reports its failure.
+pub fn spawn_listener(
+    events: &events::EventLog,
+    name: &'static str,
+    serve: impl Future<Output = io::Result<()>> + 'static,
+) {
+    let events = events.clone();
+    compio::runtime::spawn(async move {
+        if let Err(err) = serve.await {
+            events.emit(
+                event::Id::ListenerFailed,
+                &[("listener", &name), ("reason", &err)],
+            );
+        }
+    })
+    .detach();
+}
+
 /// A started daemon.
 pub trait Daemon {
     /// Performs a planned stop; returns whether it was done within its limit.
--- a/wagtailshunt/src/gateway/control_link.rs
+++ b/wagtailshunt/src/gateway/control_link.rs
@@ -282,6 +282,12 @@
             match refusal {
                 lease::Refusal::NotRegistered => register(state),
                 lease::Refusal::NotLeader => state.links.next_candidate(state, REGISTRY),
+                // The wall clock, from which the incarnation is taken, went back: only a start
+                // after that time gives a larger one.
+                lease::Refusal::Superseded { incarnation } => log::warn!(
+                    "no lease: this process has incarnation {}, a later one is {incarnation}",
+                    state.incarnation
+                ),
                 _ => {}
             }
             state.links.wake();
--- a/wagtailshunt/src/gateway/mod.rs
+++ b/wagtailshunt/src/gateway/mod.rs
@@ -15,7 +15,7 @@
 mod state;
 mod upstream;
 
-use std::{io, net, rc, time};
+use std::{net, rc, time};
 
 use compio::net::TcpListener;
 use wagtailshunt_core::{event, types};
@@ -36,13 +36,8 @@
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
     /// An address could not be bound.
-    #[error("cannot listen on {address}: {source}")]
-    Bind {
-        /// Address from the settings.
-        address: net::SocketAddr,
-        /// Cause.
-        source: io::Error,
-    },
+    #[error(transparent)]
+    Bind(#[from] daemon::BindError),
 }
 
 impl Gateway {
@@ -50,8 +45,8 @@
     pub async fn start(cfg: settings::Gateway) -> Result<Gateway, StartError> {
         let clock = clock::Clock::default();
         let events = events::EventLog::new(clock, cfg.vm, types::Role::Gateway);
-        let callers_listener = bind(cfg.listen).await?;
-        let admin_listener = bind(cfg.admin).await?;
+        let callers_listener = daemon::bind(cfg.listen).await?;
+        let admin_listener = daemon::bind(cfg.admin).await?;
         let listen = callers_listener.local_addr().unwrap_or(cfg.listen);
         let admin_address = admin_listener.local_addr().unwrap_or(cfg.admin);
         let limits = http::Limits {
@@ -137,7 +132,7 @@
         let state = self.state.clone();
         let handler = move |req, peer| call::handle(state.clone(), req, peer);
         let serve = http::serve(listener, limits, self.callers.clone(), handler);
-        self.spawn_listener("callers", serve);
+        daemon::spawn_listener(&self.state.events, "callers", serve);
     }
 
     fn serve_admin(&self, listener: TcpListener) {
@@ -149,31 +144,8 @@
             self.admin.clone(),
             handler,
         );
-        self.spawn_listener("admin", serve);
+        daemon::spawn_listener(&self.state.events, "admin", serve);
     }
-
-    fn spawn_listener(
-        &self,
-        name: &'static str,
-        serve: impl Future<Output = io::Result<()>> + 'static,
-    ) {
-        let state = self.state.clone();
-        compio::runtime::spawn(async move {
-            if let Err(err) = serve.await {
-                state.events.emit(
-                    event::Id::ListenerFailed,
-                    &[("listener", &name), ("reason", &err)],
-                );
-            }
-        })
-        .detach();
-    }
-}
-
-async fn bind(address: net::SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| StartError::Bind { address, source })
 }
 
 impl daemon::Daemon for Gateway {
