Register connected VMs with their schemas and end stops that meet

Cause: a run of the daemons as separate processes showed that only the leader registered itself, so a record could be accepted that another control VM cannot enforce, and an upgraded gateway kept its old schemas. Two control VMs that stopped together, with the third gone, handed leadership back and forth until their limit (term 101) and exited 1.

Change: the leader registers connected VMs whose registration is missing or differs; a group that comes back after it was handed over is led until the end.

--- a/lab/tests/control_faults.rs
+++ b/lab/tests/control_faults.rs
@@ -172,3 +172,49 @@
         }
     });
 }
+
+/// Guards against a record that some control VM cannot enforce and that is accepted because the VM
+/// was never registered.
+#[test]
+fn every_connected_vm_is_registered_with_its_schemas() {
+    let folder = Folder::new("registered");
+    block_on(async {
+        let cluster = start_cluster(&folder, 3, 1).await;
+        let limit = time::Instant::now() + LIMIT;
+        loop {
+            let (_, status) = cluster.operator().get("/v1/status").await.expect("status");
+            let vms = status["vms"].as_array().expect("vms").clone();
+            let ids: Vec<u64> = vms.iter().filter_map(|vm| vm["vm"].as_u64()).collect();
+            if ids == [1, 2, 3, 101] {
+                assert!(
+                    vms.iter()
+                        .all(|vm| vm["schemas"] == serde_json::json!([1, 2]))
+                );
+                break;
+            }
+            assert!(time::Instant::now() < limit, "registered are only {ids:?}");
+            compio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    });
+}
+
+/// Guards against control VMs that stop together and hand leadership back and forth.
+#[test]
+fn control_vms_that_stop_together_come_to_an_end() {
+    let folder = Folder::new("stop-together");
+    block_on(async {
+        let mut cluster = start_cluster(&folder, 3, 1).await;
+        cluster.kill_control(0);
+        cluster
+            .wait("a leader", |cluster| cluster.leader().is_some())
+            .await
+            .expect("leader");
+        let stops = cluster
+            .controls
+            .iter()
+            .flatten()
+            .map(wagtailshunt::control::Control::stop);
+        let done = futures_util::future::join_all(stops).await;
+        assert_eq!(done, [true, true]);
+    });
+}
--- a/wagtailshunt/src/control/group.rs
+++ b/wagtailshunt/src/control/group.rs
@@ -113,6 +113,11 @@
         })
     }
 
+    /// Returns whether this VM leads the group.
+    pub fn is_leading(&self) -> bool {
+        self.node.role() == replication::Role::Leader
+    }
+
     /// Ends the group's disk task after its current batch.
     pub fn close(&self) {
         self.persist.close_channel();
@@ -536,6 +541,9 @@
 
 /// Hands the leadership of all groups over before a planned stop.
 pub async fn hand_over(state: &rc::Rc<state::State>) {
+    // A group that comes back is led until the end: the other VMs may be stopping as well, and
+    // would hand it back and forth.
+    let mut handed_over = collections::BTreeSet::new();
     loop {
         let now = state.clock.now();
         let leading: Vec<types::GroupId> = state.with(|inner| {
@@ -543,19 +551,25 @@
             let mut ids = Vec::new();
             for group in inner.groups.values_mut().filter(leading) {
                 // The only voter has nobody to hand over to.
-                if group.node.members().voters.len() > 1 {
+                let gone = handed_over.contains(&group.id);
+                if group.node.members().voters.len() > 1 && !gone {
                     group.node.transfer_leadership(now, None);
                     ids.push(group.id);
                 }
             }
             ids
         });
-        if leading.is_empty() {
+        if leading.iter().all(|id| handed_over.contains(id)) {
             return;
         }
         for id in leading {
             pump(state, id);
         }
         compio::time::sleep(time::Duration::from_millis(100)).await;
+        let led = |id: &types::GroupId| {
+            state.with(|inner| inner.groups.get(id).is_some_and(Group::is_leading))
+        };
+        let ids: Vec<types::GroupId> = state.with(|inner| inner.groups.keys().copied().collect());
+        handed_over.extend(ids.into_iter().filter(|id| !led(id)));
     }
 }
--- a/wagtailshunt/src/control/leader.rs
+++ b/wagtailshunt/src/control/leader.rs
@@ -263,6 +263,26 @@
     });
 }
 
+/// Registers connected VMs whose registration is missing or states other schemas, as after an
+/// upgrade.
+fn register_connected(state: &rc::Rc<state::State>) {
+    for peer in state.links.connected() {
+        let schemas: Vec<u32> = (1..=peer.schema).collect();
+        let known = state.with(|inner| {
+            let registry = inner.groups.get(&REGISTRY)?.registry()?;
+            registry
+                .vms()
+                .find(|vm| vm.id == peer.vm)
+                .map(|vm| vm.schemas.clone())
+        });
+        // A gateway that was removed asks for its registration itself.
+        let missing = known.is_none() && peer.role == types::Role::Control;
+        if missing || known.is_some_and(|known| known != schemas) {
+            register(state, &peer, schemas);
+        }
+    }
+}
+
 fn register(state: &rc::Rc<state::State>, peer: &transport::Peer, schemas: Vec<u32>) {
     let first = with_leader(state, |leader| leader.registering.insert(peer.vm));
     if first != Some(true) {
@@ -477,6 +497,7 @@
         i64::try_from(leader.directory.len()).unwrap_or(i64::MAX)
     });
     if let Some(targets) = led {
+        register_connected(state);
         state.metrics.targets.set(targets);
         pump_containment(state);
         push(state);
--- a/wagtailshunt/src/control/links.rs
+++ b/wagtailshunt/src/control/links.rs
@@ -18,6 +18,8 @@
 pub struct Links {
     handles: cell::RefCell<collections::BTreeMap<types::VmId, transport::Handle>>,
     dialers: cell::RefCell<Vec<transport::Dialer>>,
+    /// What each VM said about itself when it connected last.
+    peers: cell::RefCell<collections::BTreeMap<types::VmId, transport::Peer>>,
 }
 
 impl Links {
@@ -29,6 +31,18 @@
             .is_some_and(|handle| handle.send(request, body))
     }
 
+    /// Returns the VMs that are connected.
+    pub fn connected(&self) -> Vec<transport::Peer> {
+        let handles = self.handles.borrow();
+        let peers = self.peers.borrow();
+        let open = |peer: &&transport::Peer| {
+            handles
+                .get(&peer.vm)
+                .is_some_and(transport::Handle::is_open)
+        };
+        peers.values().filter(open).cloned().collect()
+    }
+
     /// Closes all connections.
     pub fn stop(&self) {
         for dialer in self.dialers.borrow_mut().drain(..) {
@@ -62,4 +76,5 @@
         return;
     }
     state.links.handles.borrow_mut().insert(peer.vm, handle);
+    state.links.peers.borrow_mut().insert(peer.vm, peer.clone());
 }
--- a/wagtailshunt/src/daemon/mod.rs
+++ b/wagtailshunt/src/daemon/mod.rs
@@ -3,10 +3,8 @@
 use std::{io, net, path, process, time};
 
 use compio::net::TcpListener;
-
 use futures_util::{FutureExt, pin_mut, select_biased};
 use gumdrop::Options;
-
 use wagtailshunt_core::event;
 
 use crate::{events, settings};
