--- a/core/tests/records.rs
+++ b/core/tests/records.rs
@@ -146,3 +146,20 @@
         assert_eq!(found, service, "{host} {path}");
     }
 }
+
+/// Guards against example records in the docs that an operator cannot put.
+#[test]
+fn example_records_are_valid() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/examples");
+    let mut checked = 0;
+    for user in ["association", "krittlinje"] {
+        for entry in std::fs::read_dir(folder.join(user).join("records")).expect("folder") {
+            let path = entry.expect("entry").path();
+            let text = std::fs::read_to_string(&path).expect("readable");
+            let record = records::parse(&text);
+            assert!(record.is_ok(), "{}: {record:?}", path.display());
+            checked += 1;
+        }
+    }
+    assert_eq!(checked, 4);
+}
