Compare registrations twice a second and drop a pass-through function

Cause: reading the change again showed that the leader compared the registrations of all connected VMs on each run of its timer task, which every ledger request wakes, and that emit_ejections only called run_probes.

Change: the comparison runs every 500 ms; the caller calls run_probes.

Measured: clippy is clean and the twelve tests over sockets pass.

--- a/wagtailshunt/src/control/leader.rs
+++ b/wagtailshunt/src/control/leader.rs
@@ -15,6 +15,9 @@
 
 const REGISTRY: types::GroupId = types::GroupId(0);
 
+/// Interval at which the registrations of connected VMs are compared with what they state.
+const REGISTRATION_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
 /// State that exists only while this VM leads group 0.
 pub struct Leader {
     pub grantor: lease::Grantor,
@@ -25,6 +28,8 @@
     waiters: Vec<(types::Revision, oneshot::Sender<()>)>,
     reported: types::Revision,
     registering: collections::BTreeSet<types::VmId>,
+    /// When the registrations of connected VMs are compared next.
+    registrations_due: core_time::Instant,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -66,6 +71,7 @@
             waiters: Vec::new(),
             reported: revision,
             registering: collections::BTreeSet::new(),
+            registrations_due: now,
         }
     }
 
@@ -263,6 +269,18 @@
     });
 }
 
+/// Returns whether registrations must be compared; the tick also runs after each ledger request.
+fn registrations_due(state: &state::State, now: core_time::Instant) -> bool {
+    let due = with_leader(state, |leader| {
+        let due = now >= leader.registrations_due;
+        if due {
+            leader.registrations_due = now + REGISTRATION_INTERVAL;
+        }
+        due
+    });
+    due.unwrap_or(false)
+}
+
 /// Registers connected VMs whose registration is missing or states other schemas, as after an
 /// upgrade.
 fn register_connected(state: &rc::Rc<state::State>) {
@@ -497,7 +515,9 @@
         i64::try_from(leader.directory.len()).unwrap_or(i64::MAX)
     });
     if let Some(targets) = led {
-        register_connected(state);
+        if registrations_due(state, now) {
+            register_connected(state);
+        }
         state.metrics.targets.set(targets);
         pump_containment(state);
         push(state);
--- a/wagtailshunt/src/gateway/attempt.rs
+++ b/wagtailshunt/src/gateway/attempt.rs
@@ -156,7 +156,7 @@
         Err((failed, outcome)) => {
             flight.busy.take();
             flight.finish(outcome);
-            emit_ejections(state, call);
+            run_probes(state, &call.service);
             Err(failed)
         }
     }
@@ -459,11 +459,6 @@
     }
 }
 
-/// Logs targets that the balancer ejected or restored.
-fn emit_ejections(state: &rc::Rc<state::State>, call: &call::Call) {
-    run_probes(state, &call.service);
-}
-
 /// Carries out what the balancer asked for.
 pub fn run_probes(state: &rc::Rc<state::State>, service: &rc::Rc<service::Service>) {
     loop {
