--- a/codegen/src/main.rs
+++ b/codegen/src/main.rs
@@ -5,9 +5,10 @@
 
 use std::{error, fs, path, process};
 
-const SCHEMAS: [&str; 6] = [
+const SCHEMAS: [&str; 7] = [
     "containment.proto",
     "envelope.proto",
+    "fleet.proto",
     "ledger.proto",
     "membership.proto",
     "records.proto",
--- /dev/null
+++ b/core/src/machine/mod.rs
@@ -0,0 +1,132 @@
+//! State machine of the log that entry VMs replicate: the routing table and departures of targets.
+
+use std::collections;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{fleet, ledger, routing};
+
+/// A command of the log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// An operator's change of the configuration.
+    Change(Box<routing::Change>),
+    /// A target that leaves.
+    Depart(fleet::Departure),
+}
+
+/// Result of a command.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// What became of the change.
+    Change(routing::Verdict),
+    /// The departure is known.
+    Departed,
+}
+
+/// A command or snapshot cannot be read.
+#[derive(Debug, thiserror::Error)]
+#[error("stored state cannot be read: {0}")]
+pub struct DecodeError(#[from] serde_json::Error);
+
+impl Command {
+    /// Encodes the command for the log.
+    ///
+    /// # Errors
+    ///
+    /// When a weight isn't a finite number; such a change is invalid anyway.
+    pub fn encode(&self) -> Result<Bytes, DecodeError> {
+        Ok(serde_json::to_vec(self)?.into())
+    }
+
+    /// Decodes a command of the log.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes are no command of this version.
+    pub fn decode(bytes: &[u8]) -> Result<Command, DecodeError> {
+        Ok(serde_json::from_slice(bytes)?)
+    }
+}
+
+/// Encoded state of a [`Machine`].
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Snapshot {
+    version: routing::Version,
+    items: routing::Items,
+    accepted: Vec<String>,
+    departures: Vec<fleet::Departure>,
+}
+
+/// State that every VM of the group holds alike.
+#[derive(Clone, Debug, Default)]
+pub struct Machine {
+    /// The routing table.
+    pub table: routing::Table,
+    departures: collections::VecDeque<fleet::Departure>,
+}
+
+/// Departures that a snapshot carries. A target's announcement is at most some seconds late, so
+/// that older ones are of no use.
+const KEPT_DEPARTURES: usize = 1024;
+
+impl Machine {
+    /// Applies a command.
+    pub fn apply(&mut self, command: &Command) -> Reply {
+        match command {
+            Command::Change(change) => Reply::Change(self.table.apply(change)),
+            Command::Depart(departure) => {
+                if !self.departures.contains(departure) {
+                    if self.departures.len() == KEPT_DEPARTURES {
+                        self.departures.pop_front();
+                    }
+                    self.departures.push_back(departure.clone());
+                }
+                Reply::Departed
+            }
+        }
+    }
+
+    /// Returns the departures, oldest first.
+    pub fn departures(&self) -> impl Iterator<Item = &fleet::Departure> {
+        self.departures.iter()
+    }
+
+    /// Encodes the state.
+    ///
+    /// # Errors
+    ///
+    /// When a weight isn't a finite number, which the table never accepts.
+    pub fn snapshot(&self) -> Result<Bytes, DecodeError> {
+        let digests = self.table.accepted();
+        let snapshot = Snapshot {
+            version: self.table.version(),
+            items: self.table.items().clone(),
+            accepted: digests.map(|digest| format!("{:032x}", digest.0)).collect(),
+            departures: self.departures.iter().cloned().collect(),
+        };
+        Ok(serde_json::to_vec(&snapshot)?.into())
+    }
+
+    /// Decodes a state.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes are no snapshot of this version.
+    pub fn restore(bytes: &[u8]) -> Result<Machine, DecodeError> {
+        if bytes.is_empty() {
+            return Ok(Machine::default());
+        }
+        let snapshot: Snapshot = serde_json::from_slice(bytes)?;
+        let mut accepted = Vec::with_capacity(snapshot.accepted.len());
+        for text in &snapshot.accepted {
+            let digest = u128::from_str_radix(text, 16).map_err(serde::de::Error::custom);
+            accepted.push(ledger::Digest(digest.map_err(DecodeError)?));
+        }
+        Ok(Machine {
+            table: routing::Table::from_parts(snapshot.version, snapshot.items, accepted),
+            departures: snapshot.departures.into(),
+        })
+    }
+}
--- /dev/null
+++ b/core/src/placement/mod.rs
@@ -0,0 +1,255 @@
+//! Choosing a target when its load must be estimated.
+//!
+//! Answers to: targets with a few slots, neighbours on the same hardware that make a target several
+//! times slower for half a second, and many VMs that each see only a part of the load. A report in an
+//! answer or probe is exact when it is made and fades: what others have running goes towards the
+//! mean of the service, and so does the slowness. Own calls are known at any time.
+
+mod estimate;
+mod target;
+
+use std::{collections, time};
+
+use rand::{Rng, rngs};
+use serde::{Deserialize, Serialize};
+
+pub use self::estimate::{Estimate, LoadReport};
+use self::target::Target;
+use crate::{fleet, time as core_time, types};
+
+/// Settings of the choice.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// Age at which a reported slowness has lost two thirds of its weight. Neighbours change within
+    /// about half a second.
+    pub slowness_fade: time::Duration,
+    /// The same for the calls of other VMs that a report showed.
+    pub occupancy_fade: time::Duration,
+    /// What an answer from another failure domain must save to be worth its way.
+    pub domain_penalty: time::Duration,
+    /// Failures in a row after which a target is left out.
+    pub eject_after: u32,
+    /// How long it is left out the first time; doubled for each further failure.
+    pub eject_for: time::Duration,
+    /// Longest time that a target is left out.
+    pub eject_max: time::Duration,
+    /// Factor by which a target that warms up is taken to be slower.
+    pub warmup_slowness: f64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Config {
+            slowness_fade: time::Duration::from_millis(400),
+            occupancy_fade: time::Duration::from_millis(200),
+            domain_penalty: time::Duration::from_millis(25),
+            eject_after: 2,
+            eject_for: time::Duration::from_millis(500),
+            eject_max: time::Duration::from_secs(4),
+            warmup_slowness: 2.0,
+        }
+    }
+}
+
+/// How a call at a target ended, as far as it tells about the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The target answered.
+    Answered,
+    /// The target refused for lack of room; it is sound.
+    Shed,
+    /// The target failed, broke off or could not be reached.
+    Failed,
+    /// The caller left or the time ran out; it says nothing about the target.
+    Cancelled,
+}
+
+/// What a call needs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Demand<'a> {
+    /// Service of the call.
+    pub service: &'a types::ServiceName,
+    /// Time that the work takes on a target that isn't slowed.
+    pub work: time::Duration,
+    /// Targets that the call was sent to before.
+    pub tried: &'a [types::TargetId],
+}
+
+/// A chosen target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The target.
+    pub target: types::TargetId,
+    /// What was known about it.
+    pub estimate: Estimate,
+    /// When the answer is expected, counted from now.
+    pub expected: time::Duration,
+}
+
+/// Load of all targets as this VM sees it.
+#[derive(Debug)]
+pub struct Placement {
+    cfg: Config,
+    own_domain: types::FailureDomain,
+    targets: collections::BTreeMap<types::TargetId, Target>,
+    services: collections::BTreeMap<types::ServiceName, Service>,
+    rng: rngs::SmallRng,
+}
+
+/// Means over the targets of a service.
+#[derive(Debug)]
+struct Service {
+    members: collections::BTreeSet<types::TargetId>,
+    slowness: f64,
+    occupancy: f64,
+}
+
+/// Weight of a new report in the means of a service: about the last thirty reports count.
+const MEAN_WEIGHT: f64 = 1.0 / 30.0;
+
+impl Placement {
+    /// Creates a placement without targets.
+    pub fn new(cfg: Config, own_domain: types::FailureDomain, rng: rngs::SmallRng) -> Placement {
+        Placement {
+            cfg,
+            own_domain,
+            targets: collections::BTreeMap::new(),
+            services: collections::BTreeMap::new(),
+            rng,
+        }
+    }
+
+    /// Takes over a target that may get calls. A later life begins without history.
+    pub fn add(&mut self, now: core_time::Instant, report: &fleet::Report) {
+        let same_domain = report.failure_domain == self.own_domain;
+        let known = self.targets.get_mut(&report.target);
+        if let Some(target) = known
+            && target.born == report.born
+            && target.service == report.service
+        {
+            target.renew(now, report);
+            return;
+        }
+        self.remove(&report.target);
+        let target = Target::new(now, report, same_domain);
+        self.targets.insert(report.target.clone(), target);
+        let service = self.services.entry(report.service.clone());
+        let service = service.or_insert_with(|| Service {
+            members: collections::BTreeSet::new(),
+            slowness: 1.0,
+            occupancy: 0.0,
+        });
+        service.members.insert(report.target.clone());
+    }
+
+    /// Forgets a target.
+    pub fn remove(&mut self, target: &types::TargetId) {
+        if let Some(old) = self.targets.remove(target)
+            && let Some(service) = self.services.get_mut(&old.service)
+        {
+            service.members.remove(target);
+        }
+    }
+
+    /// Returns the number of targets of a service.
+    pub fn len(&self, service: &types::ServiceName) -> usize {
+        self.services.get(service).map_or(0, |s| s.members.len())
+    }
+
+    /// Returns whether a service has no target.
+    pub fn is_empty(&self, service: &types::ServiceName) -> bool {
+        self.len(service) == 0
+    }
+
+    /// Takes the load that a target reported in an answer or probe, or that another VM passed on.
+    pub fn reported(
+        &mut self,
+        at: core_time::Instant,
+        target: &types::TargetId,
+        load: &LoadReport,
+    ) {
+        let Some(known) = self.targets.get_mut(target) else {
+            return;
+        };
+        if !known.reported(at, load) {
+            return;
+        }
+        if let Some(service) = self.services.get_mut(&known.service) {
+            let slowness = known.last_slowness();
+            let busy = f64::from(load.running + load.waiting);
+            service.slowness += (slowness - service.slowness) * MEAN_WEIGHT;
+            service.occupancy += (busy - service.occupancy) * MEAN_WEIGHT;
+        }
+    }
+
+    /// Counts a call that is being sent to a target.
+    pub fn started(&mut self, target: &types::TargetId) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.in_flight += 1;
+        }
+    }
+
+    /// Counts the end of a call at a target; returns whether the target was ejected by it.
+    pub fn finished(
+        &mut self,
+        now: core_time::Instant,
+        target: &types::TargetId,
+        ended: Ended,
+    ) -> bool {
+        let cfg = &self.cfg;
+        let known = self.targets.get_mut(target);
+        known.is_some_and(|target| target.finished(now, ended, cfg))
+    }
+
+    /// Returns what is known about a target.
+    pub fn estimate(
+        &self,
+        now: core_time::Instant,
+        target: &types::TargetId,
+    ) -> Option<Estimate> {
+        let target = self.targets.get(target)?;
+        let service = self.services.get(&target.service)?;
+        Some(target.estimate(now, service.slowness, service.occupancy, &self.cfg))
+    }
+
+    /// Chooses the target with the earliest expected answer.
+    ///
+    /// Ejected targets are used when there is no other. `None` when the service has no target
+    /// that the call wasn't sent to yet.
+    pub fn choose(&mut self, now: core_time::Instant, demand: &Demand<'_>) -> Option<Choice> {
+        let service = self.services.get(demand.service)?;
+        let mut best: Option<(bool, f64, Choice)> = None;
+        for id in &service.members {
+            if demand.tried.contains(id) {
+                continue;
+            }
+            let Some(target) = self.targets.get(id) else {
+                continue;
+            };
+            let estimate = target.estimate(now, service.slowness, service.occupancy, &self.cfg);
+            let expected = estimate.expected(demand.work);
+            // Spreads the choices of VMs that see equal targets.
+            let jitter = self.rng.random_range(0.0..0.02) * demand.work.as_secs_f64();
+            let penalty = match target.same_domain {
+                true => 0.0,
+                false => self.cfg.domain_penalty.as_secs_f64(),
+            };
+            let cost = expected.as_secs_f64() + penalty + jitter;
+            let ejected = target.ejected(now);
+            let better = best
+                .as_ref()
+                .is_none_or(|(e, c, _)| (ejected, cost) < (*e, *c));
+            if better {
+                let target = id.clone();
+                let choice = Choice {
+                    target,
+                    estimate,
+                    expected,
+                };
+                best = Some((ejected, cost, choice));
+            }
+        }
+        best.map(|(_, _, choice)| choice)
+    }
+}
--- /dev/null
+++ b/core/src/routing/index.rs
@@ -0,0 +1,43 @@
+//! Finding the route of a call.
+
+use std::{collections, rc};
+
+use super::{Items, Route};
+
+/// A route with its name, shared with the calls that it serves.
+pub type Named = rc::Rc<(String, Route)>;
+
+/// Routes by host, longest prefix first.
+#[derive(Clone, Debug, Default)]
+pub struct Index {
+    hosts: collections::BTreeMap<String, Vec<Named>>,
+}
+
+impl Index {
+    /// Builds the index of a configuration.
+    pub fn new(items: &Items) -> Index {
+        let mut hosts: collections::BTreeMap<String, Vec<Named>> = collections::BTreeMap::new();
+        for (name, route) in &items.routes {
+            let named = rc::Rc::new((name.clone(), route.clone()));
+            hosts
+                .entry(route.host.to_ascii_lowercase())
+                .or_default()
+                .push(named);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|named| std::cmp::Reverse(named.1.path_prefix.len()));
+        }
+        Index { hosts }
+    }
+
+    /// Returns the route of a call: of the routes of the host, the one with the longest prefix.
+    ///
+    /// `host` may carry a port.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Named> {
+        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let routes = self.hosts.get(&name)?;
+        routes
+            .iter()
+            .find(|named| path.starts_with(&named.1.path_prefix))
+    }
+}
--- /dev/null
+++ b/wagtailshunt/src/http/head.rs
@@ -0,0 +1,99 @@
+//! Heads of requests and answers on their way through a proxy (RFC 9110, RFC 9112).
+
+use hyper::{
+    HeaderMap, Method, Request, Version,
+    header::{self, HeaderName, HeaderValue},
+};
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Fields that describe one connection and are never passed on.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    KEEP_ALIVE,
+    PROXY_CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+const VIA: HeaderValue = HeaderValue::from_static("1.1 wagtailshunt");
+
+/// Reasons to refuse the head of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HeadError {
+    /// No `Host`, or more than one.
+    #[error("exactly one Host header is required")]
+    Host,
+    /// Both `Transfer-Encoding` and `Content-Length`, or several lengths.
+    #[error("ambiguous body length")]
+    AmbiguousLength,
+    /// A transfer coding other than `chunked`.
+    #[error("unsupported transfer coding")]
+    TransferCoding,
+    /// A method or upgrade that this proxy does not forward.
+    #[error("CONNECT and protocol upgrades are not forwarded")]
+    Upgrade,
+    /// HTTP versions other than 1.1 and 1.0.
+    #[error("unsupported HTTP version")]
+    Version,
+}
+
+/// Checks a head for shapes that two parsers could read differently.
+pub fn check_head<B>(req: &Request<B>) -> Result<(), HeadError> {
+    let headers = req.headers();
+    if !matches!(req.version(), Version::HTTP_11 | Version::HTTP_10) {
+        return Err(HeadError::Version);
+    }
+    if req.method() == Method::CONNECT || headers.contains_key(header::UPGRADE) {
+        return Err(HeadError::Upgrade);
+    }
+    if headers.get_all(header::HOST).iter().count() != 1 {
+        return Err(HeadError::Host);
+    }
+    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter().count();
+    if lengths > 1 || codings > 1 || (lengths == 1 && codings == 1) {
+        return Err(HeadError::AmbiguousLength);
+    }
+    match headers.get(header::TRANSFER_ENCODING) {
+        Some(coding) if !coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            Err(HeadError::TransferCoding)
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Removes the fields of the caller's or target's connection and adds `Via`.
+pub fn strip_connection_fields(headers: &mut HeaderMap) {
+    if headers.contains_key(header::CONNECTION) {
+        remove_named(headers);
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.append(header::VIA, VIA);
+}
+
+/// Removes the fields that `Connection` names.
+fn remove_named(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+}
+
+/// Returns a header value as text, when it is valid text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- a/wagtailshunt/src/http/mod.rs
+++ b/wagtailshunt/src/http/mod.rs
@@ -2,10 +2,14 @@
 
 mod auth;
 mod body;
+mod client;
+mod head;
 mod problem;
 mod serve;
 
 pub use auth::{Key, bearer_matches};
 pub use body::{Body, BodyError, empty, full};
+pub use client::{Client, ClientError};
+pub use head::{HeadError, check_head, strip_connection_fields, text};
 pub use problem::{CONTENT_TYPE_PROBLEM, Problem, json, plain};
 pub use serve::{Limits, Shutdown, serve};
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod codec;
 pub mod containment;
+pub mod fleet;
 pub mod generated;
 pub mod ledger;
 pub mod membership;
