--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -100,4 +100,17 @@
     SuspectReported = 90, Warn, "request suspected of crashing a target";
     RequestBlocked = 91, Error, "request blocked after crashing targets";
     BlockLifted = 92, Info, "block of a request lifted";
+    CallFinished = 110, Info, "call finished";
+    AttemptFailed = 111, Info, "attempt at a target failed";
+    CallHedged = 112, Info, "call sent to a second target";
+    OrderDecided = 120, Info, "order of an operator decided";
+    ConfigurationApplied = 121, Info, "configuration applied";
+    LeaderKnown = 122, Info, "leader known";
+    LeaderUnknown = 123, Warn, "leader lost";
+    GroupFounded = 124, Info, "group of voters founded";
+    ReadinessChanged = 125, Info, "readiness changed";
+    TargetDeparted = 126, Info, "departure of a target applied";
+    LinesDropped = 127, Warn, "log lines dropped";
+    SettingsReloaded = 128, Info, "settings file read again";
+    VmLearned = 129, Info, "VM of the system learned";
 }
--- a/wagtailshunt/src/daemon/mod.rs
+++ b/wagtailshunt/src/daemon/mod.rs
@@ -122,12 +122,23 @@
         return process::ExitCode::SUCCESS;
     }
     init_log();
-    match run(start(
-        cfg,
-        Flags {
-            bootstrap: parsed.bootstrap,
-        },
-    )) {
+    run_to_exit(
+        name,
+        start(
+            cfg,
+            Flags {
+                bootstrap: parsed.bootstrap,
+            },
+        ),
+    )
+}
+
+/// Runs a daemon until a signal and returns the exit code of its process.
+pub fn run_to_exit<D: Daemon>(
+    name: &str,
+    start: impl Future<Output = Result<D, Box<dyn std::error::Error>>>,
+) -> process::ExitCode {
+    match run(start) {
         Ok(true) => process::ExitCode::SUCCESS,
         Ok(false) => process::ExitCode::from(EXIT_FAILED),
         Err(err) => {
--- /dev/null
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -0,0 +1,17 @@
+//! Calls of callers: from the head to the answer.
+//!
+//! Read in this order: [`listener`] takes a request, `call` finds its route and keeps its deadline,
+//! `attempt` sends it to one target, `pool` holds the connections, `probe` asks targets for their load.
+
+mod answer;
+mod attempt;
+mod call;
+mod listener;
+mod pool;
+mod probe;
+mod work;
+
+pub use listener::handle;
+pub use pool::Pool;
+pub use probe::run as run_probes;
+pub use work::WorkTime;
--- /dev/null
+++ b/wagtailshunt/src/entry/metrics.rs
@@ -0,0 +1,70 @@
+//! Metrics of an entry VM.
+
+use prometheus::{HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
+
+use crate::metrics;
+
+/// Counters, gauges and histograms, all with the prefix `wagtailshunt_entry_`.
+pub struct Metrics {
+    registry: Registry,
+    /// Calls by outcome.
+    pub calls: IntCounterVec,
+    /// Attempts at targets by result.
+    pub attempts: IntCounterVec,
+    /// Time of calls from head to answer, by outcome, in seconds.
+    pub latency: HistogramVec,
+    /// Connections opened to targets.
+    pub connections: IntCounter,
+    /// Probes sent to targets.
+    pub probes: IntCounter,
+    /// Calls in progress.
+    pub in_progress: IntGauge,
+    /// Announcements of targets taken here.
+    pub announcements: IntCounter,
+}
+
+/// Bounds of the latency histogram in seconds: from below the shortest work to the longest timeout.
+const LATENCY_BOUNDS: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0];
+
+impl Metrics {
+    /// Creates the metrics of one process.
+    pub fn new() -> Self {
+        let registry =
+            Registry::new_custom(Some("wagtailshunt_entry".to_owned()), None).unwrap_or_default();
+        let opts = HistogramOpts::new("call_seconds", "Time of calls from head to answer.");
+        let latency = HistogramVec::new(opts.buckets(LATENCY_BOUNDS.to_vec()), &["outcome"])
+            .expect("constant name is valid");
+        if let Err(err) = registry.register(Box::new(latency.clone())) {
+            log::warn!("metric cannot be registered: {err}");
+        }
+        Metrics {
+            calls: metrics::vec(&registry, "calls_total", "Calls by outcome.", "outcome"),
+            attempts: metrics::vec(&registry, "attempts_total", "Attempts by result.", "result"),
+            latency,
+            connections: metrics::counter(
+                &registry,
+                "connections_total",
+                "Connections opened to targets.",
+            ),
+            probes: metrics::counter(&registry, "probes_total", "Probes sent to targets."),
+            in_progress: metrics::gauge(&registry, "calls_in_progress", "Calls in progress."),
+            announcements: metrics::counter(
+                &registry,
+                "announcements_total",
+                "Announcements of targets taken here.",
+            ),
+            registry,
+        }
+    }
+
+    /// Returns the text exposition format.
+    pub fn text(&self) -> Vec<u8> {
+        metrics::encode(&self.registry)
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics::new()
+    }
+}
