--- a/wagtailshunt/src/clock/mod.rs
+++ b/wagtailshunt/src/clock/mod.rs
@@ -43,3 +43,8 @@
         }
     }
 }
+
+/// Waits for a time.
+pub async fn sleep(wait: time::Duration) {
+    compio::time::sleep(wait).await;
+}
--- a/wagtailshunt/src/daemon/mod.rs
+++ b/wagtailshunt/src/daemon/mod.rs
@@ -77,6 +77,11 @@
     .detach();
 }
 
+/// Runs a task beside the others on the loop.
+pub fn spawn(task: impl Future<Output = ()> + 'static) {
+    compio::runtime::spawn(task).detach();
+}
+
 /// A started daemon.
 pub trait Daemon {
     /// Performs a planned stop; returns whether it was done within its limit.
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -34,6 +34,8 @@
     pub parts: rc::Rc<Parts>,
     pub arrival: core_time::Instant,
     tried: Vec<types::TargetId>,
+    /// What was known of each target when it was chosen.
+    choices: Vec<placement::Choice>,
 }
 
 type Attempts =
@@ -71,12 +73,25 @@
             parts: rc::Rc::new(parts),
             arrival,
             tried: Vec::new(),
+            choices: Vec::new(),
         }
     }
 
-    /// Returns the targets that the call was sent to.
-    pub fn tried(&self) -> &[types::TargetId] {
-        &self.tried
+    /// Returns what decided the choice of each target: `target:expected ms:slowness:occupancy:age ms`.
+    pub fn show_choices(&self) -> String {
+        let show = |choice: &placement::Choice| {
+            let age = choice.estimate.age;
+            let age = age.map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string());
+            format!(
+                "{}:{}:{:.2}:{:.1}:{age}",
+                choice.target,
+                choice.expected.as_millis(),
+                choice.estimate.slowness,
+                choice.estimate.occupancy,
+            )
+        };
+        let shown: Vec<String> = self.choices.iter().map(show).collect();
+        shown.join(" ")
     }
 
     /// Runs the call until there is an answer or its time is over.
@@ -297,6 +312,7 @@
             return false;
         };
         self.tried.push(choice.target.clone());
+        self.choices.push(choice.clone());
         let work = self.work().as_secs_f64().max(0.001);
         let tried = Tried {
             target: choice.target.clone(),
--- a/wagtailshunt/src/entry/calls/listener.rs
+++ b/wagtailshunt/src/entry/calls/listener.rs
@@ -123,7 +123,6 @@
             (reason.answer(after), reason.to_string())
         }
     };
-    let tried: Vec<&str> = call.tried().iter().map(types::TargetId::as_str).collect();
     let version = state.with(|inner| inner.machine.table.version());
     finished(
         state,
@@ -134,7 +133,7 @@
             ("outcome", &outcome),
             ("route", &call.route_name),
             ("service", &call.service),
-            ("targets", &tried.join(",")),
+            ("choices", &call.show_choices()),
             ("version", &version),
         ],
     );
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -90,7 +90,7 @@
 pub fn dial_missing(state: &rc::Rc<state::State>) {
     let own = &state.cfg.failure_domain;
     let mut wanted: collections::BTreeSet<net::SocketAddr> =
-        state.cfg.seeds.iter().copied().collect();
+        state.seeds.borrow().iter().copied().collect();
     state.with(|inner| {
         let vms = inner.roster.vms();
         let near = vms.filter(|vm| vm.has_disk || vm.failure_domain == *own);
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -1,6 +1,6 @@
 //! State of an entry VM, shared by its tasks.
 
-use std::{cell, collections, rc};
+use std::{cell, collections, net, rc};
 
 use futures_channel::oneshot;
 use rand::{SeedableRng, rngs};
@@ -25,6 +25,8 @@
     pub(crate) peers: peers::Peers,
     pub(crate) pool: calls::Pool,
     pub(crate) metrics: metrics::Metrics,
+    /// Addresses at which other VMs may be found; they change with the settings file.
+    pub(crate) seeds: cell::RefCell<Vec<net::SocketAddr>>,
     /// The stored list of VMs is older than the one in memory.
     pub(crate) roster_due: cell::Cell<bool>,
     /// Spreads what must not happen on all VMs at once.
@@ -102,6 +104,7 @@
             peers: peers::Peers::default(),
             pool: calls::Pool::default(),
             metrics: metrics::Metrics::new(),
+            seeds: cell::RefCell::new(cfg.seeds.clone()),
             roster_due: cell::Cell::new(false),
             rng: cell::RefCell::new(rngs::SmallRng::seed_from_u64(incarnation.0)),
             inner: cell::RefCell::new(Inner {
@@ -136,6 +139,27 @@
         f(&mut self.inner.borrow_mut())
     }
 
+    /// Applies what can be changed while the process runs; returns the names of what was changed.
+    ///
+    /// Addresses, failure domain and data folder take a restart.
+    pub fn apply_settings(&self, cfg: &settings::Settings) -> String {
+        if *self.seeds.borrow() == cfg.seeds {
+            return String::new();
+        }
+        *self.seeds.borrow_mut() = cfg.seeds.clone();
+        "seeds".to_owned()
+    }
+
+    /// Returns the events of this process.
+    pub fn events(&self) -> &events::EventLog {
+        &self.events
+    }
+
+    /// Returns whether the process is ending.
+    pub fn is_ended(&self) -> bool {
+        self.stopped()
+    }
+
     /// Returns the leader when this VM leads or is connected to it.
     pub fn reachable_leader(&self) -> Option<types::VmId> {
         let (_, leader) = self.with(|inner| inner.leader)?;
