--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -6,6 +6,7 @@
 //! mean of the service, and so does the slowness. Own calls are known at any time.
 
 mod estimate;
+mod line;
 mod search;
 mod target;
 
@@ -15,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::estimate::{Estimate, LoadReport};
+pub use self::line::{Line, Ticket};
 pub use self::search::{Search, SearchConfig, Step};
 use self::target::Target;
 use crate::{fleet, time as core_time, types};
--- a/core/src/placement/search.rs
+++ b/core/src/placement/search.rs
@@ -3,7 +3,9 @@
 //! Answers to neighbours that make a target several times slower from one moment to the next: what is
 //! known of a target is often older than its state. So the best targets are asked right before a
 //! call is sent, a few at a time, until one has a free slot and its usual speed. When none has, the
-//! call waits as long as it can still meet its objective, and then takes what is best.
+//! call waits in line. A call that can't meet its objective any more takes any free slot that still
+//! answers in time; it isn't put into the queue of a target, where it would go before calls that
+//! could meet theirs.
 //!
 //! Source of asking before each call: Wydrowski et al., "Load is not what you should balance:
 //! Introducing Prequal", NSDI 2024 (its synchronous mode).
@@ -32,6 +34,8 @@
     pub good_slowness: f64,
     /// Factor on the mean work that a call which has waited must still have before its objective.
     pub work_margin: f64,
+    /// Share of the time until its deadline that a call may wait.
+    pub wait_share: f64,
 }
 
 impl Default for SearchConfig {
@@ -40,9 +44,10 @@
             fresh: time::Duration::from_millis(4),
             ask: 2,
             ask_again: time::Duration::from_millis(25),
-            pause: time::Duration::from_millis(8),
+            pause: time::Duration::from_millis(5),
             good_slowness: 1.5,
             work_margin: 1.3,
+            wait_share: 0.5,
         }
     }
 }
@@ -54,8 +59,13 @@
     Take(Choice),
     /// Ask these targets for their load, then go on.
     Ask(Vec<types::TargetId>),
-    /// Go on after this time.
-    Wait(time::Duration),
+    /// Wait in line and go on after this time.
+    Wait {
+        /// Time until the next step.
+        pause: time::Duration,
+        /// The call can't meet its objective any more.
+        late: bool,
+    },
     /// No target is expected to answer in time.
     Overloaded,
     /// The service has no target that the call wasn't sent to.
@@ -68,6 +78,7 @@
     cfg: SearchConfig,
     objective: core_time::Instant,
     deadline: core_time::Instant,
+    give_up: core_time::Instant,
     asked: collections::BTreeMap<types::TargetId, core_time::Instant>,
 }
 
@@ -76,57 +87,84 @@
     /// `deadline`.
     pub fn new(
         cfg: SearchConfig,
+        now: core_time::Instant,
         objective: core_time::Instant,
         deadline: core_time::Instant,
     ) -> Search {
+        let give_up = now + deadline.since(now).mul_f64(cfg.wait_share);
         Search {
             cfg,
             objective,
             deadline,
+            give_up,
             asked: collections::BTreeMap::new(),
         }
     }
 
-    /// Decides what to do with what is known now.
+    /// Returns whether a call with this work can't meet its objective when it begins now.
+    pub fn is_late(&self, now: core_time::Instant, work: time::Duration) -> bool {
+        now + work.mul_f64(self.cfg.work_margin) >= self.objective
+    }
+
+    /// Decides what to do with what is known now. `may_ask` is false for a call that isn't the
+    /// first in line or has no budget for questions.
     pub fn step(
         &mut self,
         now: core_time::Instant,
         placement: &mut Placement,
         demand: &Demand<'_>,
+        may_ask: bool,
     ) -> Step {
         let ranked = placement.ranked(now, demand);
         let Some(best) = ranked.first() else {
             return Step::NoTarget;
         };
         if !placement.is_worth_asking(&best.target) {
-            return self.take(now, best);
+            return match now + best.expected <= self.deadline {
+                true => Step::Take(best.clone()),
+                false => Step::Overloaded,
+            };
         }
         if let Some(good) = ranked.iter().find(|choice| self.is_good(choice)) {
             return Step::Take(good.clone());
         }
-        let due = |choice: &&Choice| {
-            let asked = self.asked.get(&choice.target);
-            let again = asked.is_none_or(|at| now.since(*at) >= self.cfg.ask_again);
-            again && placement.is_worth_asking(&choice.target)
+        let late = self.is_late(now, demand.work);
+        let ask = match may_ask {
+            true => self.due(now, placement, &ranked),
+            false => Vec::new(),
         };
-        let ask: Vec<types::TargetId> = ranked
-            .iter()
-            .filter(due)
-            .take(self.cfg.ask)
-            .map(|choice| choice.target.clone())
-            .collect();
-        let late = now + demand.work.mul_f64(self.cfg.work_margin) >= self.objective;
-        let first_round = self.asked.is_empty();
-        if !ask.is_empty() && (!late || first_round) {
+        if !ask.is_empty() {
             for target in &ask {
                 self.asked.insert(target.clone(), now);
             }
             return Step::Ask(ask);
         }
-        match late {
-            true => self.take(now, best),
-            false => Step::Wait(self.cfg.pause),
+        if late && let Some(choice) = ranked.iter().find(|choice| self.is_last_resort(now, choice)) {
+            return Step::Take(choice.clone());
         }
+        if now >= self.give_up {
+            return Step::Overloaded;
+        }
+        let pause = self.cfg.pause;
+        Step::Wait { pause, late }
+    }
+
+    /// Returns the targets to ask now.
+    fn due(
+        &self,
+        now: core_time::Instant,
+        placement: &Placement,
+        ranked: &[Choice],
+    ) -> Vec<types::TargetId> {
+        let due = |choice: &&Choice| {
+            let asked = self.asked.get(&choice.target);
+            let again = asked.is_none_or(|at| now.since(*at) >= self.cfg.ask_again);
+            let age = choice.estimate.age;
+            let stale = age.is_none_or(|age| age > self.cfg.fresh);
+            again && stale && placement.is_worth_asking(&choice.target)
+        };
+        let due = ranked.iter().filter(due).take(self.cfg.ask);
+        due.map(|choice| choice.target.clone()).collect()
     }
 
     /// Returns the best target that is known to begin the call at once, if there is one.
@@ -148,10 +186,8 @@
         fresh && usual && estimate.has_room() && !choice.ejected
     }
 
-    fn take(&self, now: core_time::Instant, best: &Choice) -> Step {
-        match now + best.expected <= self.deadline {
-            true => Step::Take(best.clone()),
-            false => Step::Overloaded,
-        }
+    /// Returns whether a target is good enough for a call that is late anyway.
+    fn is_last_resort(&self, now: core_time::Instant, choice: &Choice) -> bool {
+        choice.estimate.has_room() && now + choice.expected <= self.deadline
     }
 }
--- a/core/src/retry/mod.rs
+++ b/core/src/retry/mod.rs
@@ -114,6 +114,11 @@
         true
     }
 
+    /// Returns whether there is a token to take.
+    pub fn has_tokens(&self) -> bool {
+        self.tokens >= SCALE
+    }
+
     /// Returns calls counted and tokens spent.
     pub fn totals(&self) -> (u64, u64) {
         (self.calls, self.spent)
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -27,6 +27,15 @@
 /// again. A third of the shortest deadline is the longest that callers honour.
 const RETRY_AFTER: std::ops::Range<f64> = 0.08..0.3;
 
+/// Questions for load that calls pay for: three each, since the best two targets are asked first and
+/// one in three calls goes on to others. What is saved up lets a burst begin well.
+const QUESTIONS: retry::Config = retry::Config {
+    per_1000_calls: 3000,
+    burst: 30,
+    max_attempts: 1,
+    one_layer: false,
+};
+
 /// A call whose route is known.
 pub struct Call {
     pub state: rc::Rc<state::State>,
@@ -132,7 +141,11 @@
 
     /// Runs the call until there is an answer or its time is over.
     pub async fn run(self: &rc::Rc<Self>) -> Done {
-        self.state.with(|inner| self.budget(inner).call());
+        self.state.with(|inner| {
+            self.budget(inner).call();
+            let questions = inner.questions.entry(self.service.clone());
+            questions.or_insert_with(|| retry::Budget::new(QUESTIONS)).call();
+        });
         let tries = Tries::new();
         let mut started = 1;
         tries.push(self.clone().try_once(Purpose::First).boxed_local());
@@ -194,7 +207,7 @@
 
     /// Looks for a target and sends the call there.
     async fn try_once(self: rc::Rc<Self>, purpose: Purpose) -> Tried {
-        let choice = match find::target(&self, &self.search()).await {
+        let choice = match find::target(&self, self.search()).await {
             Ok(choice) => choice,
             Err(reason) => return Tried::Unplaced(reason),
         };
@@ -227,7 +240,8 @@
     fn search(&self) -> placement::Search {
         let objective = self.arrival + self.route.objective;
         let cfg = self.state.cfg.search.clone();
-        placement::Search::new(cfg, objective, self.parts.deadline)
+        let now = self.state.clock.now();
+        placement::Search::new(cfg, now, objective, self.parts.deadline)
     }
 
     /// Returns why a further attempt must not go to a target; takes a token of the budget if it may.
@@ -322,8 +336,8 @@
         })
     }
 
-    /// Decides the next step of a search.
-    pub fn step(&self, search: &mut placement::Search) -> placement::Step {
+    /// Decides the next step of a search. Only the first in line asks, within the budget.
+    pub fn step(&self, search: &mut placement::Search, first: bool) -> placement::Step {
         let now = self.state.clock.now();
         let tried = self.tried.borrow();
         let demand = placement::Demand {
@@ -331,8 +345,40 @@
             work: self.work(),
             tried: &tried,
         };
+        self.state.with(|inner| {
+            let questions = inner.questions.entry(self.service.clone());
+            let questions = questions.or_insert_with(|| retry::Budget::new(QUESTIONS));
+            let may_ask = first && questions.has_tokens();
+            let step = search.step(now, &mut inner.placement, &demand, may_ask);
+            if let placement::Step::Ask(targets) = &step {
+                targets.iter().for_each(|_| {
+                    questions.try_spend();
+                });
+            }
+            step
+        })
+    }
+
+    /// Runs `f` on the line of the service.
+    pub fn line<R>(&self, f: impl FnOnce(&mut placement::Line) -> R) -> R {
         self.state
-            .with(|inner| search.step(now, &mut inner.placement, &demand))
+            .with(|inner| f(inner.lines.entry(self.service.clone()).or_default()))
+    }
+
+    /// Refuses a call at once when the line is longer than the call could wait.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::Overloaded`].
+    pub fn refuse_hopeless(&self) -> Result<(), Reason> {
+        let now = self.state.clock.now();
+        let left = self.parts.deadline.since(now);
+        let limit = left.mul_f64(self.state.cfg.search.wait_share);
+        let wait = self.line(|line| line.expected_wait(now, self.route.priority));
+        match wait.is_some_and(|wait| wait > limit) {
+            true => Err(Reason::Overloaded),
+            false => Ok(()),
+        }
     }
 
     /// Returns a target that is known to begin the call at once.
--- a/wagtailshunt/src/entry/calls/find.rs
+++ b/wagtailshunt/src/entry/calls/find.rs
@@ -1,10 +1,42 @@
-//! Carries out the search for a target: asks, waits, and gives the answers to the core.
+//! Carries out the search for a target: asks, waits in line, and gives the answers to the core.
 
 use futures_util::{StreamExt, stream};
 use wagtailshunt_core::{placement, types};
 
 use crate::entry::calls::{answer::Reason, call::Call, probe};
 
+/// A place in the line of a service; dropping it leaves the line.
+struct Waiting<'a> {
+    call: &'a Call,
+    ticket: placement::Ticket,
+    late: bool,
+}
+
+impl<'a> Waiting<'a> {
+    fn join(call: &'a Call) -> Waiting<'a> {
+        let priority = call.route.priority;
+        let ticket = call.line(|line| line.join(priority));
+        Waiting {
+            call,
+            ticket,
+            late: false,
+        }
+    }
+
+    fn set_late(&mut self, late: bool) {
+        if late && !self.late {
+            self.late = true;
+            self.call.line(|line| line.set_late(self.ticket));
+        }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.call.line(|line| line.leave(self.ticket));
+    }
+}
+
 /// Returns the target that a call goes to.
 ///
 /// # Errors
@@ -12,28 +44,36 @@
 /// Why the call can't be sent.
 pub async fn target(
     call: &Call,
-    search: &placement::Search,
+    mut search: placement::Search,
 ) -> Result<placement::Choice, Reason> {
-    let mut search = search.clone();
-    loop {
-        match call.step(&mut search) {
-            placement::Step::Take(choice) => return Ok(choice),
+    call.refuse_hopeless()?;
+    let mut waiting = Waiting::join(call);
+    let choice = loop {
+        let first = call.line(|line| line.is_first(waiting.ticket));
+        match call.step(&mut search, first) {
+            placement::Step::Take(choice) => break choice,
             placement::Step::Overloaded => return Err(Reason::Overloaded),
             placement::Step::NoTarget => return Err(Reason::NoTarget),
-            placement::Step::Wait(pause) => compio::time::sleep(pause).await,
+            placement::Step::Wait { pause, late } => {
+                waiting.set_late(late);
+                compio::time::sleep(pause).await;
+            }
             placement::Step::Ask(targets) => {
-                if let Some(choice) = ask(call, &mut search, targets).await {
-                    return Ok(choice);
+                if let Some(choice) = ask(call, &search, targets).await {
+                    break choice;
                 }
             }
         }
-    }
+    };
+    let now = call.state.clock.now();
+    call.line(|line| line.served(now, waiting.ticket));
+    Ok(choice)
 }
 
 /// Asks targets at the same time; returns the first that turns out to be good.
 async fn ask(
     call: &Call,
-    search: &mut placement::Search,
+    search: &placement::Search,
     targets: Vec<types::TargetId>,
 ) -> Option<placement::Choice> {
     let questions: stream::FuturesUnordered<_> = targets
--- a/wagtailshunt/src/entry/calls/probe.rs
+++ b/wagtailshunt/src/entry/calls/probe.rs
@@ -5,6 +5,7 @@
 
 use std::{rc, time};
 
+use futures_channel::oneshot;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, header};
 use wagtailshunt_core::{fleet, types};
@@ -17,8 +18,9 @@
     http,
 };
 
-/// A probe that takes longer tells nothing that is still true.
-const PROBE_LIMIT: time::Duration = time::Duration::from_millis(150);
+/// A probe that takes longer finds a target that doesn't answer; a slow one takes some tens of
+/// milliseconds.
+const PROBE_LIMIT: time::Duration = time::Duration::from_millis(400);
 
 /// Interval at which loads are passed on; in the meantime several are gathered into one message.
 const SHARE_INTERVAL: time::Duration = time::Duration::from_millis(20);
@@ -110,8 +112,16 @@
     let Some(question) = question else {
         return;
     };
-    let asked = compio::time::timeout(ASK_LIMIT, exchange(state, &question)).await;
-    if asked.is_err() {
+    let (tx, rx) = oneshot::channel();
+    let task_state = state.clone();
+    // Goes on when the one who asks doesn't wait any more, so that the connection can be kept.
+    compio::runtime::spawn(async move {
+        probe(task_state, question).await;
+        // The one who asked may have found another target.
+        let _ = tx.send(());
+    })
+    .detach();
+    if compio::time::timeout(ASK_LIMIT, rx).await.is_err() {
         let now = state.clock.now();
         state.with(|inner| inner.placement.unanswered(now, target));
     }
@@ -120,7 +130,10 @@
 async fn probe(state: rc::Rc<state::State>, question: Question) {
     let probe = exchange(&state, &question);
     if compio::time::timeout(PROBE_LIMIT, probe).await.is_err() {
-        log::debug!("probe of {} timed out", question.to.target);
+        let target = &question.to.target;
+        log::debug!("probe of {target} timed out");
+        let now = state.clock.now();
+        state.with(|inner| inner.placement.unanswered(now, target));
     }
 }
 
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -58,6 +58,10 @@
     pub seen_loads:
         collections::BTreeMap<types::TargetId, (core_time::Instant, placement::LoadReport)>,
     pub(crate) budgets: collections::BTreeMap<types::ServiceName, retry::Budget>,
+    /// Questions for load that may be asked, by service.
+    pub questions: collections::BTreeMap<types::ServiceName, retry::Budget>,
+    /// Calls that wait for a target, by service.
+    pub lines: collections::BTreeMap<types::ServiceName, placement::Line>,
     /// Parts of split routes that are behind their weight, by route.
     pub(crate) splits: collections::BTreeMap<String, collections::BTreeMap<types::ServiceName, f64>>,
     pub(crate) work: collections::BTreeMap<String, calls::WorkTime>,
@@ -121,6 +125,8 @@
                 heard_here: collections::BTreeMap::new(),
                 seen_loads: collections::BTreeMap::new(),
                 budgets: collections::BTreeMap::new(),
+                questions: collections::BTreeMap::new(),
+                lines: collections::BTreeMap::new(),
                 splits: collections::BTreeMap::new(),
                 work: collections::BTreeMap::new(),
             }),
