Leave the last slot of a target free where a full target gets less done

The level at which a service's targets get most done is learned. Ruled out: waiting (p50 80 ms) and slow neighbours (fresh reports only).

--- a/core/src/placement/estimate.rs
+++ b/core/src/placement/estimate.rs
@@ -2,6 +2,9 @@
 
 use std::time;
 
+/// What others have running is an estimate; less than half a call doesn't fill a slot.
+const ROUNDING: f64 = 0.5;
+
 /// Load of a target as it reported it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadReport {
@@ -22,8 +25,12 @@
     pub occupancy: f64,
     /// Calls that it runs at once.
     pub slots: u32,
+    /// Calls at which it gets most done; at most `slots`.
+    pub best_running: u32,
     /// Factor on the time that work takes.
     pub slowness: f64,
+    /// Further factor for a call that begins beside those that run.
+    pub crowding: f64,
     /// Age of the report behind it; `None` without a report.
     pub age: Option<time::Duration>,
 }
@@ -34,11 +41,16 @@
     pub fn expected(&self, work: time::Duration) -> time::Duration {
         let slots = f64::from(self.slots.max(1));
         let ahead = (self.occupancy - slots + 1.0).max(0.0) / slots;
-        work.mul_f64(self.slowness.max(0.1) * (1.0 + ahead))
+        work.mul_f64(self.slowness.max(0.1) * self.crowding * (1.0 + ahead))
     }
 
-    /// Returns whether a call would find a free slot.
+    /// Returns whether a call would begin at once without making the target get less done.
     pub fn has_room(&self) -> bool {
-        self.occupancy < f64::from(self.slots.max(1))
+        self.occupancy + 1.0 <= f64::from(self.best_running.max(1)) + ROUNDING
+    }
+
+    /// Returns as how many calls, this one included, the target would run.
+    pub fn running_with_one_more(&self) -> u32 {
+        self.occupancy.round() as u32 + 1
     }
 }
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -5,6 +5,7 @@
 //! answer or probe is exact when it is made and fades: what others have running goes towards the
 //! mean of the service, and so does the slowness. Own calls are known at any time.
 
+mod crowding;
 mod estimate;
 mod line;
 mod search;
@@ -15,6 +16,7 @@
 use rand::{Rng, rngs};
 use serde::{Deserialize, Serialize};
 
+pub use self::crowding::Crowding;
 pub use self::estimate::{Estimate, LoadReport};
 pub use self::line::{Line, Ticket};
 pub use self::search::{Search, SearchConfig, Step};
@@ -109,12 +111,13 @@
     rng: rngs::SmallRng,
 }
 
-/// Means over the targets of a service.
+/// What is known of the targets of a service together.
 #[derive(Debug)]
-struct Service {
+pub(super) struct Service {
     members: collections::BTreeSet<types::TargetId>,
     slowness: f64,
     occupancy: f64,
+    crowding: Crowding,
 }
 
 /// Weight of a new report in the means of a service: about the last thirty reports count.
@@ -151,6 +154,7 @@
             members: collections::BTreeSet::new(),
             slowness: 1.0,
             occupancy: 0.0,
+            crowding: Crowding::default(),
         });
         service.members.insert(report.target.clone());
     }
@@ -222,7 +226,7 @@
     ) -> Option<Estimate> {
         let target = self.targets.get(target)?;
         let service = self.services.get(&target.service)?;
-        Some(target.estimate(now, service.slowness, service.occupancy, &self.cfg))
+        Some(target.estimate(now, service, &self.cfg))
     }
 
     /// Returns the targets that a call wasn't sent to yet, best first: the earliest expected answer,
@@ -236,7 +240,7 @@
             let Some(target) = self.targets.get(id).filter(|_| !demand.tried.contains(id)) else {
                 continue;
             };
-            let estimate = target.estimate(now, service.slowness, service.occupancy, &self.cfg);
+            let estimate = target.estimate(now, service, &self.cfg);
             let expected = estimate.expected(demand.work);
             // Spreads the choices of VMs that see equal targets.
             let jitter = self.rng.random_range(0.0..0.02) * demand.work.as_secs_f64();
@@ -263,6 +267,13 @@
         self.ranked(now, demand).into_iter().next()
     }
 
+    /// Learns from a call that began beside `running - 1` others and took `ratio` times the usual work.
+    pub fn ran(&mut self, service: &types::ServiceName, running: u32, ratio: f64) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.crowding.sample(running, ratio);
+        }
+    }
+
     /// Notes that a target answered without telling its load, so that asking it is of no use.
     pub fn tells_no_load(&mut self, target: &types::TargetId) {
         if let Some(target) = self.targets.get_mut(target) {
--- a/core/src/placement/target.rs
+++ b/core/src/placement/target.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use super::{Config, Ended, Estimate, LoadReport};
+use super::{Config, Ended, Estimate, LoadReport, Service};
 use crate::{fleet, time as core_time, types};
 
 #[derive(Clone, Copy, Debug)]
@@ -96,38 +96,29 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
-    pub fn estimate(
-        &self,
-        now: core_time::Instant,
-        mean_slowness: f64,
-        mean_occupancy: f64,
-        cfg: &Config,
-    ) -> Estimate {
+    pub fn estimate(&self, now: core_time::Instant, service: &Service, cfg: &Config) -> Estimate {
         let own = f64::from(self.in_flight);
-        let Some(observed) = self.observed else {
-            let mut estimate = Estimate {
-                occupancy: own.max(mean_occupancy),
-                slots: self.slots,
-                slowness: mean_slowness,
-                age: None,
-            };
-            self.handicap(now, cfg, &mut estimate);
-            return estimate;
-        };
-        let age = now.since(observed.at);
-        let seen = f64::from(observed.load.running + observed.load.waiting);
-        let others = (seen - f64::from(observed.own)).max(0.0);
-        let others = fade(others, mean_occupancy.min(others.max(1.0)), age, cfg.occupancy_fade);
-        let slowness = match observed.load.slowness_percent {
-            Some(_) => fade(self.last_slowness(), mean_slowness, age, cfg.slowness_fade),
-            None => 1.0,
-        };
         let mut estimate = Estimate {
-            occupancy: own + others,
+            occupancy: own.max(service.occupancy),
             slots: self.slots,
-            slowness,
-            age: Some(age),
+            best_running: service.crowding.best_running(self.slots),
+            slowness: service.slowness,
+            crowding: 1.0,
+            age: None,
         };
+        if let Some(observed) = self.observed {
+            let age = now.since(observed.at);
+            let seen = f64::from(observed.load.running + observed.load.waiting);
+            let others = (seen - f64::from(observed.own)).max(0.0);
+            let usual = service.occupancy.min(others.max(1.0));
+            estimate.occupancy = own + fade(others, usual, age, cfg.occupancy_fade);
+            estimate.slowness = match observed.load.slowness_percent {
+                Some(_) => fade(self.last_slowness(), service.slowness, age, cfg.slowness_fade),
+                None => 1.0,
+            };
+            estimate.age = Some(age);
+        }
+        estimate.crowding = service.crowding.ratio(estimate.running_with_one_more());
         self.handicap(now, cfg, &mut estimate);
         estimate
     }
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -23,6 +23,9 @@
 /// The work of a second attempt may take this much longer than the mean and still be in time.
 const HEDGE_MARGIN: f64 = 1.25;
 
+/// Slowness up to which a target counts as running at its usual speed.
+const USUAL_SLOWNESS: f64 = 1.2;
+
 /// Callers that are refused come back between these times in seconds, spread so that they don't meet
 /// again. A third of the shortest deadline is the longest that callers honour.
 const RETRY_AFTER: std::ops::Range<f64> = 0.08..0.3;
@@ -45,8 +48,8 @@
     pub parts: Parts,
     pub arrival: core_time::Instant,
     tried: cell::RefCell<Vec<types::TargetId>>,
-    /// What was known of each target when it was chosen.
-    choices: cell::RefCell<Vec<placement::Choice>>,
+    /// What was known of each target when it was chosen, and the time since the arrival.
+    choices: cell::RefCell<Vec<(placement::Choice, time::Duration)>>,
 }
 
 /// What an attempt is for.
@@ -62,8 +65,9 @@
 /// A target that a call was sent to and what was expected of it.
 struct Sent {
     target: types::TargetId,
-    /// What the target was believed to be slowed by.
-    factor: f64,
+    /// What was known of the target.
+    estimate: placement::Estimate,
+    expected: time::Duration,
     started: core_time::Instant,
 }
 
@@ -117,17 +121,19 @@
         })
     }
 
-    /// Returns what decided the choice of each target: `target:expected ms:slowness:occupancy:age ms`.
+    /// Returns what decided the choice of each target:
+    /// `target:expected ms:slowness:occupancy:age ms:waited ms`.
     pub fn show_choices(&self) -> String {
-        let show = |choice: &placement::Choice| {
+        let show = |(choice, waited): &(placement::Choice, time::Duration)| {
             let age = choice.estimate.age;
             let age = age.map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string());
             format!(
-                "{}:{}:{:.2}:{:.1}:{age}",
+                "{}:{}:{:.2}:{:.1}:{age}:{}",
                 choice.target,
                 choice.expected.as_millis(),
                 choice.estimate.slowness,
                 choice.estimate.occupancy,
+                waited.as_millis(),
             )
         };
         let shown: Vec<String> = self.choices.borrow().iter().map(show).collect();
@@ -226,11 +232,12 @@
             return Tried::Unplaced(Reason::NoTarget);
         };
         self.tried.borrow_mut().push(choice.target.clone());
-        self.choices.borrow_mut().push(choice.clone());
-        let work = self.work().as_secs_f64().max(0.001);
+        let waited = self.state.clock.now().since(self.arrival);
+        self.choices.borrow_mut().push((choice.clone(), waited));
         let sent = Sent {
             target: choice.target.clone(),
-            factor: choice.expected.as_secs_f64() / work,
+            estimate: choice.estimate,
+            expected: choice.expected,
             started: self.state.clock.now(),
         };
         let end = attempt::run(&self.state, &self.parts, destination).await;
@@ -285,7 +292,7 @@
                 }
             }
             End::Answered(answer) => {
-                self.learn_work(taken, sent.factor);
+                self.learn(taken, &sent);
                 Settled::Final(answer)
             }
             End::NotRun(_) => Settled::NotRun,
@@ -319,10 +326,21 @@
         );
     }
 
-    fn learn_work(&self, taken: time::Duration, factor: f64) {
+    /// Learns how long the work of the route takes and how targets slow down as they fill up.
+    fn learn(&self, taken: time::Duration, sent: &Sent) {
+        let work = self.work().as_secs_f64().max(0.001);
+        let expected = sent.expected.as_secs_f64() / work;
         self.state.with(|inner| {
             if let Some(work) = inner.work.get_mut(&self.route_name) {
-                work.sample(taken, factor);
+                work.sample(taken, expected);
+            }
+            let estimate = &sent.estimate;
+            let fresh = estimate.age.is_some_and(|age| age <= self.state.cfg.search.fresh);
+            let running = estimate.running_with_one_more();
+            // A slowed target or one with a queue says nothing about the slots.
+            if fresh && estimate.slowness <= USUAL_SLOWNESS && running <= estimate.slots {
+                let ratio = taken.as_secs_f64() / work;
+                inner.placement.ran(&self.service, running, ratio);
             }
         });
     }
