Give each call its turn in line, newest first while the line is too long

Cause: any waiting call took a target that another's question had found, so that late calls went before calls in time; and the oldest calls of a long line began with nothing to spare (lookups beside one other: p90 252 ms of an objective of 300). Refused callers come back within the time they honour.

--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -143,7 +143,10 @@
     /// Returns whether a life has departed.
     pub fn has_departed(&self, target: &types::TargetId, born: core_time::UnixMillis) -> bool {
         let ended = |departure: &&Departure| departure.target == *target && born <= departure.born;
-        self.departed.iter().rev().any(|departure| ended(&departure))
+        self.departed
+            .iter()
+            .rev()
+            .any(|departure| ended(&departure))
     }
 
     /// Removes a life that has not been heard of; it may come back.
@@ -158,7 +161,10 @@
 
     /// Returns the lives that were not heard of for `limit`.
     pub fn silent(&self, now: core_time::Instant, limit: time::Duration) -> Vec<Departure> {
-        let silent = self.targets.values().filter(|k| now.since(k.heard) >= limit);
+        let silent = self
+            .targets
+            .values()
+            .filter(|k| now.since(k.heard) >= limit);
         silent.map(|known| life(&known.report)).collect()
     }
 
--- a/core/src/placement/crowding.rs
+++ b/core/src/placement/crowding.rs
@@ -20,6 +20,10 @@
     samples: u32,
 }
 
+/// A further call must add this much to what a target gets done; calls beside it are slowed as
+/// well, which the ratio of the further call alone doesn't show.
+const MIN_GAIN: f64 = 1.15;
+
 /// Learned slowing of the targets of a service, by the number of calls that run.
 #[derive(Clone, Debug, Default)]
 pub struct Crowding {
@@ -40,7 +44,8 @@
         }
         let level = &mut self.levels[at];
         level.samples += 1;
-        level.ratio += (ratio.min(MAX_RATIO) - level.ratio) * WEIGHT.max(1.0 / f64::from(level.samples));
+        level.ratio +=
+            (ratio.min(MAX_RATIO) - level.ratio) * WEIGHT.max(1.0 / f64::from(level.samples));
     }
 
     /// Returns how much longer a call takes that runs as the `running`th.
@@ -52,10 +57,10 @@
 
     /// Returns the number of calls at which a target with `slots` slots gets most done.
     pub fn best_running(&self, slots: u32) -> u32 {
-        let mut best = (0.0, 1);
-        for running in 1..=slots.max(1) {
+        let mut best = (1.0, 1);
+        for running in 2..=slots {
             let done = f64::from(running) / self.ratio(running);
-            if done > best.0 {
+            if done > best.0 * MIN_GAIN {
                 best = (done, running);
             }
         }
--- a/core/src/placement/line.rs
+++ b/core/src/placement/line.rs
@@ -2,7 +2,11 @@
 //!
 //! Answers to more calls than slots: only the first in line asks targets, so that the number of
 //! questions doesn't grow with the number of waiting calls, and what can still meet its objective goes
-//! before what cannot. Within each of the two, the more urgent route and then the older call is first.
+//! before what cannot. Within each of the two the more urgent route goes first, then the older call.
+//! While the line is too long for its calls to meet their objectives, the newest goes before older
+//! ones: the oldest would begin with no time to spare and be late, one after the other.
+//!
+//! Source of the order in overload: Maurer, "Fail at Scale", ACM Queue 2015 (adaptive LIFO).
 
 use std::{collections, time};
 
@@ -21,6 +25,18 @@
     ticket: Ticket,
 }
 
+/// Share of its time to wait after which the oldest call shows that the line is too long.
+const PATIENCE: f64 = 0.5;
+
+/// What is known of a waiting call.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    place: Place,
+    since: core_time::Instant,
+    /// Time for which it can wait and still meet its objective.
+    slack: time::Duration,
+}
+
 /// Time over which the rate of departures is counted.
 const RATE_WINDOW: time::Duration = time::Duration::from_millis(1000);
 
@@ -31,42 +47,53 @@
 #[derive(Clone, Debug, Default)]
 pub struct Line {
     places: collections::BTreeSet<Place>,
-    by_ticket: collections::BTreeMap<Ticket, Place>,
+    waiting: collections::BTreeMap<Ticket, Waiting>,
     next: u64,
     departures: collections::VecDeque<core_time::Instant>,
 }
 
 impl Line {
-    /// Adds a call.
-    pub fn join(&mut self, priority: u32) -> Ticket {
+    /// Adds a call that can wait for `slack` and still meet its objective.
+    pub fn join(
+        &mut self,
+        now: core_time::Instant,
+        priority: u32,
+        slack: time::Duration,
+    ) -> Ticket {
         self.next += 1;
         let ticket = Ticket(self.next);
-        self.put(Place {
+        let place = Place {
             late: false,
             priority,
             ticket,
+        };
+        self.put(Waiting {
+            place,
+            since: now,
+            slack,
         });
         ticket
     }
 
-    fn put(&mut self, place: Place) {
-        self.places.insert(place);
-        self.by_ticket.insert(place.ticket, place);
+    fn put(&mut self, waiting: Waiting) {
+        self.places.insert(waiting.place);
+        self.waiting.insert(waiting.place.ticket, waiting);
     }
 
-    fn take(&mut self, ticket: Ticket) -> Option<Place> {
-        let place = self.by_ticket.remove(&ticket)?;
-        self.places.remove(&place);
-        Some(place)
+    fn take(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&ticket)?;
+        self.places.remove(&waiting.place);
+        Some(waiting)
     }
 
     /// Moves a call behind those that can still meet their objective.
     pub fn set_late(&mut self, ticket: Ticket) {
-        if let Some(place) = self.take(ticket) {
-            self.put(Place {
+        if let Some(waiting) = self.take(ticket) {
+            let place = Place {
                 late: true,
-                ..place
-            });
+                ..waiting.place
+            };
+            self.put(Waiting { place, ..waiting });
         }
     }
 
@@ -90,9 +117,22 @@
         }
     }
 
-    /// Returns whether a call is the first in line.
-    pub fn is_first(&self, ticket: Ticket) -> bool {
-        self.places.first().is_some_and(|place| place.ticket == ticket)
+    /// Returns whether it is the turn of a call.
+    pub fn is_first(&self, now: core_time::Instant, ticket: Ticket) -> bool {
+        let Some(first) = self.places.first() else {
+            return false;
+        };
+        if !self.is_too_long(now, first) {
+            return first.ticket == ticket;
+        }
+        let of_rank = |place: &&Place| place.late == first.late && place.priority == first.priority;
+        let newest = self.places.iter().take_while(of_rank).last();
+        newest.is_some_and(|place| place.ticket == ticket)
+    }
+
+    fn is_too_long(&self, now: core_time::Instant, first: &Place) -> bool {
+        let oldest = self.waiting.get(&first.ticket);
+        oldest.is_some_and(|waiting| now.since(waiting.since) > waiting.slack.mul_f64(PATIENCE))
     }
 
     /// Returns the number of waiting calls.
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -219,11 +219,7 @@
     }
 
     /// Returns what is known about a target.
-    pub fn estimate(
-        &self,
-        now: core_time::Instant,
-        target: &types::TargetId,
-    ) -> Option<Estimate> {
+    pub fn estimate(&self, now: core_time::Instant, target: &types::TargetId) -> Option<Estimate> {
         let target = self.targets.get(target)?;
         let service = self.services.get(&target.service)?;
         Some(target.estimate(now, service, &self.cfg))
@@ -283,7 +279,9 @@
 
     /// Returns whether asking a target for its load is of use.
     pub fn is_worth_asking(&self, target: &types::TargetId) -> bool {
-        self.targets.get(target).is_some_and(|target| target.tells_load)
+        self.targets
+            .get(target)
+            .is_some_and(|target| target.tells_load)
     }
 
     /// Notes that a target didn't answer when it was asked for its load.
--- a/core/src/placement/search.rs
+++ b/core/src/placement/search.rs
@@ -106,13 +106,21 @@
         now + work.mul_f64(self.cfg.work_margin) >= self.objective
     }
 
-    /// Decides what to do with what is known now. `may_ask` is false for a call that isn't the
-    /// first in line or has no budget for questions.
+    /// Returns how long a call with this work can wait from now on and still meet its objective.
+    pub fn slack(&self, now: core_time::Instant, work: time::Duration) -> time::Duration {
+        self.objective
+            .saturating_sub(work.mul_f64(self.cfg.work_margin))
+            .since(now)
+    }
+
+    /// Decides what to do with what is known now, for a call whose turn it is if `turn` says so.
+    /// `may_ask` is false while there is no budget for questions.
     pub fn step(
         &mut self,
         now: core_time::Instant,
         placement: &mut Placement,
         demand: &Demand<'_>,
+        turn: bool,
         may_ask: bool,
     ) -> Step {
         let ranked = placement.ranked(now, demand);
@@ -125,10 +133,13 @@
                 false => Step::Overloaded,
             };
         }
+        let late = self.is_late(now, demand.work);
+        if !turn {
+            return self.wait(now, late);
+        }
         if let Some(good) = ranked.iter().find(|choice| self.is_good(choice)) {
             return Step::Take(good.clone());
         }
-        let late = self.is_late(now, demand.work);
         let ask = match may_ask {
             true => self.due(now, placement, &ranked),
             false => Vec::new(),
@@ -139,9 +150,17 @@
             }
             return Step::Ask(ask);
         }
-        if late && let Some(choice) = ranked.iter().find(|choice| self.is_last_resort(now, choice)) {
+        if late
+            && let Some(choice) = ranked
+                .iter()
+                .find(|choice| self.is_last_resort(now, choice))
+        {
             return Step::Take(choice.clone());
         }
+        self.wait(now, late)
+    }
+
+    fn wait(&self, now: core_time::Instant, late: bool) -> Step {
         if now >= self.give_up {
             return Step::Overloaded;
         }
--- a/core/src/placement/target.rs
+++ b/core/src/placement/target.rs
@@ -113,7 +113,12 @@
             let usual = service.occupancy.min(others.max(1.0));
             estimate.occupancy = own + fade(others, usual, age, cfg.occupancy_fade);
             estimate.slowness = match observed.load.slowness_percent {
-                Some(_) => fade(self.last_slowness(), service.slowness, age, cfg.slowness_fade),
+                Some(_) => fade(
+                    self.last_slowness(),
+                    service.slowness,
+                    age,
+                    cfg.slowness_fade,
+                ),
                 None => 1.0,
             };
             estimate.age = Some(age);
--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -38,6 +38,8 @@
     pub repeatable: bool,
     /// When the caller or the route gives up.
     pub deadline: core_time::Instant,
+    /// When the caller gives up.
+    pub caller_deadline: core_time::Instant,
 }
 
 /// Where an attempt goes.
@@ -87,7 +89,9 @@
         }
         let now = self.state.clock.now();
         let target = &self.target;
-        let ejected = self.state.with(|inner| inner.placement.finished(now, target, ended));
+        let ejected = self
+            .state
+            .with(|inner| inner.placement.finished(now, target, ended));
         if ejected {
             let id = wagtailshunt_core::event::Id::TargetEjected;
             self.state.events.emit(id, &[("target", target)]);
@@ -322,5 +326,7 @@
     let reason: &dyn std::fmt::Display = &"another target answers at its address";
     let id = wagtailshunt_core::event::Id::TargetLeft;
     let target: &dyn std::fmt::Display = &to.target;
-    state.events.emit(id, &[("target", target), ("reason", reason)]);
+    state
+        .events
+        .emit(id, &[("target", target), ("reason", reason)]);
 }
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -26,9 +26,12 @@
 /// Slowness up to which a target counts as running at its usual speed.
 const USUAL_SLOWNESS: f64 = 1.2;
 
-/// Callers that are refused come back between these times in seconds, spread so that they don't meet
-/// again. A third of the shortest deadline is the longest that callers honour.
-const RETRY_AFTER: std::ops::Range<f64> = 0.08..0.3;
+/// Share of the time that callers honour after which a refused one may come back; spread so that
+/// they don't meet again.
+const RETRY_AFTER: std::ops::Range<f64> = 0.4..1.0;
+
+/// Callers come back within this share of the time that they have left, or not at all.
+const HONOURED_SHARE: f64 = 1.0 / 3.0;
 
 /// Questions for load that calls pay for: three each, since the best two targets are asked first and
 /// one in three calls goes on to others. What is saved up lets a burst begin well.
@@ -150,7 +153,9 @@
         self.state.with(|inner| {
             self.budget(inner).call();
             let questions = inner.questions.entry(self.service.clone());
-            questions.or_insert_with(|| retry::Budget::new(QUESTIONS)).call();
+            questions
+                .or_insert_with(|| retry::Budget::new(QUESTIONS))
+                .call();
         });
         let tries = Tries::new();
         let mut started = 1;
@@ -335,7 +340,9 @@
                 work.sample(taken, expected);
             }
             let estimate = &sent.estimate;
-            let fresh = estimate.age.is_some_and(|age| age <= self.state.cfg.search.fresh);
+            let fresh = estimate
+                .age
+                .is_some_and(|age| age <= self.state.cfg.search.fresh);
             let running = estimate.running_with_one_more();
             // A slowed target or one with a queue says nothing about the slots.
             if fresh && estimate.slowness <= USUAL_SLOWNESS && running <= estimate.slots {
@@ -354,8 +361,8 @@
         })
     }
 
-    /// Decides the next step of a search. Only the first in line asks, within the budget.
-    pub fn step(&self, search: &mut placement::Search, first: bool) -> placement::Step {
+    /// Decides the next step of a search. Questions are asked within the budget.
+    pub fn step(&self, search: &mut placement::Search, turn: bool) -> placement::Step {
         let now = self.state.clock.now();
         let tried = self.tried.borrow();
         let demand = placement::Demand {
@@ -366,8 +373,8 @@
         self.state.with(|inner| {
             let questions = inner.questions.entry(self.service.clone());
             let questions = questions.or_insert_with(|| retry::Budget::new(QUESTIONS));
-            let may_ask = first && questions.has_tokens();
-            let step = search.step(now, &mut inner.placement, &demand, may_ask);
+            let may_ask = questions.has_tokens();
+            let step = search.step(now, &mut inner.placement, &demand, turn, may_ask);
             if let placement::Step::Ask(targets) = &step {
                 targets.iter().for_each(|_| {
                     questions.try_spend();
@@ -442,8 +449,9 @@
 
     /// Returns when a refused caller may come back.
     pub fn retry_after(&self) -> time::Duration {
-        let seconds = self.state.rng.borrow_mut().random_range(RETRY_AFTER);
-        time::Duration::from_secs_f64(seconds)
+        let share = self.state.rng.borrow_mut().random_range(RETRY_AFTER);
+        let left = self.parts.caller_deadline.since(self.state.clock.now());
+        left.mul_f64(share * HONOURED_SHARE)
     }
 }
 
--- a/wagtailshunt/src/entry/calls/find.rs
+++ b/wagtailshunt/src/entry/calls/find.rs
@@ -13,9 +13,11 @@
 }
 
 impl<'a> Waiting<'a> {
-    fn join(call: &'a Call) -> Waiting<'a> {
+    fn join(call: &'a Call, search: &placement::Search) -> Waiting<'a> {
+        let now = call.state.clock.now();
+        let slack = search.slack(now, call.work());
         let priority = call.route.priority;
-        let ticket = call.line(|line| line.join(priority));
+        let ticket = call.line(|line| line.join(now, priority, slack));
         Waiting {
             call,
             ticket,
@@ -47,10 +49,11 @@
     mut search: placement::Search,
 ) -> Result<placement::Choice, Reason> {
     call.refuse_hopeless()?;
-    let mut waiting = Waiting::join(call);
+    let mut waiting = Waiting::join(call, &search);
     let choice = loop {
-        let first = call.line(|line| line.is_first(waiting.ticket));
-        match call.step(&mut search, first) {
+        let now = call.state.clock.now();
+        let turn = call.line(|line| line.is_first(now, waiting.ticket));
+        match call.step(&mut search, turn) {
             placement::Step::Take(choice) => break choice,
             placement::Step::Overloaded => return Err(Reason::Overloaded),
             placement::Step::NoTarget => return Err(Reason::NoTarget),
--- a/wagtailshunt/src/entry/calls/listener.rs
+++ b/wagtailshunt/src/entry/calls/listener.rs
@@ -23,6 +23,12 @@
     http,
 };
 
+/// A starting process usually knows the configuration after this time: an election and a round trip.
+const CONFIGURATION_WAIT: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// Time that a caller waits who doesn't say how long: longer than any route allows.
+const UNBOUNDED: std::time::Duration = std::time::Duration::from_secs(3600);
+
 /// Answers a request of a caller.
 pub async fn handle(
     state: rc::Rc<state::State>,
@@ -37,11 +43,17 @@
         Ok(answer) => answer,
         Err(reason) => {
             let id = request.as_ref().map_or(&b"-"[..], HeaderValue::as_bytes);
-            finished(&state, arrival, reason.status().as_u16(), &[
-                ("request", &String::from_utf8_lossy(id)),
-                ("outcome", &reason),
-            ]);
-            reason.answer(None)
+            finished(
+                &state,
+                arrival,
+                reason.status().as_u16(),
+                &[
+                    ("request", &String::from_utf8_lossy(id)),
+                    ("outcome", &reason),
+                ],
+            );
+            let after = (reason == Reason::NoConfiguration).then_some(CONFIGURATION_WAIT);
+            reason.answer(after)
         }
     };
     if let Some(id) = request {
@@ -83,7 +95,11 @@
     state.events.emit(event::Id::CallFinished, &all);
     let outcome = all.iter().find(|(name, _)| *name == "outcome");
     let outcome = outcome.map_or_else(String::new, |(_, value)| value.to_string());
-    state.metrics.calls.with_label_values(&[outcome.as_str()]).inc();
+    state
+        .metrics
+        .calls
+        .with_label_values(&[outcome.as_str()])
+        .inc();
     let latency = state.metrics.latency.with_label_values(&[outcome.as_str()]);
     latency.observe(taken.as_secs_f64());
 }
@@ -97,7 +113,8 @@
     let named = route(state, &req)?;
     let limits = state.with(|inner| inner.machine.table.items().limits.clone());
     let limits = limits.unwrap_or_default();
-    let deadline = arrival + time_left(state, &req).min(named.1.timeout);
+    let caller_deadline = arrival + time_left(state, &req);
+    let deadline = caller_deadline.min(arrival + named.1.timeout);
     let (head, body) = req.into_parts();
     let body = read_body(state, body, limits.body_bytes, deadline).await?;
     let mut headers = head.headers;
@@ -112,6 +129,7 @@
         body,
         repeatable: named.1.repeatable,
         deadline,
+        caller_deadline,
     };
     let service = pick_service(state, &named);
     let call = Call::new(state.clone(), &named, service, parts, arrival);
@@ -163,7 +181,7 @@
 fn time_left(state: &state::State, req: &Request<http::Body>) -> std::time::Duration {
     let text = http::text(req.headers(), &state.cfg.dialect.time_left_ms);
     let ms = text.and_then(|text| text.trim().parse::<u64>().ok());
-    ms.map_or(std::time::Duration::MAX, std::time::Duration::from_millis)
+    ms.map_or(UNBOUNDED, std::time::Duration::from_millis)
 }
 
 async fn read_body(
@@ -192,10 +210,7 @@
 
 /// Returns the service that a call goes to. Of a split route, the part that is furthest behind its
 /// weight gets the next call.
-fn pick_service(
-    state: &state::State,
-    named: &(String, routing::Route),
-) -> types::ServiceName {
+fn pick_service(state: &state::State, named: &(String, routing::Route)) -> types::ServiceName {
     let (name, route) = named;
     if let [share] = route.shares.as_slice() {
         return share.service.clone();
@@ -214,7 +229,9 @@
         let usable = route.shares.iter().filter(|share| share.weight > 0.0);
         let best = usable.max_by(|a, b| {
             let credit = |share: &routing::Share| credits.get(&share.service).copied();
-            credit(a).partial_cmp(&credit(b)).unwrap_or(std::cmp::Ordering::Equal)
+            credit(a)
+                .partial_cmp(&credit(b))
+                .unwrap_or(std::cmp::Ordering::Equal)
         });
         let service = best.map_or_else(
             || route.shares[0].service.clone(),
--- a/wagtailshunt/src/entry/feed.rs
+++ b/wagtailshunt/src/entry/feed.rs
@@ -31,7 +31,10 @@
 
 fn leading_message(state: &state::State) -> Option<Fleet> {
     state.with(|inner| {
-        let replica = inner.replica.as_ref().filter(|replica| replica.is_leading())?;
+        let replica = inner
+            .replica
+            .as_ref()
+            .filter(|replica| replica.is_leading())?;
         Some(Fleet::Leading(fleet::Leading {
             term: replica.node.term().0,
             applied: inner.applied.0,
@@ -47,11 +50,7 @@
 }
 
 /// Takes over a change of this VM's role.
-pub fn role_changed(
-    state: &rc::Rc<state::State>,
-    role: replication::Role,
-    term: types::Term,
-) {
+pub fn role_changed(state: &rc::Rc<state::State>, role: replication::Role, term: types::Term) {
     let now = state.clock.now();
     let leader = state.with(|inner| {
         let leader = inner.replica.as_ref()?.node.leader();
@@ -90,7 +89,9 @@
     };
     if news {
         let id = event::Id::LeaderKnown;
-        state.events.emit(id, &[("leader", &leader), ("term", &term)]);
+        state
+            .events
+            .emit(id, &[("leader", &leader), ("term", &term)]);
         if leader != state.vm {
             subscribe(state, leader);
             pass_own_reports(state, leader);
@@ -104,7 +105,8 @@
     if !follow(state, from, types::Term(leading.term)) {
         return;
     }
-    let behind = state.with(|inner| !inner.is_member(state.vm) && inner.applied.0 < leading.applied);
+    let behind =
+        state.with(|inner| !inner.is_member(state.vm) && inner.applied.0 < leading.applied);
     if behind {
         subscribe(state, from);
     }
@@ -121,7 +123,9 @@
     let now = state.clock.now();
     let limit = silence_limit(state);
     let reports: Vec<core_fleet::Report> = state.with(|inner| {
-        inner.heard_here.retain(|_, heard| now.since(*heard) < limit);
+        inner
+            .heard_here
+            .retain(|_, heard| now.since(*heard) < limit);
         let here = inner.heard_here.keys();
         let known = here.filter_map(|target| inner.directory.get(target));
         known.map(|known| known.report.clone()).collect()
@@ -135,7 +139,10 @@
 /// A VM wants the state of this leader.
 pub fn subscribed(state: &rc::Rc<state::State>, from: types::VmId, applied: u64) {
     let answer = state.with(|inner| {
-        let leads = inner.replica.as_ref().is_some_and(replica::Replica::is_leading);
+        let leads = inner
+            .replica
+            .as_ref()
+            .is_some_and(replica::Replica::is_leading);
         if !leads {
             return None;
         }
@@ -151,7 +158,11 @@
         let known = inner.directory.targets();
         let reports = known.map(|known| wire::fleet::encode_report(&known.report));
         Some(fleet::State {
-            applied: if snapshot.is_empty() { 0 } else { inner.applied.0 },
+            applied: if snapshot.is_empty() {
+                0
+            } else {
+                inner.applied.0
+            },
             snapshot,
             reports: reports.collect(),
         })
@@ -219,11 +230,7 @@
 }
 
 /// The leader sent a command that it has applied.
-pub fn command_received(
-    state: &rc::Rc<state::State>,
-    from: types::VmId,
-    command: &fleet::Command,
-) {
+pub fn command_received(state: &rc::Rc<state::State>, from: types::VmId, command: &fleet::Command) {
     let (applied, leader, voter) =
         state.with(|inner| (inner.applied, inner.leader, inner.is_member(state.vm)));
     let followed = leader.is_some_and(|(_, leader)| leader == from);
@@ -259,10 +266,7 @@
     });
     pass_command_on(state, previous, index, bytes);
     match (&command, &reply) {
-        (
-            machine::Command::Change(change),
-            machine::Reply::Change(routing::Verdict::Accepted),
-        ) => {
+        (machine::Command::Change(change), machine::Reply::Change(routing::Verdict::Accepted)) => {
             state.with(|inner| {
                 inner.routes = rc::Rc::new(routing::Index::new(inner.machine.table.items()));
             });
@@ -281,8 +285,15 @@
     bytes: &Bytes,
 ) {
     let subscribers: Vec<types::VmId> = state.with(|inner| {
-        let leads = inner.replica.as_ref().is_some_and(replica::Replica::is_leading);
-        let connected = if leads { state.peers.connected() } else { Vec::new() };
+        let leads = inner
+            .replica
+            .as_ref()
+            .is_some_and(replica::Replica::is_leading);
+        let connected = if leads {
+            state.peers.connected()
+        } else {
+            Vec::new()
+        };
         let others = connected.into_iter().filter(|vm| !inner.is_member(*vm));
         others.collect()
     });
@@ -346,7 +357,9 @@
     }
     if observed == core_fleet::Observed::Joined {
         let id: &dyn std::fmt::Display = &target;
-        state.events.emit(event::Id::TargetJoined, &[("target", id)]);
+        state
+            .events
+            .emit(event::Id::TargetJoined, &[("target", id)]);
         state.changed();
     }
     observed
@@ -391,11 +404,7 @@
     }
 }
 
-fn pass_report_on(
-    state: &state::State,
-    report: &core_fleet::Report,
-    except: Option<types::VmId>,
-) {
+fn pass_report_on(state: &state::State, report: &core_fleet::Report, except: Option<types::VmId>) {
     let report = Fleet::Report(wire::fleet::encode_report(report));
     state.peers.tell_all(&report, except);
 }
--- a/wagtailshunt/src/entry/members.rs
+++ b/wagtailshunt/src/entry/members.rs
@@ -13,7 +13,10 @@
     let now = state.clock.now();
     let voters = state.with(|inner| {
         let formed = inner.leader.is_some() || inner.founded;
-        let own_group = inner.replica.as_ref().is_some_and(replica::Replica::has_group);
+        let own_group = inner
+            .replica
+            .as_ref()
+            .is_some_and(replica::Replica::has_group);
         if !founder || formed || own_group {
             return None;
         }
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -252,7 +252,14 @@
 async fn run_timers(state: rc::Rc<State>) {
     let mut ticks = 0;
     while !state.stopped() {
-        compio::time::sleep(TICK).await;
+        // Election timeouts are kept exactly: VMs that look at them on the same beat would run against
+        // each other.
+        let beat = state.clock.now() + TICK;
+        while let Some(due) = replica::next_deadline(&state).filter(|due| *due < beat) {
+            state.clock.sleep_until(due).await;
+            replica::tick(&state);
+        }
+        state.clock.sleep_until(beat).await;
         ticks += 1;
         replica::tick(&state);
         if ticks % 4 == 0 {
--- a/wagtailshunt/src/entry/orders.rs
+++ b/wagtailshunt/src/entry/orders.rs
@@ -41,7 +41,12 @@
 }
 
 fn leads(state: &state::State) -> bool {
-    state.with(|inner| inner.replica.as_ref().is_some_and(replica::Replica::is_leading))
+    state.with(|inner| {
+        inner
+            .replica
+            .as_ref()
+            .is_some_and(replica::Replica::is_leading)
+    })
 }
 
 /// Decides a change by the replicated log.
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -124,9 +124,13 @@
     }
     state.peers.opened(peer.vm, handle);
     let own = wire::fleet::encode_vm(&state.cfg.vm(state.vm, state.incarnation));
-    state.peers.tell(peer.vm, Fleet::Announce(fleet::Announce { vm: Some(own) }));
+    state
+        .peers
+        .tell(peer.vm, Fleet::Announce(fleet::Announce { vm: Some(own) }));
     let vms = state.with(|inner| inner.roster.vms().map(wire::fleet::encode_vm).collect());
-    state.peers.tell(peer.vm, Fleet::Roster(fleet::Roster { vms }));
+    state
+        .peers
+        .tell(peer.vm, Fleet::Roster(fleet::Roster { vms }));
     feed::connected(state, peer.vm);
 }
 
--- a/wagtailshunt/src/entry/replica.rs
+++ b/wagtailshunt/src/entry/replica.rs
@@ -16,6 +16,14 @@
 /// The only group of entry VMs.
 pub const GROUP: types::GroupId = types::GroupId(0);
 
+/// Interval between heartbeats of the leader.
+const HEARTBEAT: time::Duration = time::Duration::from_millis(100);
+
+/// Election timeouts: three heartbeats and a slow sync. No lease depends on them, since reads are
+/// confirmed by a round, so that they only balance a lost leader against a false alarm.
+const ELECTION_MIN: time::Duration = time::Duration::from_millis(300);
+const ELECTION_MAX: time::Duration = time::Duration::from_millis(700);
+
 /// Pause before a batch is tried again on a full disk.
 const DISK_FULL_PAUSE: time::Duration = time::Duration::from_millis(500);
 
@@ -101,6 +109,9 @@
         id: state.vm,
         group: GROUP,
         seed: state.incarnation.0,
+        heartbeat: HEARTBEAT,
+        election_min: ELECTION_MIN,
+        election_max: ELECTION_MAX,
         ..replication::Config::default()
     }
 }
@@ -196,6 +207,11 @@
     with_node(state, |node| node.step(now, from, msg));
 }
 
+/// Returns when the node must be looked at again.
+pub fn next_deadline(state: &state::State) -> Option<core_time::Instant> {
+    state.with(|inner| inner.replica.as_ref()?.node.next_deadline())
+}
+
 /// Runs the timers that are due.
 pub fn tick(state: &rc::Rc<state::State>) {
     let now = state.clock.now();
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -63,7 +63,8 @@
     /// Calls that wait for a target, by service.
     pub lines: collections::BTreeMap<types::ServiceName, placement::Line>,
     /// Parts of split routes that are behind their weight, by route.
-    pub(crate) splits: collections::BTreeMap<String, collections::BTreeMap<types::ServiceName, f64>>,
+    pub(crate) splits:
+        collections::BTreeMap<String, collections::BTreeMap<types::ServiceName, f64>>,
     pub(crate) work: collections::BTreeMap<String, calls::WorkTime>,
 }
 
--- a/wagtailshunt/src/entry/store.rs
+++ b/wagtailshunt/src/entry/store.rs
@@ -100,7 +100,13 @@
     if !state.roster_due.replace(false) {
         return;
     }
-    let vms = state.with(|inner| inner.roster.with_disk().map(wire::fleet::encode_vm).collect());
+    let vms = state.with(|inner| {
+        inner
+            .roster
+            .with_disk()
+            .map(wire::fleet::encode_vm)
+            .collect()
+    });
     let content = fleet::Roster { vms }.encode_to_vec();
     compio::runtime::spawn(async move {
         let task = compio::runtime::spawn_blocking(move || write(&folder, ROSTER_FILE, &content));
--- a/wagtailshunt/src/http/serve.rs
+++ b/wagtailshunt/src/http/serve.rs
@@ -142,7 +142,12 @@
     accept(listener, limits, shutdown, move |stream, peer| {
         let handler = handler.clone();
         let answer = move |req| handler(req, peer);
-        connection(HyperStream::new_plain(stream), limits, stopping.clone(), answer)
+        connection(
+            HyperStream::new_plain(stream),
+            limits,
+            stopping.clone(),
+            answer,
+        )
     })
     .await
 }
--- a/wagtailshunt/src/logging/mod.rs
+++ b/wagtailshunt/src/logging/mod.rs
@@ -44,7 +44,11 @@
             }
         }
     };
-    if thread::Builder::new().name("log".to_owned()).spawn(writer).is_err() {
+    if thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(writer)
+        .is_err()
+    {
         return;
     }
     let output = Output {
@@ -101,7 +105,9 @@
         }
         match line(record) {
             Ok(line) => self.send(line),
-            Err(err) => self.send(format!("{{\"level\":\"error\",\"text\":\"line lost: {err}\"}}\n")),
+            Err(err) => self.send(format!(
+                "{{\"level\":\"error\",\"text\":\"line lost: {err}\"}}\n"
+            )),
         }
     }
 
--- a/wire/src/fleet.rs
+++ b/wire/src/fleet.rs
@@ -102,9 +102,7 @@
 }
 
 /// Reads a load with its age.
-pub fn decode_load(
-    load: wire::Load,
-) -> (types::TargetId, placement::LoadReport, time::Duration) {
+pub fn decode_load(load: wire::Load) -> (types::TargetId, placement::LoadReport, time::Duration) {
     let report = placement::LoadReport {
         running: load.running,
         waiting: load.waiting,
