--- /dev/null
+++ b/core/tests/formation.rs
@@ -0,0 +1,108 @@
+//! Founding a group and keeping its members complete.
+
+use std::{net, time};
+
+use wagtailshunt_core::{formation, replication, storage, time as core_time, types};
+
+fn vm(id: u32, host: u8, domain: &str, incarnation: u64) -> formation::Vm {
+    formation::Vm {
+        id: types::VmId(id),
+        peer_address: net::SocketAddr::from(([10, 0, 0, host], 7200)),
+        operator_address: net::SocketAddr::from(([10, 0, 0, host], 8382)),
+        failure_domain: types::FailureDomain::from(domain),
+        has_disk: true,
+        incarnation: types::Incarnation(incarnation),
+    }
+}
+
+fn at(ms: u64) -> core_time::Instant {
+    core_time::Instant(ms * 1000)
+}
+
+fn roster(vms: &[formation::Vm]) -> formation::Roster {
+    let mut roster = formation::Roster::default();
+    for vm in vms {
+        assert!(roster.learn(at(0), vm, formation::Source::Announced));
+    }
+    roster
+}
+
+fn connected(_: types::VmId) -> formation::MemberStatus {
+    formation::MemberStatus {
+        connected: true,
+        heard: None,
+        caught_up: true,
+    }
+}
+
+/// Guards against a group that is founded while VMs are still being found, and one that leaves a
+/// failure domain out.
+#[test]
+fn founders_wait_and_cover_the_domains() {
+    let mut vms: Vec<formation::Vm> = (0..12).map(|i| vm(i + 1, i as u8, "a", 1)).collect();
+    vms[11].failure_domain = types::FailureDomain::from("b");
+    let roster = roster(&vms);
+    assert_eq!(roster.founders(at(100)), None);
+    let founders = roster.founders(at(1000)).unwrap();
+    assert_eq!(founders.len(), formation::MAX_VOTERS);
+    assert!(founders.contains(&types::VmId(12)));
+}
+
+/// Guards against a vote of a disk that was wiped: its VM comes back under another id, which takes
+/// the place of the old one step by step.
+#[test]
+fn wiped_voter_is_replaced() {
+    let mut roster = roster(&[vm(1, 1, "a", 1), vm(2, 2, "b", 1), vm(3, 3, "c", 1)]);
+    let mut members = storage::Membership::of_voters([1, 2, 3].map(types::VmId));
+    let next = |roster: &formation::Roster, members: &storage::Membership| {
+        let status = |vm: types::VmId| formation::MemberStatus {
+            connected: roster.get(vm).is_some(),
+            ..connected(vm)
+        };
+        formation::next_change(at(10_000), at(0), members, roster, status)
+    };
+    assert_eq!(next(&roster, &members), None);
+    roster.learn(at(9_000), &vm(9, 3, "c", 2), formation::Source::Announced);
+    let passed_on = vm(3, 3, "c", 1);
+    assert!(!roster.learn(at(9_100), &passed_on, formation::Source::PassedOn));
+    let old = types::VmId(3);
+    let new = types::VmId(9);
+    let change = next(&roster, &members);
+    assert_eq!(change, Some(replication::MembershipChange::Remove(old)));
+    members.voters.remove(&old);
+    let change = next(&roster, &members);
+    assert_eq!(change, Some(replication::MembershipChange::AddLearner(new)));
+    members.learners.insert(new);
+    let change = next(&roster, &members);
+    assert_eq!(change, Some(replication::MembershipChange::Promote(new)));
+}
+
+/// Guards against a voter that is gone for good and goes on to count, and against one that is taken
+/// out during a restart or when only three are left.
+#[test]
+fn absent_voter_is_removed_late() {
+    let vms: Vec<formation::Vm> = (1..=4).map(|i| vm(i, i as u8, "a", 1)).collect();
+    let roster = roster(&vms);
+    let status = |vm: types::VmId| formation::MemberStatus {
+        connected: vm != types::VmId(4),
+        heard: Some(at(1_000)),
+        caught_up: true,
+    };
+    let ids = |n: u32| (1..=n).map(types::VmId);
+    let four = storage::Membership::of_voters(ids(4));
+    let soon = at(3_000);
+    assert_eq!(
+        formation::next_change(soon, at(0), &four, &roster, status),
+        None
+    );
+    let late = at(1_000) + formation::ABSENT_AFTER + time::Duration::from_secs(1);
+    let change = formation::next_change(late, at(0), &four, &roster, status);
+    let removed = replication::MembershipChange::Remove(types::VmId(4));
+    assert_eq!(change, Some(removed));
+    let three = storage::Membership::of_voters([types::VmId(1), types::VmId(2), types::VmId(4)]);
+    let kept = formation::next_change(late, at(0), &three, &roster, status);
+    assert_eq!(
+        kept,
+        Some(replication::MembershipChange::AddLearner(types::VmId(3)))
+    );
+}
--- /dev/null
+++ b/core/tests/placement.rs
@@ -0,0 +1,310 @@
+//! Placing calls: fresh reports, line, crowded targets. Each test replays the load that its decision
+//! answers.
+
+use std::time;
+
+use rand::{Rng, SeedableRng, rngs};
+use wagtailshunt_core::{fleet, placement, time as core_time, types};
+
+const WORK: time::Duration = time::Duration::from_millis(120);
+const OBJECTIVE: time::Duration = time::Duration::from_millis(300);
+const DEADLINE: time::Duration = time::Duration::from_millis(1000);
+
+fn at(ms: u64) -> core_time::Instant {
+    core_time::Instant(ms * 1000)
+}
+
+fn service() -> types::ServiceName {
+    types::ServiceName::from("board")
+}
+
+fn id(i: usize) -> types::TargetId {
+    types::TargetId(format!("t{i}"))
+}
+
+fn report(i: usize, domain: &str) -> fleet::Report {
+    fleet::Report {
+        target: id(i),
+        service: service(),
+        address: ([10, 0, 0, 1], 1000 + i as u16).into(),
+        failure_domain: types::FailureDomain::from(domain),
+        slots: 3,
+        born: core_time::UnixMillis(1),
+        sequence: 1,
+        warmup_left: time::Duration::ZERO,
+    }
+}
+
+fn placement(targets: usize, seed: u64) -> placement::Placement {
+    let rng = rngs::SmallRng::seed_from_u64(seed);
+    let own = types::FailureDomain::from("ba");
+    let mut placement = placement::Placement::new(placement::Config::default(), own, rng);
+    for i in 0..targets {
+        placement.add(at(0), &report(i, "ba"));
+    }
+    placement
+}
+
+fn load(running: u32, slowness_percent: u32) -> placement::LoadReport {
+    placement::LoadReport {
+        running,
+        waiting: 0,
+        slots: 3,
+        slowness_percent: Some(slowness_percent),
+    }
+}
+
+fn search(now: core_time::Instant) -> placement::Search {
+    let cfg = placement::SearchConfig::default();
+    placement::Search::new(cfg, now, now + OBJECTIVE, now + DEADLINE)
+}
+
+/// Targets whose neighbours make a quarter of them seven times slower, for half a second each.
+struct Neighbours {
+    rng: rngs::SmallRng,
+    slow: Vec<bool>,
+    until: Vec<u64>,
+}
+
+impl Neighbours {
+    fn new(targets: usize, seed: u64) -> Neighbours {
+        let mut rng = rngs::SmallRng::seed_from_u64(seed);
+        let until = (0..targets).map(|_| rng.random_range(0..500)).collect();
+        Neighbours {
+            rng,
+            slow: vec![false; targets],
+            until,
+        }
+    }
+
+    fn advance(&mut self, ms: u64) {
+        for i in 0..self.slow.len() {
+            while self.until[i] <= ms {
+                self.until[i] += 500;
+                self.slow[i] = self.rng.random_bool(0.25);
+            }
+        }
+    }
+
+    fn percent(&self, i: usize) -> u32 {
+        if self.slow[i] { 700 } else { 100 }
+    }
+}
+
+/// Returns the share of calls that went to a slowed target. Reports are 60 ms old unless targets are
+/// asked right before the call.
+fn slowed_share(ask: bool) -> f64 {
+    const TARGETS: usize = 8;
+    const CALLS: u64 = 2000;
+    let mut neighbours = Neighbours::new(TARGETS, 7);
+    let mut placement = placement(TARGETS, 1);
+    let mut slowed = 0;
+    for call in 0..CALLS {
+        let ms = call * 60;
+        neighbours.advance(ms);
+        for i in 0..TARGETS {
+            placement.reported(at(ms), &id(i), &load(0, neighbours.percent(i)));
+        }
+        neighbours.advance(ms + 60);
+        let now = at(ms + 60);
+        let service = service();
+        let demand = placement::Demand {
+            service: &service,
+            work: WORK,
+            tried: &[],
+        };
+        let mut search = search(now);
+        let chosen = loop {
+            match search.step(now, &mut placement, &demand, true, ask) {
+                placement::Step::Take(choice) => break choice.target,
+                placement::Step::Ask(targets) => {
+                    for target in targets {
+                        let i = (0..TARGETS).find(|i| id(*i) == target).unwrap();
+                        placement.reported(now, &target, &load(0, neighbours.percent(i)));
+                    }
+                }
+                _ => break placement.choose(now, &demand).unwrap().target,
+            }
+        };
+        let i = (0..TARGETS).find(|i| id(*i) == chosen).unwrap();
+        slowed += u64::from(neighbours.slow[i]);
+    }
+    slowed as f64 / CALLS as f64
+}
+
+/// Guards against calls to targets whose report is no longer true.
+#[test]
+fn asked_targets_are_not_slowed() {
+    let stale = slowed_share(false);
+    let asked = slowed_share(true);
+    assert_eq!(asked, 0.0);
+    assert!(stale > 0.01, "the load doesn't show the fault: {stale}");
+}
+
+/// Guards against questions to targets that never tell their load, and against waiting for them.
+#[test]
+fn targets_without_reports_are_taken_at_once() {
+    let mut placement = placement(2, 1);
+    for i in 0..2 {
+        placement.tells_no_load(&id(i));
+    }
+    let service = service();
+    let demand = placement::Demand {
+        service: &service,
+        work: WORK,
+        tried: &[],
+    };
+    let step = search(at(0)).step(at(0), &mut placement, &demand, true, true);
+    assert!(matches!(step, placement::Step::Take(_)), "{step:?}");
+}
+
+/// Guards against calls that are held until their deadline although no target has room.
+#[test]
+fn call_without_room_is_refused_in_time() {
+    let mut placement = placement(2, 1);
+    let service = service();
+    let demand = placement::Demand {
+        service: &service,
+        work: WORK,
+        tried: &[],
+    };
+    let mut search = search(at(0));
+    let mut now = at(0);
+    let mut waited_late = false;
+    loop {
+        for i in 0..2 {
+            placement.reported(now, &id(i), &load(3, 100));
+        }
+        match search.step(now, &mut placement, &demand, true, true) {
+            placement::Step::Wait { pause, late } => {
+                waited_late |= late;
+                now = now + pause;
+            }
+            placement::Step::Ask(_) => {}
+            step => {
+                assert_eq!(step, placement::Step::Overloaded);
+                break;
+            }
+        }
+    }
+    assert!(waited_late);
+    assert!(now <= at(505), "{now}");
+}
+
+/// Guards against a call in its objective that waits behind one that is late anyway.
+#[test]
+fn late_calls_go_last() {
+    let mut line = placement::Line::default();
+    let slack = time::Duration::from_millis(150);
+    let old = line.join(at(0), 0, slack);
+    let new = line.join(at(10), 2, slack);
+    assert!(line.is_first(at(10), old));
+    line.set_late(old);
+    assert!(line.is_first(at(10), new));
+    line.served(at(20), new);
+    assert!(line.is_first(at(20), old));
+    line.leave(old);
+    assert!(line.is_empty());
+}
+
+/// Returns the share of calls that begin with time to spare when twice as many come as leave.
+fn in_time_share(newest_first: bool) -> f64 {
+    const SLACK: u64 = 150;
+    let patience = if newest_first { SLACK } else { 10_000 };
+    let mut line = placement::Line::default();
+    let mut waiting: Vec<(placement::Ticket, u64)> = Vec::new();
+    let (mut served, mut early) = (0, 0);
+    for ms in (0..20_000).step_by(5) {
+        let now = at(ms);
+        let slack = time::Duration::from_millis(patience);
+        waiting.push((line.join(now, 0, slack), ms));
+        waiting.retain(|(ticket, since)| {
+            let patient = ms - since < SLACK;
+            if !patient {
+                line.leave(*ticket);
+            }
+            patient
+        });
+        if ms % 10 == 0
+            && let Some(i) = (0..waiting.len()).find(|i| line.is_first(now, waiting[*i].0))
+        {
+            let (ticket, since) = waiting.remove(i);
+            line.served(now, ticket);
+            served += 1;
+            early += u64::from(ms - since < SLACK / 2);
+        }
+    }
+    early as f64 / f64::from(served)
+}
+
+/// Guards against a long line whose calls all begin with no time to spare.
+#[test]
+fn newest_call_goes_first_when_the_line_is_too_long() {
+    let oldest_first = in_time_share(false);
+    let newest_first = in_time_share(true);
+    assert!(
+        oldest_first < 0.2,
+        "the load doesn't show the fault: {oldest_first}"
+    );
+    assert!(newest_first > 0.4, "{newest_first}");
+}
+
+/// Guards against a line that calls join although it is longer than they can wait.
+#[test]
+fn expected_wait_follows_the_departures() {
+    let mut line = placement::Line::default();
+    let slack = time::Duration::from_millis(150);
+    assert_eq!(line.expected_wait(at(0), 0), None);
+    for ms in (0..1000).step_by(100) {
+        let ticket = line.join(at(ms), 0, slack);
+        line.served(at(ms), ticket);
+    }
+    for _ in 0..5 {
+        line.join(at(1000), 1, slack);
+    }
+    let wait = line.expected_wait(at(1000), 1).unwrap();
+    assert!(wait >= time::Duration::from_millis(450), "{wait:?}");
+    assert_eq!(line.expected_wait(at(1000), 0), Some(time::Duration::ZERO));
+}
+
+/// Guards against the use of a slot that makes the whole target get less done.
+#[test]
+fn last_slot_stays_free_where_it_slows_the_others() {
+    let mut crowding = placement::Crowding::default();
+    assert_eq!(crowding.best_running(3), 3);
+    for _ in 0..20 {
+        crowding.sample(1, 1.0);
+        crowding.sample(2, 1.1);
+        crowding.sample(3, 1.75);
+    }
+    assert_eq!(crowding.best_running(3), 2);
+    let mut even = placement::Crowding::default();
+    for _ in 0..20 {
+        (1..=3).for_each(|running| even.sample(running, 1.05));
+    }
+    assert_eq!(even.best_running(3), 3);
+}
+
+/// Guards against a target that fails fast and so attracts calls.
+#[test]
+fn failing_target_is_used_last() {
+    let mut placement = placement(2, 1);
+    let service = service();
+    let demand = placement::Demand {
+        service: &service,
+        work: WORK,
+        tried: &[],
+    };
+    let now = at(100);
+    placement.reported(now, &id(0), &load(0, 100));
+    placement.reported(now, &id(1), &load(2, 100));
+    for _ in 0..2 {
+        placement.started(&id(0));
+        placement.finished(now, &id(0), placement::Ended::Failed);
+    }
+    assert_eq!(placement.choose(now, &demand).unwrap().target, id(1));
+    let later = at(2000);
+    placement.reported(later, &id(0), &load(0, 100));
+    placement.reported(later, &id(1), &load(3, 100));
+    assert_eq!(placement.choose(later, &demand).unwrap().target, id(0));
+}
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -192,7 +192,14 @@
         drained
     }
 
-    /// Returns the state, for tests.
+    /// Ends at once, as a crash would.
+    pub fn abort(&self) {
+        self.state.stop();
+        self.callers.start();
+        self.others.start();
+    }
+
+    /// Returns the state.
     pub fn state(&self) -> &rc::Rc<State> {
         &self.state
     }
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -157,6 +157,21 @@
         "seeds".to_owned()
     }
 
+    /// Returns whether this VM leads the group.
+    pub fn is_leading(&self) -> bool {
+        self.with(|inner| {
+            inner
+                .replica
+                .as_ref()
+                .is_some_and(replica::Replica::is_leading)
+        })
+    }
+
+    /// Returns whether a target may get calls from here.
+    pub fn knows_target(&self, target: &types::TargetId) -> bool {
+        self.with(|inner| inner.directory.get(target).is_some())
+    }
+
     /// Returns the events of this process.
     pub fn events(&self) -> &events::EventLog {
         &self.events
