--- a/core/src/placement/search.rs
+++ b/core/src/placement/search.rs
@@ -47,7 +47,7 @@
             pause: time::Duration::from_millis(5),
             good_slowness: 1.5,
             work_margin: 1.3,
-            wait_share: 0.5,
+            wait_share: 0.25,
         }
     }
 }
--- a/wagtailshunt/src/entry/feed.rs
+++ b/wagtailshunt/src/entry/feed.rs
@@ -316,6 +316,7 @@
         inner.directory.depart(departure)
     });
     if news {
+        state.targets_due.set(true);
         state.events.emit(
             event::Id::TargetDeparted,
             &[("target", &departure.target), ("born", &departure.born)],
@@ -360,11 +361,17 @@
         state
             .events
             .emit(event::Id::TargetJoined, &[("target", id)]);
+        state.targets_due.set(true);
         state.changed();
     }
     observed
 }
 
+/// Takes over a target that was known before the restart.
+pub fn recalled(state: &rc::Rc<state::State>, report: core_fleet::Report) {
+    observe(state, report);
+}
+
 /// A target announced itself at this VM.
 pub fn announced(state: &rc::Rc<state::State>, report: core_fleet::Report) {
     state.metrics.announcements.inc();
@@ -438,6 +445,7 @@
         removed
     });
     if removed {
+        state.targets_due.set(true);
         let id: &dyn std::fmt::Display = &life.target;
         let reason: &dyn std::fmt::Display = &"no announcement";
         let fields = [("target", id), ("reason", reason)];
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -92,6 +92,7 @@
         };
         entry.bind(api).await?;
         store::load_roster(&state);
+        store::load_targets(&state);
         if let Some(folder) = &folder {
             let (store, recovered) = folder.group(replica::GROUP, None)?;
             replica::open(&state, store, recovered);
@@ -274,6 +275,7 @@
             store::save_roster(&state);
         }
         if ticks % SLOW_TICKS == 0 {
+            store::save_targets(&state);
             state.pool.sweep(state.clock.now());
         }
     }
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -27,6 +27,8 @@
     pub(crate) metrics: metrics::Metrics,
     /// Addresses at which other VMs may be found; they change with the settings file.
     pub(crate) seeds: cell::RefCell<Vec<net::SocketAddr>>,
+    /// The stored list of targets is older than the one in memory.
+    pub(crate) targets_due: cell::Cell<bool>,
     /// The stored list of VMs is older than the one in memory.
     pub(crate) roster_due: cell::Cell<bool>,
     /// Spreads what must not happen on all VMs at once.
@@ -110,6 +112,7 @@
             pool: calls::Pool::default(),
             metrics: metrics::Metrics::new(),
             seeds: cell::RefCell::new(cfg.seeds.clone()),
+            targets_due: cell::Cell::new(false),
             roster_due: cell::Cell::new(false),
             rng: cell::RefCell::new(rngs::SmallRng::seed_from_u64(incarnation.0)),
             inner: cell::RefCell::new(Inner {
--- a/wagtailshunt/src/entry/store.rs
+++ b/wagtailshunt/src/entry/store.rs
@@ -1,4 +1,4 @@
-//! What an entry VM keeps besides the replicated log: its id and the VMs that it knows.
+//! What an entry VM keeps besides the replicated log: its id, and the VMs and targets that it knows.
 
 use std::{fs, io, path, rc};
 
@@ -7,10 +7,11 @@
 use wagtailshunt_core::{formation, types};
 use wagtailshunt_wire::{self as wire, generated::fleet};
 
-use crate::entry::state;
+use crate::entry::{feed, state};
 
 const ID_FILE: &str = "vm-id";
 const ROSTER_FILE: &str = "roster";
+const TARGETS_FILE: &str = "targets";
 
 /// Errors of the file with the VM's id.
 #[derive(Debug, thiserror::Error)]
@@ -60,28 +61,47 @@
     fs::File::open(folder)?.sync_all()
 }
 
-/// Takes over the VMs that were known before the restart.
-pub fn load_roster(state: &rc::Rc<state::State>) {
-    let Some(folder) = &state.cfg.data_folder else {
-        return;
-    };
-    let content = match fs::read(folder.join(ROSTER_FILE)) {
+/// Reads a file with one message; `None` when there is none that can be used.
+fn read<M: Message + Default>(state: &state::State, name: &str) -> Option<M> {
+    let folder = state.cfg.data_folder.as_ref()?;
+    let content = match fs::read(folder.join(name)) {
         Ok(content) => content,
-        Err(err) if err.kind() == io::ErrorKind::NotFound => return,
+        Err(err) if err.kind() == io::ErrorKind::NotFound => return None,
         Err(err) => {
-            log::warn!("known VMs cannot be read, the seeds remain: {err}");
-            return;
+            log::warn!("{name} of the last start cannot be read: {err}");
+            return None;
         }
     };
-    let vms = match fleet::Roster::decode(&content[..]) {
-        Ok(roster) => roster.vms,
+    match M::decode(&content[..]) {
+        Ok(message) => Some(message),
         Err(err) => {
-            log::warn!("known VMs cannot be read, the seeds remain: {err}");
-            return;
+            log::warn!("{name} of the last start cannot be read: {err}");
+            None
         }
+    }
+}
+
+/// Writes a file with one message in the background.
+fn write_later(state: &state::State, name: &'static str, content: Vec<u8>) {
+    let Some(folder) = state.cfg.data_folder.clone() else {
+        return;
     };
+    compio::runtime::spawn(async move {
+        let task = compio::runtime::spawn_blocking(move || write(&folder, name, &content));
+        match task.await {
+            Ok(Ok(())) => {}
+            Ok(Err(err)) => log::warn!("{name} cannot be stored: {err}"),
+            Err(_) => log::warn!("{name} cannot be stored: the task ended"),
+        }
+    })
+    .detach();
+}
+
+/// Takes over the VMs that were known before the restart.
+pub fn load_roster(state: &rc::Rc<state::State>) {
     let now = state.clock.now();
-    for vm in vms {
+    let roster: fleet::Roster = read(state, ROSTER_FILE).unwrap_or_default();
+    for vm in roster.vms {
         match wire::fleet::decode_vm(vm) {
             Ok(vm) if vm.peer_address != state.cfg.peers => {
                 state.with(|inner| inner.roster.learn(now, &vm, formation::Source::PassedOn));
@@ -94,27 +114,43 @@
 
 /// Keeps the known VMs with disks when they changed.
 pub fn save_roster(state: &rc::Rc<state::State>) {
-    let Some(folder) = state.cfg.data_folder.clone() else {
-        return;
-    };
     if !state.roster_due.replace(false) {
         return;
     }
     let vms = state.with(|inner| {
-        inner
-            .roster
-            .with_disk()
-            .map(wire::fleet::encode_vm)
-            .collect()
+        let vms = inner.roster.with_disk();
+        vms.map(wire::fleet::encode_vm).collect()
     });
-    let content = fleet::Roster { vms }.encode_to_vec();
-    compio::runtime::spawn(async move {
-        let task = compio::runtime::spawn_blocking(move || write(&folder, ROSTER_FILE, &content));
-        match task.await {
-            Ok(Ok(())) => {}
-            Ok(Err(err)) => log::warn!("known VMs cannot be stored: {err}"),
-            Err(_) => log::warn!("known VMs cannot be stored: the task ended"),
+    write_later(state, ROSTER_FILE, fleet::Roster { vms }.encode_to_vec());
+}
+
+/// Takes over the targets that were known before the restart, so that calls needn't wait until all of
+/// them have announced themselves again. One that is gone is found by its first call; one whose
+/// address another target has refuses calls that aren't meant for it.
+pub fn load_targets(state: &rc::Rc<state::State>) {
+    let known: fleet::State = read(state, TARGETS_FILE).unwrap_or_default();
+    for report in known.reports {
+        match wire::fleet::decode_report(report) {
+            Ok(report) => feed::recalled(state, report),
+            Err(err) => log::warn!("known target cannot be read: {err}"),
         }
-    })
-    .detach();
+    }
+}
+
+/// Keeps the known targets when they changed.
+pub fn save_targets(state: &rc::Rc<state::State>) {
+    if !state.targets_due.replace(false) {
+        return;
+    }
+    let reports = state.with(|inner| {
+        let known = inner.directory.targets();
+        known
+            .map(|known| wire::fleet::encode_report(&known.report))
+            .collect()
+    });
+    let known = fleet::State {
+        reports,
+        ..fleet::State::default()
+    };
+    write_later(state, TARGETS_FILE, known.encode_to_vec());
 }
