--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -290,12 +290,11 @@
 /// Reads `timeout=N` of a `Keep-Alive` header.
 pub fn keep_alive(headers: &HeaderMap) -> Option<time::Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
-    let timeout = text.split(',').find_map(|part| {
+    text.split(',').find_map(|part| {
         let (name, value) = part.split_once('=')?;
         let seconds = value.trim().parse().ok()?;
         (name.trim() == "timeout").then(|| time::Duration::from_secs(seconds))
-    });
-    timeout
+    })
 }
 
 /// Notes the load that an answer carries; returns whether it does.
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -79,7 +79,7 @@
     /// The call was not sent.
     Unplaced(Reason),
     /// The call was sent to a target.
-    Sent(Sent, End),
+    Sent(Box<(Sent, End)>),
 }
 
 type Tries = stream::FuturesUnordered<future::LocalBoxFuture<'static, Tried>>;
@@ -246,7 +246,7 @@
             started: self.state.clock.now(),
         };
         let end = attempt::run(&self.state, &self.parts, destination).await;
-        Tried::Sent(sent, end)
+        Tried::Sent(Box::new((sent, end)))
     }
 
     fn search(&self) -> placement::Search {
@@ -285,7 +285,7 @@
     fn settle(&self, tried: Tried) -> Settled {
         let (sent, end) = match tried {
             Tried::Unplaced(reason) => return Settled::Unplaced(reason),
-            Tried::Sent(sent, end) => (sent, end),
+            Tried::Sent(sent_and_end) => *sent_and_end,
         };
         let taken = self.state.clock.now().since(sent.started);
         self.note_attempt(&sent, &end, taken);
--- a/wagtailshunt/src/entry/feed.rs
+++ b/wagtailshunt/src/entry/feed.rs
@@ -385,11 +385,10 @@
         inner.leader
     });
     match leader {
-        Some((_, leader)) if leader == state.vm => {
-            if observed == core_fleet::Observed::Joined {
-                pass_report_on(state, &report, None);
-            }
-        }
+        Some((_, leader)) if leader == state.vm => match observed {
+            core_fleet::Observed::Joined => pass_report_on(state, &report, None),
+            core_fleet::Observed::Renewed | core_fleet::Observed::Stale => {}
+        },
         Some((_, leader)) => {
             let report = wire::fleet::encode_report(&report);
             state.peers.tell(leader, Fleet::Report(report));
