--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -1,6 +1,6 @@
 //! Calls of callers: from the head to the answer.
 //!
-//! Read in this order: [`listener`] takes a request, `call` keeps its deadline, `find` looks for a
+//! Read in this order: `listener` takes a request, `call` keeps its deadline, `find` looks for a
 //! target with room, `attempt` sends the call there, `pool` holds the connections, `probe` asks targets for their load.
 
 mod answer;
