--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -13,7 +13,7 @@
 use wagtailshunt_core::{placement, time as core_time, types};
 
 use crate::{
-    entry::{feed, state},
+    entry::{state, targets},
     http,
 };
 
@@ -307,7 +307,7 @@
     let text = http::text(headers, &dialect.load);
     let load = text.and_then(dialect.parse_load);
     if let Some(load) = load {
-        feed::load_seen(state, target, load);
+        targets::load_seen(state, target, load);
     }
     load.is_some()
 }
--- a/wagtailshunt/src/entry/calls/probe.rs
+++ b/wagtailshunt/src/entry/calls/probe.rs
@@ -13,7 +13,7 @@
 use crate::{
     entry::{
         calls::attempt::{self, Destination},
-        feed, state,
+        state, targets,
     },
     http,
 };
@@ -34,7 +34,7 @@
     compio::runtime::spawn(async move {
         while !sharing.stopped() {
             compio::time::sleep(SHARE_INTERVAL).await;
-            feed::share_loads(&sharing);
+            targets::share_loads(&sharing);
         }
     })
     .detach();
--- a/wagtailshunt/src/entry/members.rs
+++ b/wagtailshunt/src/entry/members.rs
@@ -5,7 +5,7 @@
 use wagtailshunt_core::{event, formation, replication, types};
 use wagtailshunt_wire::generated::fleet::{self, fleet_message::Body as Fleet};
 
-use crate::entry::{feed, peers, replica, state};
+use crate::entry::{feed, peers, replica, state, targets};
 
 /// Proposes the first voters when this VM is the first seed of a first start.
 pub fn found(state: &rc::Rc<state::State>) {
@@ -100,7 +100,7 @@
     maintain(state);
     if slow {
         feed::repeat_leading(state);
-        feed::expire(state);
+        targets::expire(state);
         peers::dial_missing(state);
     }
 }
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -2,7 +2,7 @@
 //! operators, and on a VM with a disk votes on the replicated state.
 
 pub mod calls;
-pub mod feed;
+mod feed;
 mod members;
 mod metrics;
 pub mod orders;
@@ -11,6 +11,7 @@
 mod settings;
 mod state;
 mod store;
+pub mod targets;
 
 use std::{net, rc, time};
 
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    entry::{feed, members, replica, state},
+    entry::{feed, members, replica, state, targets},
     transport,
 };
 
@@ -180,14 +180,14 @@
         Fleet::State(received) => feed::state_received(state, from, received)?,
         Fleet::Command(command) => feed::command_received(state, from, &command),
         Fleet::Report(report) => {
-            feed::report_received(state, from, wire::fleet::decode_report(report)?);
+            targets::report_received(state, from, wire::fleet::decode_report(report)?);
         }
-        Fleet::Gone(life) => feed::gone_received(state, &wire::fleet::decode_life(life)),
+        Fleet::Gone(life) => targets::gone_received(state, &wire::fleet::decode_life(life)),
         Fleet::Depart(life) => {
-            feed::depart_requested(state, from, request, wire::fleet::decode_life(life));
+            targets::depart_requested(state, from, request, wire::fleet::decode_life(life));
         }
         Fleet::Departed(fleet::Departed {}) => state.answered(request),
-        Fleet::Loads(loads) => feed::loads_received(state, loads),
+        Fleet::Loads(loads) => targets::loads_received(state, loads),
     }
     Ok(())
 }
--- a/wagtailshunt/src/entry/store.rs
+++ b/wagtailshunt/src/entry/store.rs
@@ -7,7 +7,7 @@
 use wagtailshunt_core::{formation, types};
 use wagtailshunt_wire::{self as wire, generated::fleet};
 
-use crate::entry::{feed, state};
+use crate::entry::{state, targets};
 
 const ID_FILE: &str = "vm-id";
 const ROSTER_FILE: &str = "roster";
@@ -131,7 +131,7 @@
     let known: fleet::State = read(state, TARGETS_FILE).unwrap_or_default();
     for report in known.reports {
         match wire::fleet::decode_report(report) {
-            Ok(report) => feed::recalled(state, report),
+            Ok(report) => targets::recalled(state, report),
             Err(err) => log::warn!("known target cannot be read: {err}"),
         }
     }
