Let VMs prefer different targets where no load is told

Cause: on a deployment whose targets tell no load, each VM sees its own calls only and all choose alike, so that calls meet on full targets. Targets that tell their load are ranked as before.

--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -108,9 +108,29 @@
     own_domain: types::FailureDomain,
     targets: collections::BTreeMap<types::TargetId, Target>,
     services: collections::BTreeMap<types::ServiceName, Service>,
+    near: Position,
+    all: Position,
     rng: rngs::SmallRng,
 }
 
+/// Place of this VM among VMs that choose from the same targets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Position {
+    /// Number of VMs before this one.
+    pub rank: usize,
+    /// Number of VMs; 0 while they are not known.
+    pub count: usize,
+}
+
+impl Position {
+    /// Returns how far the `index`th of `len` targets is from the first that this VM prefers. VMs
+    /// prefer targets that lie apart, so that they meet as late as possible.
+    fn distance(self, index: usize, len: usize) -> usize {
+        let start = self.rank * len / self.count.max(1);
+        (index + len - start.min(len)) % len.max(1)
+    }
+}
+
 /// What is known of the targets of a service together.
 #[derive(Debug)]
 pub(super) struct Service {
@@ -120,6 +140,13 @@
     crowding: Crowding,
 }
 
+/// Share of the work by which an own call makes a target of unknown load look busier.
+const UNKNOWN_LOAD_SPREAD: f64 = 0.5;
+
+/// Share of the work by which each further target in this VM's order of preference is put back; above
+/// the jitter, below an own call.
+const UNKNOWN_LOAD_ORDER: f64 = 0.04;
+
 /// Weight of a new report in the means of a service: about the last thirty reports count.
 const MEAN_WEIGHT: f64 = 1.0 / 30.0;
 
@@ -131,10 +158,18 @@
             own_domain,
             targets: collections::BTreeMap::new(),
             services: collections::BTreeMap::new(),
+            near: Position::default(),
+            all: Position::default(),
             rng,
         }
     }
 
+    /// Sets the place of this VM among those of its failure domain and among all.
+    pub fn set_position(&mut self, near: Position, all: Position) {
+        self.near = near;
+        self.all = all;
+    }
+
     /// Takes over a target that may get calls. A later life begins without history.
     pub fn add(&mut self, now: core_time::Instant, report: &fleet::Report) {
         let same_domain = report.failure_domain == self.own_domain;
@@ -232,7 +267,21 @@
             return Vec::new();
         };
         let mut ranked = Vec::with_capacity(service.members.len());
+        let near = |id: &&types::TargetId| self.targets.get(*id).is_some_and(|t| t.same_domain);
+        let near_len = service.members.iter().filter(near).count();
+        let far_len = service.members.len() - near_len;
+        let (mut near_index, mut far_index) = (0, 0);
         for id in &service.members {
+            let distance = match self.targets.get(id).is_some_and(|t| t.same_domain) {
+                true => {
+                    near_index += 1;
+                    self.near.distance(near_index - 1, near_len)
+                }
+                false => {
+                    far_index += 1;
+                    self.all.distance(far_index - 1, far_len)
+                }
+            };
             let Some(target) = self.targets.get(id).filter(|_| !demand.tried.contains(id)) else {
                 continue;
             };
@@ -244,7 +293,17 @@
                 true => 0.0,
                 false => self.cfg.domain_penalty.as_secs_f64(),
             };
-            let cost = expected.as_secs_f64() + penalty + jitter;
+            // The calls of other VMs on a target that tells no load aren't known: own calls are spread
+            // over targets that other VMs prefer less.
+            let unknown = match target.tells_load {
+                true => 0.0,
+                false => {
+                    let own = f64::from(target.in_flight) * UNKNOWN_LOAD_SPREAD;
+                    let order = distance as f64 * UNKNOWN_LOAD_ORDER;
+                    (own + order) * demand.work.as_secs_f64()
+                }
+            };
+            let cost = expected.as_secs_f64() + penalty + jitter + unknown;
             let choice = Choice {
                 target: id.clone(),
                 estimate,
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -321,3 +321,38 @@
     placement.reported(later, &id(1), &load(3, 100));
     assert_eq!(placement.choose(later, &demand).unwrap().target, id(0));
 }
+
+/// Returns the largest number of calls that meet on one target when three VMs that don't see each
+/// other's calls have one call each among three targets that tell no load.
+fn most_on_one_target(ordered: bool) -> usize {
+    let service = service();
+    let mut calls = [0; 3];
+    for vm in 0..3 {
+        let mut placement = placement(3, vm as u64);
+        for i in 0..3 {
+            placement.tells_no_load(&id(i));
+        }
+        if ordered {
+            let position = placement::Position { rank: vm, count: 3 };
+            placement.set_position(position, position);
+        }
+        let demand = placement::Demand {
+            service: &service,
+            work: WORK,
+            tried: &[],
+        };
+        let chosen = placement.choose(at(0), &demand).unwrap().target;
+        calls[(0..3).find(|i| id(*i) == chosen).unwrap()] += 1;
+    }
+    calls.into_iter().max().unwrap()
+}
+
+/// Guards against VMs that can't see each other's calls and all choose the same targets.
+#[test]
+fn vms_prefer_different_targets_of_unknown_load() {
+    assert!(
+        most_on_one_target(false) > 1,
+        "the load doesn't show the fault"
+    );
+    assert_eq!(most_on_one_target(true), 1);
+}
--- a/wagtailshunt/src/entry/members.rs
+++ b/wagtailshunt/src/entry/members.rs
@@ -2,7 +2,7 @@
 
 use std::rc;
 
-use wagtailshunt_core::{event, formation, replication, types};
+use wagtailshunt_core::{event, formation, placement, replication, types};
 use wagtailshunt_wire::generated::fleet::{self, fleet_message::Body as Fleet};
 
 use crate::entry::{feed, peers, replica, state, targets};
@@ -94,11 +94,31 @@
     replica::pump(state);
 }
 
+/// Tells the placement where this VM stands among the others.
+fn set_position(state: &state::State) {
+    state.with(|inner| {
+        let own = state.cfg.peers;
+        let position = |near: bool| {
+            let domain = &state.cfg.failure_domain;
+            let vms = inner.roster.vms();
+            let counted = vms.filter(|vm| !near || vm.failure_domain == *domain);
+            let addresses: Vec<_> = counted.map(|vm| vm.peer_address).collect();
+            placement::Position {
+                rank: addresses.iter().filter(|address| **address < own).count(),
+                count: addresses.len(),
+            }
+        };
+        let (near, all) = (position(true), position(false));
+        inner.placement.set_position(near, all);
+    });
+}
+
 /// Runs what is due regularly.
 pub fn tick(state: &rc::Rc<state::State>, slow: bool) {
     found(state);
     maintain(state);
     if slow {
+        set_position(state);
         feed::repeat_leading(state);
         targets::expire(state);
         peers::dial_missing(state);
