Serve from the stored configuration after a restart, before there is a leader

Change: VMs with a disk store the configuration they serve by and take it over at the next start; the log goes on past it by index. A VM without any configuration asks whoever it meets. Connection attempts give up after 250 ms. A call that comes before the first configuration waits for it (at most 400 ms and a quarter of its time) in place of a 503 that uses up its caller's retry. A file is not written twice at a time.

Ruled out: shorter elections (the rest of the second was waiting for them, which calls need not do). Applying the recovered log at once: it may hold entries that were never committed.

--- a/wagtailshunt/src/entry/calls/listener.rs
+++ b/wagtailshunt/src/entry/calls/listener.rs
@@ -26,6 +26,13 @@
 /// A starting process usually knows the configuration after this time: an election and a round trip.
 const CONFIGURATION_WAIT: std::time::Duration = std::time::Duration::from_millis(500);
 
+/// A call that arrives before the configuration waits for it at most this long: a process that has just
+/// started learns it from the first VM that it reaches, and a refusal would cost the caller a retry.
+const CONFIGURATION_HOLD: std::time::Duration = std::time::Duration::from_millis(400);
+
+/// Share of its time for which such a call waits at most, so that enough is left to run it.
+const HOLD_SHARE: f64 = 0.25;
+
 /// Time that a caller waits who doesn't say how long: longer than any route allows.
 const UNBOUNDED: std::time::Duration = std::time::Duration::from_secs(3600);
 
@@ -110,7 +117,14 @@
     arrival: core_time::Instant,
 ) -> Result<Response<http::Body>, Reason> {
     http::check_head(&req).map_err(|_| Reason::Malformed)?;
-    let named = route(state, &req)?;
+    let named = match route(state, &req) {
+        Err(Reason::NoConfiguration) => {
+            let hold = CONFIGURATION_HOLD.min(time_left(state, &req).mul_f64(HOLD_SHARE));
+            state.configured_within(hold).await;
+            route(state, &req)?
+        }
+        named => named?,
+    };
     let limits = state.with(|inner| inner.machine.table.items().limits.clone());
     let limits = limits.unwrap_or_default();
     let caller_deadline = arrival + time_left(state, &req);
--- a/wagtailshunt/src/entry/feed.rs
+++ b/wagtailshunt/src/entry/feed.rs
@@ -14,8 +14,12 @@
 
 use crate::entry::{replica, state, targets};
 
-/// Tells a new connection what it needs to follow this leader.
+/// Tells a new connection what it needs to follow this leader. A VM that knows no configuration asks
+/// whoever it meets, so that it can serve before there is a leader.
 pub fn connected(state: &rc::Rc<state::State>, to: types::VmId) {
+    if state.with(|inner| inner.applied.0 == 0) {
+        subscribe(state, to);
+    }
     if let Some(leading) = leading_message(state) {
         state.peers.tell(to, leading);
     }
@@ -110,14 +114,14 @@
     state.peers.tell(leader, Fleet::Subscribe(subscribe));
 }
 
-/// A VM wants the state of this leader.
+/// A VM wants the state of this leader, or any state when it has none.
 pub fn subscribed(state: &rc::Rc<state::State>, from: types::VmId, applied: u64) {
     let answer = state.with(|inner| {
         let leads = inner
             .replica
             .as_ref()
             .is_some_and(replica::Replica::is_leading);
-        if !leads {
+        if !leads && (applied > 0 || inner.applied.0 == 0) {
             return None;
         }
         let voter = inner.is_member(from);
@@ -146,14 +150,14 @@
     }
 }
 
-/// Takes over the state of the leader.
+/// Takes over the state of the leader, or the first state that this VM gets from anyone.
 pub fn state_received(
     state: &rc::Rc<state::State>,
     from: types::VmId,
     received: fleet::State,
 ) -> Result<(), wire::fleet::Error> {
-    let leader = state.with(|inner| inner.leader);
-    if leader.is_none_or(|(_, leader)| leader != from) {
+    let (leader, first) = state.with(|inner| (inner.leader, inner.applied.0 == 0));
+    if leader.is_none_or(|(_, leader)| leader != from) && !first {
         return Ok(());
     }
     let newer = state.with(|inner| received.applied > inner.applied.0);
@@ -178,6 +182,14 @@
             return;
         }
     };
+    take_over(state, index, machine);
+}
+
+/// Serves by a state from now on, unless a later one is in place.
+pub fn take_over(state: &rc::Rc<state::State>, index: types::LogIndex, machine: machine::Machine) {
+    if state.with(|inner| index <= inner.applied) {
+        return;
+    }
     let version = machine.table.version();
     state.with(|inner| {
         for departure in machine.departures() {
@@ -200,6 +212,7 @@
         event::Id::ConfigurationApplied,
         &[("version", &version), ("index", &index)],
     );
+    state.due.configuration.set(true);
     state.changed();
 }
 
@@ -218,7 +231,8 @@
     apply(state, types::LogIndex(command.index), &command.command);
 }
 
-/// Applies a command of the log and, as leader, passes it on.
+/// Applies a command of the log and, as leader, passes it on; `None` when it was applied before the
+/// process was restarted.
 pub fn apply(
     state: &rc::Rc<state::State>,
     index: types::LogIndex,
@@ -232,6 +246,9 @@
             return None;
         }
     };
+    if state.with(|inner| index <= inner.applied) {
+        return None;
+    }
     let (previous, reply) = state.with(|inner| {
         let reply = inner.machine.apply(&command);
         let previous = inner.applied;
@@ -246,7 +263,10 @@
             });
             applied_configuration(state, index, change.version);
         }
-        (machine::Command::Depart(departure), _) => targets::departed(state, departure),
+        (machine::Command::Depart(departure), _) => {
+            state.due.configuration.set(true);
+            targets::departed(state, departure);
+        }
         _ => {}
     }
     Some(reply)
--- a/wagtailshunt/src/entry/members.rs
+++ b/wagtailshunt/src/entry/members.rs
@@ -51,7 +51,7 @@
 
 /// Keeps what is known of other VMs, so that a restart doesn't depend on the seeds.
 pub fn roster_changed(state: &rc::Rc<state::State>) {
-    state.roster_due.set(true);
+    state.due.roster.set(true);
 }
 
 /// As leader, brings the group closer to all VMs with disks.
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -93,6 +93,7 @@
         };
         entry.bind(api).await?;
         store::load_roster(&state);
+        store::load_configuration(&state);
         store::load_targets(&state);
         if let Some(folder) = &folder {
             let (store, recovered) = folder.group(replica::GROUP, None)?;
@@ -274,6 +275,7 @@
         if ticks % 4 == 0 {
             members::tick(&state, ticks % SLOW_TICKS == 0);
             store::save_roster(&state);
+            store::save_configuration(&state);
         }
         if ticks % SLOW_TICKS == 0 {
             store::save_targets(&state);
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -1,6 +1,6 @@
 //! State of an entry VM, shared by its tasks.
 
-use std::{cell, collections, net, rc};
+use std::{cell, collections, net, rc, time};
 
 use futures_channel::oneshot;
 use rand::{SeedableRng, rngs};
@@ -10,7 +10,7 @@
 
 use crate::{
     clock,
-    entry::{calls, metrics, peers, replica, settings},
+    entry::{calls, metrics, peers, replica, settings, store},
     events, transport,
 };
 
@@ -27,16 +27,15 @@
     pub(crate) metrics: metrics::Metrics,
     /// Addresses at which other VMs may be found; they change with the settings file.
     pub(crate) seeds: cell::RefCell<Vec<net::SocketAddr>>,
-    /// The stored list of targets is older than the one in memory.
-    pub(crate) targets_due: cell::Cell<bool>,
-    /// The stored list of VMs is older than the one in memory.
-    pub(crate) roster_due: cell::Cell<bool>,
+    pub(crate) due: store::Due,
     /// Spreads what must not happen on all VMs at once.
     pub(crate) rng: cell::RefCell<rngs::SmallRng>,
     inner: cell::RefCell<Inner>,
     answers: cell::RefCell<collections::BTreeMap<u64, oneshot::Sender<()>>>,
     next_request: cell::Cell<u64>,
     ready: cell::Cell<bool>,
+    /// Calls that arrived before the first configuration.
+    unconfigured: cell::RefCell<Vec<oneshot::Sender<()>>>,
     stopping: cell::Cell<bool>,
     stopped: cell::Cell<bool>,
     failed: cell::Cell<bool>,
@@ -112,8 +111,7 @@
             pool: calls::Pool::default(),
             metrics: metrics::Metrics::new(),
             seeds: cell::RefCell::new(cfg.seeds.clone()),
-            targets_due: cell::Cell::new(false),
-            roster_due: cell::Cell::new(false),
+            due: store::Due::default(),
             rng: cell::RefCell::new(rngs::SmallRng::seed_from_u64(incarnation.0)),
             inner: cell::RefCell::new(Inner {
                 replica: None,
@@ -137,6 +135,7 @@
             answers: cell::RefCell::default(),
             next_request: cell::Cell::new(0),
             ready: cell::Cell::new(false),
+            unconfigured: cell::RefCell::default(),
             stopping: cell::Cell::new(false),
             stopped: cell::Cell::new(false),
             failed: cell::Cell::new(false),
@@ -218,11 +217,28 @@
         self.ready.get() && !self.stopping.get()
     }
 
+    /// Returns whether everything that outlives the process is on the disk.
+    pub fn is_stored(&self) -> bool {
+        self.due.is_stored()
+    }
+
+    /// Waits until a configuration is known, at most until `limit` is over.
+    pub async fn configured_within(&self, limit: time::Duration) {
+        let (tx, rx) = oneshot::channel();
+        self.unconfigured.borrow_mut().push(tx);
+        // Whether there is a configuration now is looked up by the one who waits.
+        let _ = compio::time::timeout(limit, rx).await;
+    }
+
     /// Looks again whether the process can serve.
     pub fn changed(&self) {
         let known = self.with(|inner| inner.machine.table.version().0 > 0);
         if known != self.ready.get() {
             self.ready.set(known);
+            for tx in self.unconfigured.take() {
+                // The call may have given up.
+                let _ = tx.send(());
+            }
             let id = wagtailshunt_core::event::Id::ReadinessChanged;
             self.events.emit(id, &[("ready", &known)]);
         }
--- a/wagtailshunt/src/entry/store.rs
+++ b/wagtailshunt/src/entry/store.rs
@@ -1,17 +1,19 @@
-//! What an entry VM keeps besides the replicated log: its id, and the VMs and targets that it knows.
+//! What an entry VM keeps besides the replicated log: its id, the VMs and targets that it knows, and the
+//! configuration that it serves by.
 
-use std::{fs, io, path, rc};
+use std::{cell, collections, fs, io, path, rc};
 
 use prost::Message;
 use rand::{Rng, SeedableRng, rngs};
-use wagtailshunt_core::{formation, types};
+use wagtailshunt_core::{formation, machine, types};
 use wagtailshunt_wire::{self as wire, generated::fleet};
 
-use crate::entry::{state, targets};
+use crate::entry::{feed, state, targets};
 
 const ID_FILE: &str = "vm-id";
 const ROSTER_FILE: &str = "roster";
 const TARGETS_FILE: &str = "targets";
+const CONFIGURATION_FILE: &str = "configuration";
 
 /// Errors of the file with the VM's id.
 #[derive(Debug, thiserror::Error)]
@@ -81,11 +83,39 @@
     }
 }
 
+/// Files whose content in memory is newer than on the disk.
+#[derive(Debug, Default)]
+pub struct Due {
+    /// VMs with disks.
+    pub roster: cell::Cell<bool>,
+    /// Targets.
+    pub targets: cell::Cell<bool>,
+    /// Configuration in place.
+    pub configuration: cell::Cell<bool>,
+    /// Files that are being written; a second write at the same time could end before the first.
+    writing: cell::RefCell<collections::BTreeSet<&'static str>>,
+}
+
+impl Due {
+    /// Returns whether everything is on the disk.
+    pub fn is_stored(&self) -> bool {
+        let due = [&self.roster, &self.targets, &self.configuration];
+        due.iter().all(|due| !due.get()) && self.writing.borrow().is_empty()
+    }
+
+    /// Takes the duty to write a file, unless it is being written.
+    fn take(&self, name: &'static str, due: &cell::Cell<bool>) -> bool {
+        !self.writing.borrow().contains(name) && due.replace(false)
+    }
+}
+
 /// Writes a file with one message in the background.
-fn write_later(state: &state::State, name: &'static str, content: Vec<u8>) {
+fn write_later(state: &rc::Rc<state::State>, name: &'static str, content: Vec<u8>) {
     let Some(folder) = state.cfg.data_folder.clone() else {
         return;
     };
+    let state = state.clone();
+    state.due.writing.borrow_mut().insert(name);
     compio::runtime::spawn(async move {
         let task = compio::runtime::spawn_blocking(move || write(&folder, name, &content));
         match task.await {
@@ -93,6 +123,7 @@
             Ok(Err(err)) => log::warn!("{name} cannot be stored: {err}"),
             Err(_) => log::warn!("{name} cannot be stored: the task ended"),
         }
+        state.due.writing.borrow_mut().remove(name);
     })
     .detach();
 }
@@ -114,7 +145,7 @@
 
 /// Keeps the known VMs with disks when they changed.
 pub fn save_roster(state: &rc::Rc<state::State>) {
-    if !state.roster_due.replace(false) {
+    if !state.due.take(ROSTER_FILE, &state.due.roster) {
         return;
     }
     let vms = state.with(|inner| {
@@ -139,7 +170,7 @@
 
 /// Keeps the known targets when they changed.
 pub fn save_targets(state: &rc::Rc<state::State>) {
-    if !state.targets_due.replace(false) {
+    if !state.due.take(TARGETS_FILE, &state.due.targets) {
         return;
     }
     let reports = state.with(|inner| {
@@ -154,3 +185,35 @@
     };
     write_later(state, TARGETS_FILE, known.encode_to_vec());
 }
+
+/// Takes over the configuration of the last start, so that calls needn't wait for a leader. It was
+/// committed, so the log of the group contains it and goes on from there.
+pub fn load_configuration(state: &rc::Rc<state::State>) {
+    let known: fleet::State = read(state, CONFIGURATION_FILE).unwrap_or_default();
+    if known.applied == 0 {
+        return;
+    }
+    match machine::Machine::restore(&known.snapshot) {
+        Ok(machine) => feed::take_over(state, types::LogIndex(known.applied), machine),
+        Err(err) => log::warn!("configuration of the last start cannot be read: {err}"),
+    }
+}
+
+/// Keeps the configuration in place when it changed.
+pub fn save_configuration(state: &rc::Rc<state::State>) {
+    if !state.due.take(CONFIGURATION_FILE, &state.due.configuration) {
+        return;
+    }
+    let known = state.with(|inner| {
+        let snapshot = inner.machine.snapshot();
+        snapshot.map(|snapshot| fleet::State {
+            applied: inner.applied.0,
+            snapshot,
+            reports: Vec::new(),
+        })
+    });
+    match known {
+        Ok(known) => write_later(state, CONFIGURATION_FILE, known.encode_to_vec()),
+        Err(err) => log::error!("configuration cannot be encoded: {err}"),
+    }
+}
--- a/wagtailshunt/src/entry/targets.rs
+++ b/wagtailshunt/src/entry/targets.rs
@@ -47,7 +47,7 @@
         inner.directory.depart(departure)
     });
     if news {
-        state.targets_due.set(true);
+        state.due.targets.set(true);
         state.events.emit(
             event::Id::TargetDeparted,
             &[("target", &departure.target), ("born", &departure.born)],
@@ -92,7 +92,7 @@
         state
             .events
             .emit(event::Id::TargetJoined, &[("target", id)]);
-        state.targets_due.set(true);
+        state.due.targets.set(true);
         state.changed();
     }
     observed
@@ -175,7 +175,7 @@
         removed
     });
     if removed {
-        state.targets_due.set(true);
+        state.due.targets.set(true);
         let id: &dyn std::fmt::Display = &life.target;
         let reason: &dyn std::fmt::Display = &"no announcement";
         let fields = [("target", id), ("reason", reason)];
--- a/wagtailshunt/src/transport/dial.rs
+++ b/wagtailshunt/src/transport/dial.rs
@@ -8,13 +8,17 @@
 
 use crate::transport::{Error, Handle, Identity, Peer, connection};
 
-/// Time for a connection attempt including the first frames.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
+/// Time to establish a connection: a round trip between regions with some room. A VM that is still off
+/// when the first packet reaches it doesn't answer, and the next packet comes a second later.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
+/// Time for the first frame of the peer.
+const HELLO_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
 
 /// First pause after a failed attempt; doubled up to [`MAX_BACKOFF`].
 const MIN_BACKOFF: time::Duration = time::Duration::from_millis(50);
 
-const MAX_BACKOFF: time::Duration = time::Duration::from_millis(1000);
+const MAX_BACKOFF: time::Duration = time::Duration::from_millis(500);
 
 /// Keeps one connection to a peer open.
 #[derive(Clone, Debug)]
@@ -92,7 +96,7 @@
         Err(err) => return err,
     };
     let mut reader = connection::Reader::new(&stream);
-    let first = match compio::time::timeout(CONNECT_TIMEOUT, reader.next()).await {
+    let first = match compio::time::timeout(HELLO_TIMEOUT, reader.next()).await {
         Ok(Ok(first)) => first,
         Ok(Err(err)) => return err,
         Err(_) => return Error::Silent,
