Send a second attempt only beside one that is overdue

A hedge was sent 1.25 times the work before the objective whatever the first attempt was doing; a call that had waited 50 to 100 ms in line was then hedged although its target worked at the usual speed, and the second attempt took a slot from the line.

Change: core::placement::hedge decides: at the last moment at which a second attempt can meet the objective if the one in flight takes 1.3 times what was expected, else once it takes four times that.

--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -7,6 +7,7 @@
 
 mod crowding;
 mod estimate;
+mod hedge;
 mod line;
 mod search;
 mod target;
@@ -18,6 +19,7 @@
 
 pub use self::crowding::Crowding;
 pub use self::estimate::{Estimate, LoadReport};
+pub use self::hedge::{Hedge, InFlight, hedge};
 pub use self::line::{Line, Ticket};
 pub use self::search::{Search, SearchConfig, Step};
 use self::target::Target;
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -356,3 +356,40 @@
     );
     assert_eq!(most_on_one_target(true), 1);
 }
+
+/// Returns when a second attempt is sent, if the one in flight is never answered.
+fn hedged_at(in_flight: Option<placement::InFlight>) -> u64 {
+    let mut now = at(0);
+    loop {
+        match placement::hedge(now, at(300), WORK, in_flight) {
+            placement::Hedge::Now => return now.0 / 1000,
+            placement::Hedge::Later(next) if next > at(5000) => return 5000,
+            placement::Hedge::Later(next) => {
+                assert!(next > now, "{next} isn't after {now}");
+                now = next;
+            }
+        }
+    }
+}
+
+/// Guards against second attempts that take slots in overload: a call that waited 80 ms in line has
+/// only just begun when a second attempt would have to be sent.
+#[test]
+fn call_that_waited_in_line_is_not_hedged() {
+    let sent = |ms| {
+        Some(placement::InFlight {
+            sent: at(ms),
+            expected: WORK,
+        })
+    };
+    // Overdue at the last moment that leaves time for a second attempt.
+    let short = placement::InFlight {
+        sent: at(0),
+        expected: WORK / 2,
+    };
+    assert_eq!(hedged_at(Some(short)), 150);
+    // Not overdue then, it gets a second attempt only when its answer must be taken for lost.
+    assert_eq!(hedged_at(sent(0)), 480);
+    assert_eq!(hedged_at(sent(80)), 560);
+    assert_eq!(hedged_at(None), 5000);
+}
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -20,9 +20,6 @@
     http,
 };
 
-/// The work of a second attempt may take this much longer than the mean and still be in time.
-const HEDGE_MARGIN: f64 = 1.25;
-
 /// Slowness up to which a target counts as running at its usual speed.
 const USUAL_SLOWNESS: f64 = 1.2;
 
@@ -53,6 +50,8 @@
     tried: cell::RefCell<Vec<types::TargetId>>,
     /// What was known of each target when it was chosen, and the time since the arrival.
     choices: cell::RefCell<Vec<(placement::Choice, time::Duration)>>,
+    /// The latest attempt in flight.
+    in_flight: cell::Cell<Option<placement::InFlight>>,
 }
 
 /// What an attempt is for.
@@ -121,6 +120,7 @@
             arrival,
             tried: cell::RefCell::default(),
             choices: cell::RefCell::default(),
+            in_flight: cell::Cell::new(None),
         })
     }
 
@@ -162,7 +162,7 @@
         tries.push(self.clone().try_once(Purpose::First).boxed_local());
         let clock = self.state.clock;
         let deadline = clock.sleep_until(self.parts.deadline).fuse();
-        let hedge = self.hedge_timer().fuse();
+        let hedge = self.hedge_due().fuse();
         pin_mut!(tries, deadline, hedge);
         let mut fallback = None;
         let mut may_have_run = false;
@@ -198,7 +198,7 @@
                     }
                 }
                 () = hedge => {
-                    if started < self.route.max_attempts && !self.tried.borrow().is_empty() {
+                    if started < self.route.max_attempts {
                         started += 1;
                         tries.push(self.clone().try_once(Purpose::Hedge).boxed_local());
                     }
@@ -245,6 +245,10 @@
             expected: choice.expected,
             started: self.state.clock.now(),
         };
+        self.in_flight.set(Some(placement::InFlight {
+            sent: sent.started,
+            expected: sent.expected,
+        }));
         let end = attempt::run(&self.state, &self.parts, destination).await;
         Tried::Sent(Box::new((sent, end)))
     }
@@ -263,7 +267,11 @@
         }
         let now = self.state.clock.now();
         let objective = self.arrival + self.route.objective;
-        if purpose == Purpose::Hedge && now + choice.expected > objective {
+        let limit = match now < objective {
+            true => objective,
+            false => self.parts.deadline,
+        };
+        if purpose == Purpose::Hedge && now + choice.expected > limit {
             return Some(Reason::Overloaded);
         }
         if !self.state.with(|inner| self.budget(inner).try_spend()) {
@@ -431,18 +439,18 @@
         })
     }
 
-    /// Ends at the last moment at which a second attempt is expected to meet the objective.
-    fn hedge_timer(&self) -> impl Future<Output = ()> + use<> {
-        let second = self.work().mul_f64(HEDGE_MARGIN);
-        let wait = self.route.objective.saturating_sub(second);
-        let at = self.arrival + wait;
-        let hedged = self.parts.repeatable && self.route.max_attempts > 1;
+    /// Ends when a second attempt beside the one in flight is of use.
+    async fn hedge_due(self: &rc::Rc<Self>) {
+        if !self.parts.repeatable || self.route.max_attempts <= 1 {
+            return future::pending().await;
+        }
         let clock = self.state.clock;
-        async move {
-            if hedged {
-                clock.sleep_until(at).await;
-            } else {
-                future::pending::<()>().await;
+        let objective = self.arrival + self.route.objective;
+        loop {
+            let now = clock.now();
+            match placement::hedge(now, objective, self.work(), self.in_flight.get()) {
+                placement::Hedge::Now => return,
+                placement::Hedge::Later(at) => clock.sleep_until(at).await,
             }
         }
     }
