Let VMs without disks vote where no VM has a disk

Change: every VM has a member of the log; without a disk it is kept in memory under an id that ends with the process. Such a group is founded after a second without news, so that a VM with a disk that starts late isn't left out.

Ruled out: counting seeds (three at most); letting VMs without disks vote beside disks (their votes end with the process).

--- a/core/src/formation/mod.rs
+++ b/core/src/formation/mod.rs
@@ -1,7 +1,7 @@
 //! Forming the group of voters from VMs that find each other, and keeping it complete.
 //!
-//! An id belongs to the life of a disk: a VM that comes back with an empty disk has another id, so
-//! that it never votes on what it has forgotten.
+//! An id belongs to the life of a disk, or of a process on a VM without one: a VM that comes back with an
+//! empty disk has another id, so that it never votes on what it has forgotten.
 
 use std::{collections, net, time};
 
@@ -14,6 +14,9 @@
 /// each other and exchange what they know as they connect.
 pub const FOUNDING_QUIET: time::Duration = time::Duration::from_millis(350);
 
+/// The same while no VM with a disk was heard of: one that starts late must not find a group without it.
+pub const FOUNDING_QUIET_WITHOUT_DISK: time::Duration = time::Duration::from_millis(1000);
+
 /// A voter that was not heard of for this long is taken out of the group while the others are
 /// there; longer than a restart or a freeze usually lasts.
 pub const ABSENT_AFTER: time::Duration = time::Duration::from_secs(12);
@@ -29,8 +32,10 @@
     pub operator_address: net::SocketAddr,
     /// Failure domain that it is in.
     pub failure_domain: types::FailureDomain,
-    /// Whether it has a disk and so may vote.
+    /// Whether it has a disk.
     pub has_disk: bool,
+    /// Whether its loss is among those that the deployment is laid out to bear.
+    pub counted: bool,
     /// Start of the process.
     pub incarnation: types::Incarnation,
 }
@@ -79,31 +84,51 @@
         self.vms.values()
     }
 
-    /// Returns the VMs with disks by address.
-    pub fn with_disk(&self) -> impl Iterator<Item = &Vm> {
-        self.vms.values().filter(|vm| vm.has_disk)
+    /// Returns the VMs that may vote: those with disks or, where no VM has one, the first few of those
+    /// whose loss counts, or else of all. Without disks the votes last as long as the processes.
+    pub fn eligible(&self) -> Vec<&Vm> {
+        let with_disk: Vec<&Vm> = self.vms.values().filter(|vm| vm.has_disk).collect();
+        if !with_disk.is_empty() {
+            return with_disk;
+        }
+        let mut counted: Vec<&Vm> = self.vms.values().filter(|vm| vm.counted).collect();
+        if counted.is_empty() {
+            counted = self.vms.values().collect();
+        }
+        spread(counted, MAX_VOTERS)
     }
 
     /// Returns the first voters, once no further VM was heard of for a while.
     pub fn founders(&self, now: core_time::Instant) -> Option<Vec<types::VmId>> {
-        if now.since(self.changed) < FOUNDING_QUIET {
+        let eligible = self.eligible();
+        let quiet = match eligible.first()?.has_disk {
+            true => FOUNDING_QUIET,
+            false => FOUNDING_QUIET_WITHOUT_DISK,
+        };
+        if now.since(self.changed) < quiet {
             return None;
         }
-        let mut by_domain: collections::BTreeMap<&types::FailureDomain, Vec<&Vm>> =
-            collections::BTreeMap::new();
-        for vm in self.with_disk() {
-            by_domain.entry(&vm.failure_domain).or_default().push(vm);
-        }
-        let depth = by_domain.values().map(Vec::len).max()?;
-        let mut voters = Vec::new();
-        for rank in 0..depth {
-            for vms in by_domain.values() {
-                voters.extend(vms.get(rank).map(|vm| vm.id));
-            }
+        let founders = spread(eligible, MAX_VOTERS);
+        Some(founders.iter().map(|vm| vm.id).collect())
+    }
+}
+
+/// Returns at most `count` of the VMs, as evenly from all failure domains as can be.
+fn spread(vms: Vec<&Vm>, count: usize) -> Vec<&Vm> {
+    let mut by_domain: collections::BTreeMap<&types::FailureDomain, Vec<&Vm>> =
+        collections::BTreeMap::new();
+    for vm in vms {
+        by_domain.entry(&vm.failure_domain).or_default().push(vm);
+    }
+    let depth = by_domain.values().map(Vec::len).max().unwrap_or(0);
+    let mut chosen = Vec::new();
+    for rank in 0..depth {
+        for vms in by_domain.values() {
+            chosen.extend(vms.get(rank));
         }
-        voters.truncate(MAX_VOTERS);
-        Some(voters)
     }
+    chosen.truncate(count);
+    chosen
 }
 
 /// What the leader knows of a member.
@@ -117,7 +142,7 @@
     pub caught_up: bool,
 }
 
-/// Returns the next change that brings the group closer to all VMs with disks that are there.
+/// Returns the next change that brings the group closer to all eligible VMs that are there.
 ///
 /// Only the leader of a settled group asks; `since` is when it began to lead.
 pub fn next_change(
@@ -148,7 +173,7 @@
     if let Some(vm) = caught_up {
         return Some(replication::MembershipChange::Promote(*vm));
     }
-    let joining = roster.with_disk().find(|vm| {
+    let joining = roster.eligible().into_iter().find(|vm| {
         let known = members.voters.contains(&vm.id) || members.learners.contains(&vm.id);
         !known && status(vm.id).connected
     });
--- a/core/tests/formation.rs
+++ b/core/tests/formation.rs
@@ -11,6 +11,7 @@
         operator_address: net::SocketAddr::from(([10, 0, 0, host], 8382)),
         failure_domain: types::FailureDomain::from(domain),
         has_disk: true,
+        counted: true,
         incarnation: types::Incarnation(incarnation),
     }
 }
@@ -106,3 +107,20 @@
         Some(replication::MembershipChange::AddLearner(types::VmId(3)))
     );
 }
+
+/// Guards against a deployment without disks that never forms a group, and against one with disks whose
+/// other VMs found a group before a disk is heard of.
+#[test]
+fn vms_without_disks_vote_only_where_there_are_no_disks() {
+    let mut vms: Vec<formation::Vm> = (1..=5).map(|i| vm(i, i as u8, "a", 1)).collect();
+    for vm in &mut vms {
+        vm.has_disk = false;
+        vm.counted = vm.id.0 <= 3;
+    }
+    let mut roster = roster(&vms);
+    assert_eq!(roster.founders(at(500)), None);
+    let founders = roster.founders(at(1_100)).unwrap();
+    assert_eq!(founders, [1, 2, 3].map(types::VmId));
+    roster.learn(at(1_100), &vm(9, 9, "a", 1), formation::Source::Announced);
+    assert_eq!(roster.founders(at(1_500)), Some(vec![types::VmId(9)]));
+}
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -1,5 +1,5 @@
 //! An entry VM: one process that forwards calls, takes announcements of targets and orders of
-//! operators, and on a VM with a disk votes on the replicated state.
+//! operators, and votes on the replicated state if its VM has a disk or no VM has one.
 
 pub mod calls;
 mod feed;
@@ -98,6 +98,8 @@
         if let Some(folder) = &folder {
             let (store, recovered) = folder.group(replica::GROUP, None)?;
             replica::open(&state, store, recovered);
+        } else {
+            replica::open_volatile(&state);
         }
         peers::dial_missing(&state);
         compio::runtime::spawn(run_timers(state.clone())).detach();
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -1,6 +1,6 @@
 //! Connections between the processes of the system.
 //!
-//! Every process opens connections to the seeds, to VMs with disks, and to the VMs of its own failure
+//! Every process opens connections to the seeds, to VMs that may vote, and to the VMs of its own failure
 //! domain, which share what they see of targets.
 
 use std::{cell, collections, net, rc};
@@ -92,9 +92,10 @@
     let mut wanted: collections::BTreeSet<net::SocketAddr> =
         state.seeds.borrow().iter().copied().collect();
     state.with(|inner| {
-        let vms = inner.roster.vms();
-        let near = vms.filter(|vm| vm.has_disk || vm.failure_domain == *own);
+        let near = inner.roster.vms().filter(|vm| vm.failure_domain == *own);
         wanted.extend(near.map(|vm| vm.peer_address));
+        let eligible = inner.roster.eligible();
+        wanted.extend(eligible.iter().map(|vm| vm.peer_address));
     });
     wanted.remove(&state.cfg.peers);
     for address in wanted {
--- a/wagtailshunt/src/entry/replica.rs
+++ b/wagtailshunt/src/entry/replica.rs
@@ -78,7 +78,6 @@
     store: disk::Store<disk::Folder>,
     recovered: storage::Recovered,
 ) {
-    let now = state.clock.now();
     state.events.emit(
         event::Id::StorageRecovered,
         &[
@@ -88,6 +87,24 @@
             ("cut", &store.torn_bytes()),
         ],
     );
+    let rx = create(state, recovered);
+    compio::runtime::spawn(run_disk(state.clone(), store, rx)).detach();
+    pump(state);
+}
+
+/// Creates a member that keeps its state in memory. Its id ends with the process, so that it never
+/// votes on what it has forgotten.
+pub fn open_volatile(state: &rc::Rc<state::State>) {
+    let rx = create(state, storage::Recovered::default());
+    compio::runtime::spawn(run_memory(state.clone(), rx)).detach();
+    pump(state);
+}
+
+fn create(
+    state: &rc::Rc<state::State>,
+    recovered: storage::Recovered,
+) -> mpsc::UnboundedReceiver<Batch> {
+    let now = state.clock.now();
     let (persist, rx) = mpsc::unbounded();
     let snapshot_at = recovered.snapshot.index.0 + SNAPSHOT_ENTRIES;
     let replica = Replica {
@@ -100,8 +117,7 @@
         applied_bytes: 0,
     };
     state.with(|inner| inner.replica = Some(replica));
-    compio::runtime::spawn(run_disk(state.clone(), store, rx)).detach();
-    pump(state);
+    rx
 }
 
 fn config(state: &state::State) -> replication::Config {
@@ -142,6 +158,13 @@
     founded
 }
 
+async fn run_memory(state: rc::Rc<state::State>, mut rx: mpsc::UnboundedReceiver<Batch>) {
+    while let Some((ticket, _)) = rx.next().await {
+        let now = state.clock.now();
+        with_node(&state, |node| node.persisted(now, ticket));
+    }
+}
+
 async fn run_disk(
     state: rc::Rc<state::State>,
     mut disk: disk::Store<disk::Folder>,
--- a/wagtailshunt/src/entry/settings.rs
+++ b/wagtailshunt/src/entry/settings.rs
@@ -24,6 +24,8 @@
     pub metrics: Option<net::SocketAddr>,
     /// Peer addresses of VMs that may know the others.
     pub seeds: Vec<net::SocketAddr>,
+    /// The loss of this VM is among those that the deployment is laid out to bear.
+    pub counted: bool,
     /// The whole system starts for the first time.
     pub first_start: bool,
     /// Folder for the durable state; `None` on a VM without a disk.
@@ -47,6 +49,7 @@
             operator_address: self.operators,
             failure_domain: self.failure_domain.clone(),
             has_disk: self.data_folder.is_some(),
+            counted: self.counted,
             incarnation,
         }
     }
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -169,6 +169,20 @@
         })
     }
 
+    /// Returns the id of the VM.
+    pub fn id(&self) -> types::VmId {
+        self.vm
+    }
+
+    /// Returns the voters of the group as this VM knows them.
+    pub fn voters(&self) -> Vec<types::VmId> {
+        self.with(|inner| {
+            let replica = inner.replica.as_ref();
+            let voters = replica.map(|replica| replica.node.members().voters.iter());
+            voters.map_or_else(Vec::new, |voters| voters.copied().collect())
+        })
+    }
+
     /// Returns whether a target may get calls from here.
     pub fn knows_target(&self, target: &types::TargetId) -> bool {
         self.with(|inner| inner.directory.get(target).is_some())
--- a/wagtailshunt/src/entry/store.rs
+++ b/wagtailshunt/src/entry/store.rs
@@ -86,7 +86,7 @@
 /// Files whose content in memory is newer than on the disk.
 #[derive(Debug, Default)]
 pub struct Due {
-    /// VMs with disks.
+    /// VMs that may vote.
     pub roster: cell::Cell<bool>,
     /// Targets.
     pub targets: cell::Cell<bool>,
@@ -143,13 +143,13 @@
     }
 }
 
-/// Keeps the known VMs with disks when they changed.
+/// Keeps the known VMs that may vote when they changed.
 pub fn save_roster(state: &rc::Rc<state::State>) {
     if !state.due.take(ROSTER_FILE, &state.due.roster) {
         return;
     }
     let vms = state.with(|inner| {
-        let vms = inner.roster.with_disk();
+        let vms = inner.roster.eligible().into_iter();
         vms.map(wire::fleet::encode_vm).collect()
     });
     write_later(state, ROSTER_FILE, fleet::Roster { vms }.encode_to_vec());
--- a/wire/src/fleet.rs
+++ b/wire/src/fleet.rs
@@ -69,6 +69,7 @@
         operator_address: vm.operator_address.to_string(),
         failure_domain: vm.failure_domain.0.clone(),
         has_disk: vm.has_disk,
+        counted: vm.counted,
         incarnation: vm.incarnation.0,
     }
 }
@@ -81,6 +82,7 @@
         operator_address: vm.operator_address.parse()?,
         failure_domain: types::FailureDomain(vm.failure_domain),
         has_disk: vm.has_disk,
+        counted: vm.counted,
         incarnation: types::Incarnation(vm.incarnation),
     })
 }
