Take the limits of repeats and questions from the deployment's settings

Cause: repeats per call, what a VM may save up and the probe rate were constants that fit the two known sites. A deployment with a smaller ratio, slack or probe rate would have been overrun, one with more VMs as well: four repeats saved up on each of 46 VMs.

Change: the adapter reads the three bounds. A sixth of the questions a second is asked regularly, the rest by calls.

--- a/core/src/retry/mod.rs
+++ b/core/src/retry/mod.rs
@@ -104,6 +104,12 @@
         self.tokens = (self.tokens + u64::from(self.cfg.per_1000_calls)).min(cap);
     }
 
+    /// Changes how many retries can be saved up, when the number of those who share an allowance changes.
+    pub fn set_burst(&mut self, burst: u32) {
+        self.cfg.burst = burst;
+        self.tokens = self.tokens.min(u64::from(burst) * SCALE);
+    }
+
     /// Takes one token if there is one.
     pub fn try_spend(&mut self) -> bool {
         if self.tokens < SCALE {
--- a/core/tests/retry.rs
+++ b/core/tests/retry.rs
@@ -98,6 +98,19 @@
     assert!(hedger.try_hedge(Instant(0), &attempt(true)));
 }
 
+/// Guards against a share of an allowance that stays as large as it was when fewer shared it.
+#[test]
+fn smaller_burst_takes_what_was_saved_up() {
+    let mut budget = Budget::new(Config::default());
+    for _ in 0..100 {
+        budget.call();
+    }
+    budget.set_burst(2);
+    assert!(budget.try_spend());
+    assert!(budget.try_spend());
+    assert!(!budget.try_spend());
+}
+
 quickcheck! {
     /// Guards against retries above 10% and hedges above 5% of calls, in any order of events.
     fn budgets_hold(failures: Vec<bool>) -> bool {
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -30,14 +30,12 @@
 /// Callers come back within this share of the time that they have left, or not at all.
 const HONOURED_SHARE: f64 = 1.0 / 3.0;
 
-/// Questions for load that calls pay for: three each, since the best two targets are asked first and
-/// one in three calls goes on to others. What is saved up lets a burst begin well.
-const QUESTIONS: retry::Config = retry::Config {
-    per_1000_calls: 3000,
-    burst: 30,
-    max_attempts: 1,
-    one_layer: false,
-};
+/// Questions for load that a VM can save up for each service, so that a burst begins well.
+const QUESTION_BURST: u32 = 30;
+
+/// Part of the repeats that may be saved up that is shared out; the rest is for VMs that are not known
+/// yet.
+const SLACK_SHARE: f64 = 0.8;
 
 /// A call whose route is known.
 pub struct Call {
@@ -152,10 +150,7 @@
     pub async fn run(self: &rc::Rc<Self>) -> Done {
         self.state.with(|inner| {
             self.budget(inner).call();
-            let questions = inner.questions.entry(self.service.clone());
-            questions
-                .or_insert_with(|| retry::Budget::new(QUESTIONS))
-                .call();
+            self.questions(inner).call();
         });
         let tries = Tries::new();
         let mut started = 1;
@@ -379,13 +374,11 @@
             tried: &tried,
         };
         self.state.with(|inner| {
-            let questions = inner.questions.entry(self.service.clone());
-            let questions = questions.or_insert_with(|| retry::Budget::new(QUESTIONS));
-            let may_ask = questions.has_tokens();
+            let may_ask = self.questions(inner).has_tokens();
             let step = search.step(now, &mut inner.placement, &demand, turn, may_ask);
             if let placement::Step::Ask(targets) = &step {
                 targets.iter().for_each(|_| {
-                    questions.try_spend();
+                    self.questions(inner).try_spend();
                 });
             }
             step
@@ -427,13 +420,31 @@
             .with(|inner| search.good(now, &mut inner.placement, &demand))
     }
 
+    /// Returns the repeats of the service. The VMs share what may be saved up, so that together they
+    /// keep the limit without talking about it.
     fn budget<'a>(&self, inner: &'a mut state::Inner) -> &'a mut retry::Budget {
         let limits = &self.state.cfg.limits;
+        let vms = inner.roster.vms().count().max(1);
+        let burst = f64::from(limits.repeat_slack) * SLACK_SHARE / vms as f64;
         let budget = inner.budgets.entry(self.service.clone());
-        budget.or_insert_with(|| {
+        let budget = budget.or_insert_with(|| {
             retry::Budget::new(retry::Config {
                 per_1000_calls: limits.repeats_per_1000_calls,
-                burst: limits.repeat_burst,
+                ..retry::Config::default()
+            })
+        });
+        budget.set_burst(burst as u32);
+        budget
+    }
+
+    /// Returns the questions for load that calls of the service may ask.
+    fn questions<'a>(&self, inner: &'a mut state::Inner) -> &'a mut retry::Budget {
+        let limits = &self.state.cfg.limits;
+        let questions = inner.questions.entry(self.service.clone());
+        questions.or_insert_with(|| {
+            retry::Budget::new(retry::Config {
+                per_1000_calls: limits.questions_per_1000_calls(),
+                burst: QUESTION_BURST,
                 ..retry::Config::default()
             })
         })
--- a/wagtailshunt/src/entry/calls/probe.rs
+++ b/wagtailshunt/src/entry/calls/probe.rs
@@ -38,7 +38,7 @@
         }
     })
     .detach();
-    let Some(interval) = state.cfg.limits.probe_interval else {
+    let Some(interval) = state.cfg.limits.probe_interval() else {
         return;
     };
     while !state.stopped() {
--- a/wagtailshunt/src/entry/settings.rs
+++ b/wagtailshunt/src/entry/settings.rs
@@ -55,6 +55,16 @@
     }
 }
 
+/// Questions a second at which calls may ask as much as pays for them.
+const USUAL_QUESTIONS: f64 = 60.0;
+
+/// Part of the questions that are asked regularly; the others are for calls.
+const REGULAR_SHARE: f64 = 1.0 / 6.0;
+
+/// Questions that 1,000 calls earn: three each, since the best two targets are asked first and one in
+/// three calls goes on to others.
+const QUESTIONS_PER_1000_CALLS: f64 = 3000.0;
+
 /// Times and budgets of an entry VM.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -65,15 +75,28 @@
     pub listen_after_stop: time::Duration,
     /// From SIGTERM to the end of the process at the latest.
     pub stop_limit: time::Duration,
-    /// Repeats that each 1,000 calls earn. Below the platform's ratio, so that a burst of calls that
-    /// ends doesn't leave more repeats than the window after it allows.
+    /// Repeats that each 1,000 calls of a service earn.
     pub repeats_per_1000_calls: u32,
-    /// Repeats that a VM can save up for each service.
-    pub repeat_burst: u32,
+    /// Repeats that all VMs together can save up for each service.
+    pub repeat_slack: u32,
     /// Time within which an order must be decided before its sender tries elsewhere.
     pub order_limit: time::Duration,
-    /// Interval between probes of a target by all VMs of its failure domain; `None` for no probes.
-    pub probe_interval: Option<time::Duration>,
+    /// Questions for its load that a target may get a second, from all VMs together; 0 for none.
+    pub questions_per_second: f64,
+}
+
+impl Limits {
+    /// Returns the interval between regular probes of a target by all VMs of its failure domain.
+    pub fn probe_interval(&self) -> Option<time::Duration> {
+        let rate = self.questions_per_second.min(USUAL_QUESTIONS) * REGULAR_SHARE;
+        (rate > 0.0).then(|| time::Duration::from_secs_f64(1.0 / rate))
+    }
+
+    /// Returns the questions that each 1,000 calls earn.
+    pub fn questions_per_1000_calls(&self) -> u32 {
+        let part = (self.questions_per_second / USUAL_QUESTIONS).min(1.0);
+        (QUESTIONS_PER_1000_CALLS * part) as u32
+    }
 }
 
 impl Default for Limits {
@@ -83,9 +106,9 @@
             listen_after_stop: time::Duration::from_millis(3200),
             stop_limit: time::Duration::from_millis(5700),
             repeats_per_1000_calls: 150,
-            repeat_burst: 4,
+            repeat_slack: 50,
             order_limit: time::Duration::from_millis(900),
-            probe_interval: Some(time::Duration::from_millis(100)),
+            questions_per_second: USUAL_QUESTIONS,
         }
     }
 }
