Follow one call over the logs of all VMs by `wagtailshunt explain`

Cause: from an id to its cause took a grep for the id and a second one for its targets, in a second order of time.

Change: `wagtailshunt explain ID FILE...` prints the lines of a call in causal order, with what its targets and its VM went through in the seconds before, and what its outcome says about whether it ran.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod check;
 mod demo;
 mod exit;
+mod explain;
 mod folder;
 mod options;
 mod records;
@@ -58,6 +59,7 @@
         options::Command::Drain(opts) => records::drain(global, opts).await,
         options::Command::Status(opts) => status::run(global, opts).await,
         options::Command::Timeline(opts) => timeline::run(global, opts).await,
+        options::Command::Explain(opts) => explain::run(opts),
         options::Command::Bench(opts) => bench::run(global, opts).await,
         options::Command::Demo(_) => demo::run().await,
         options::Command::Scenario(opts) => scenario::run(global, opts),
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -51,6 +51,8 @@
     Status(Status),
     #[options(help = "merge the events of several processes into one order")]
     Timeline(Timeline),
+    #[options(help = "follow one call over the logs of all VMs")]
+    Explain(Explain),
     #[options(help = "run a measurement")]
     Bench(Bench),
     #[options(help = "run a small cluster on this machine")]
@@ -156,6 +158,21 @@
     pub files: Vec<path::PathBuf>,
 }
 
+/// Options of `explain`.
+#[derive(Debug, Options)]
+pub struct Explain {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(
+        help = "time before the call from which events are shown",
+        default = "3000",
+        no_short
+    )]
+    pub before_ms: u64,
+    #[options(free, help = "id of the call, then files with logs")]
+    pub words: Vec<String>,
+}
+
 /// Options of `scenario`.
 #[derive(Debug, Options)]
 pub struct Scenario {
