Contain requests that crash targets at entry VMs

Cause: the entry path sent a request that had crashed every target so far to the next ones, as often as its caller sent it; only the attempts of one call were bounded.

Change: a target that broke off a call and takes no connection afterwards counts as lost with it. VMs tell each other; after three lives the request is refused with 503 for a minute, then tried once more. An answer clears it.

Ruled out: permits of a leader, as the product's gateways use: entry VMs serve without one.

Test: request_that_crashes_targets_is_contained_on_all_vms fails without the check (502 and a fourth target lost in place of 503).

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -129,6 +129,7 @@
         "refused-by-targets" => {
             "not run: every target that was tried proved that it did not run it"
         }
+        "crashes-targets" => "not run: three targets were lost with the same request before",
         "no-configuration" => "not run: the process had just started and knew no configuration",
         "no-route" => "no route of the configuration in place takes the call",
         "lost" => "it may have run: it was sent and no whole answer came back",
--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -113,4 +113,5 @@
     LinesDropped = 127, Warn, "log lines dropped";
     SettingsReloaded = 128, Info, "settings file read again";
     VmLearned = 129, Info, "VM of the system learned";
+    TargetLostWithCall = 130, Warn, "target lost with a call";
 }
--- a/wagtailshunt/src/entry/calls/answer.rs
+++ b/wagtailshunt/src/entry/calls/answer.rs
@@ -27,6 +27,9 @@
     /// No target could answer in time.
     #[display("overloaded")]
     Overloaded,
+    /// The call has crashed targets at every try.
+    #[display("crashes-targets")]
+    CrashesTargets,
     /// The service has no target.
     #[display("no-target")]
     NoTarget,
@@ -52,6 +55,7 @@
             Reason::NoConfiguration
             | Reason::Overloaded
             | Reason::NoTarget
+            | Reason::CrashesTargets
             | Reason::RefusedByTargets => StatusCode::SERVICE_UNAVAILABLE,
             Reason::Lost => StatusCode::BAD_GATEWAY,
             Reason::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -12,7 +12,7 @@
         calls::{
             answer::Reason,
             attempt::{self, Answer, Destination, End, Parts},
-            find,
+            crash, find,
             work::WorkTime,
         },
         state,
@@ -64,7 +64,7 @@
 
 /// A target that a call was sent to and what was expected of it.
 struct Sent {
-    target: types::TargetId,
+    to: Destination,
     /// What was known of the target.
     estimate: placement::Estimate,
     expected: time::Duration,
@@ -152,6 +152,9 @@
             self.budget(inner).call();
             self.questions(inner).call();
         });
+        if self.is_contained() {
+            return Done::Own(Reason::CrashesTargets);
+        }
         let tries = Tries::new();
         let mut started = 1;
         tries.push(self.clone().try_once(Purpose::First).boxed_local());
@@ -183,7 +186,7 @@
                             reason = why;
                         }
                     }
-                    let again = self.parts.repeatable || !may_have_run;
+                    let again = (self.parts.repeatable || !may_have_run) && !self.is_contained();
                     if tries.is_empty() {
                         if !again || started >= self.route.max_attempts {
                             return give_up(fallback, may_have_run, reason);
@@ -235,7 +238,7 @@
         let waited = self.state.clock.now().since(self.arrival);
         self.choices.borrow_mut().push((choice.clone(), waited));
         let sent = Sent {
-            target: choice.target.clone(),
+            to: destination.clone(),
             estimate: choice.estimate,
             expected: choice.expected,
             started: self.state.clock.now(),
@@ -294,20 +297,45 @@
         self.note_attempt(&sent, &end, taken);
         match end {
             End::Answered(answer) if answer.head.status.is_server_error() => {
+                self.clear_suspicion();
                 match self.parts.repeatable {
                     true => Settled::Failure(answer),
                     false => Settled::Final(answer),
                 }
             }
             End::Answered(answer) => {
+                self.clear_suspicion();
                 self.learn(taken, &sent);
                 Settled::Final(answer)
             }
             End::NotRun(_) => Settled::NotRun,
-            End::Lost(_) => Settled::Lost,
+            End::Lost(_) => {
+                let request = crash::fingerprint(&self.service, &self.parts);
+                crash::watch(&self.state, sent.to, request);
+                Settled::Lost
+            }
         }
     }
 
+    /// Returns whether the call is refused because it has crashed targets at every try.
+    pub fn is_contained(&self) -> bool {
+        let now = self.state.clock.now();
+        self.state.with(|inner| {
+            let request = || crash::fingerprint(&self.service, &self.parts);
+            !inner.crashes.is_empty() && inner.crashes.is_blocked(now, request())
+        })
+    }
+
+    /// Notes that a target survived the call.
+    fn clear_suspicion(&self) {
+        self.state.with(|inner| {
+            if !inner.crashes.is_empty() {
+                let request = crash::fingerprint(&self.service, &self.parts);
+                inner.crashes.answered(request);
+            }
+        });
+    }
+
     fn note_attempt(&self, sent: &Sent, end: &End, taken: time::Duration) {
         let (result, reason) = match end {
             End::Answered(answer) if answer.head.status.is_server_error() => {
@@ -326,7 +354,7 @@
             event::Id::AttemptFailed,
             &[
                 ("request", &self.show_id()),
-                ("target", &sent.target),
+                ("target", &sent.to.target),
                 ("result", &result),
                 ("reason", &reason),
                 ("ms", &taken.as_millis()),
--- a/wagtailshunt/src/entry/calls/listener.rs
+++ b/wagtailshunt/src/entry/calls/listener.rs
@@ -156,7 +156,8 @@
         Done::Answer(answer) => (call::respond(answer), "answered".to_owned()),
         Done::Own(reason) => {
             let not_run = reason.status() == hyper::StatusCode::SERVICE_UNAVAILABLE;
-            let after = not_run.then(|| call.retry_after());
+            let welcome = not_run && reason != Reason::CrashesTargets;
+            let after = welcome.then(|| call.retry_after());
             (reason.answer(after), reason.to_string())
         }
     };
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    entry::{feed, members, replica, state, targets},
+    entry::{calls, feed, members, replica, state, targets},
     transport,
 };
 
@@ -188,6 +188,7 @@
             targets::depart_requested(state, from, request, wire::fleet::decode_life(life));
         }
         Fleet::Departed(fleet::Departed {}) => state.answered(request),
+        Fleet::Crash(crash) => calls::crash_reported(state, from, crash)?,
         Fleet::Loads(loads) => targets::loads_received(state, loads),
     }
     Ok(())
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -5,7 +5,7 @@
 use futures_channel::oneshot;
 use rand::{SeedableRng, rngs};
 use wagtailshunt_core::{
-    fleet, formation, machine, placement, retry, routing, time as core_time, types,
+    containment, fleet, formation, machine, placement, retry, routing, time as core_time, types,
 };
 
 use crate::{
@@ -63,6 +63,8 @@
     pub questions: collections::BTreeMap<types::ServiceName, retry::Budget>,
     /// Calls that wait for a target, by service.
     pub lines: collections::BTreeMap<types::ServiceName, placement::Line>,
+    /// Requests that were lost with targets.
+    pub(crate) crashes: containment::Tally,
     /// Parts of split routes that are behind their weight, by route.
     pub(crate) splits:
         collections::BTreeMap<String, collections::BTreeMap<types::ServiceName, f64>>,
@@ -129,6 +131,7 @@
                 budgets: collections::BTreeMap::new(),
                 questions: collections::BTreeMap::new(),
                 lines: collections::BTreeMap::new(),
+                crashes: containment::Tally::default(),
                 splits: collections::BTreeMap::new(),
                 work: collections::BTreeMap::new(),
             }),
@@ -183,6 +186,11 @@
         })
     }
 
+    /// Returns the number of targets' lives that were lost with calls lately.
+    pub fn crashes(&self) -> usize {
+        self.with(|inner| inner.crashes.lives())
+    }
+
     /// Returns whether a target may get calls from here.
     pub fn knows_target(&self, target: &types::TargetId) -> bool {
         self.with(|inner| inner.directory.get(target).is_some())
--- a/wire/src/fleet.rs
+++ b/wire/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use wagtailshunt_core::{fleet, formation, placement, time as core_time, types};
+use wagtailshunt_core::{containment, fleet, formation, placement, time as core_time, types};
 
 use crate::generated::fleet as wire;
 
@@ -61,6 +61,28 @@
     }
 }
 
+/// Converts a crash of a target by a request.
+pub fn encode_crash(request: containment::Fingerprint, life: &fleet::Departure) -> wire::Crash {
+    wire::Crash {
+        request_high: (request.0 >> 64) as u64,
+        request_low: request.0 as u64,
+        life: Some(encode_life(life)),
+    }
+}
+
+/// Reads a crash of a target by a request.
+///
+/// # Errors
+///
+/// When the life is missing.
+pub fn decode_crash(
+    crash: wire::Crash,
+) -> Result<(containment::Fingerprint, fleet::Departure), Error> {
+    let life = crash.life.ok_or(Error::Missing("a life of a target"))?;
+    let request = u128::from(crash.request_high) << 64 | u128::from(crash.request_low);
+    Ok((containment::Fingerprint(request), decode_life(life)))
+}
+
 /// Converts what is known of a VM.
 pub fn encode_vm(vm: &formation::Vm) -> wire::Vm {
     wire::Vm {
