--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -5,11 +5,12 @@
 use futures_util::{FutureExt, StreamExt, future, pin_mut, select_biased, stream};
 use hyper::Response;
 use rand::Rng;
-use wagtailshunt_core::{event, placement, retry, routing, time as core_time, types};
+use wagtailshunt_core::{event, placement, routing, time as core_time, types};
 
 use crate::{
     entry::{
         calls::{
+            allowance,
             answer::Reason,
             attempt::{self, Answer, Destination, End, Parts},
             crash, find,
@@ -30,13 +31,6 @@
 /// Callers come back within this share of the time that they have left, or not at all.
 const HONOURED_SHARE: f64 = 1.0 / 3.0;
 
-/// Questions for load that a VM can save up for each service, so that a burst begins well.
-const QUESTION_BURST: u32 = 30;
-
-/// Part of the repeats that may be saved up that is shared out; the rest is for VMs that are not known
-/// yet.
-const SLACK_SHARE: f64 = 0.8;
-
 /// A call whose route is known.
 pub struct Call {
     pub state: rc::Rc<state::State>,
@@ -149,8 +143,8 @@
     /// Runs the call until there is an answer or its time is over.
     pub async fn run(self: &rc::Rc<Self>) -> Done {
         self.state.with(|inner| {
-            self.budget(inner).call();
-            self.questions(inner).call();
+            allowance::repeats(&self.state.cfg.limits, inner, &self.service).call();
+            allowance::questions(&self.state.cfg.limits, inner, &self.service).call();
         });
         if self.is_contained() {
             return Done::Own(Reason::CrashesTargets);
@@ -272,7 +266,10 @@
         if purpose == Purpose::Hedge && now + choice.expected > limit {
             return Some(Reason::Overloaded);
         }
-        if !self.state.with(|inner| self.budget(inner).try_spend()) {
+        let limits = &self.state.cfg.limits;
+        let may_repeat =
+            |inner: &mut state::Inner| allowance::repeats(limits, inner, &self.service).try_spend();
+        if !self.state.with(may_repeat) {
             return Some(Reason::RefusedByTargets);
         }
         if purpose == Purpose::Hedge {
@@ -402,11 +399,12 @@
             tried: &tried,
         };
         self.state.with(|inner| {
-            let may_ask = self.questions(inner).has_tokens();
+            let limits = &self.state.cfg.limits;
+            let may_ask = allowance::questions(limits, inner, &self.service).has_tokens();
             let step = search.step(now, &mut inner.placement, &demand, turn, may_ask);
             if let placement::Step::Ask(targets) = &step {
                 targets.iter().for_each(|_| {
-                    self.questions(inner).try_spend();
+                    allowance::questions(limits, inner, &self.service).try_spend();
                 });
             }
             step
@@ -448,36 +446,6 @@
             .with(|inner| search.good(now, &mut inner.placement, &demand))
     }
 
-    /// Returns the repeats of the service. The VMs share what may be saved up, so that together they
-    /// keep the limit without talking about it.
-    fn budget<'a>(&self, inner: &'a mut state::Inner) -> &'a mut retry::Budget {
-        let limits = &self.state.cfg.limits;
-        let vms = inner.roster.vms().count().max(1);
-        let burst = f64::from(limits.repeat_slack) * SLACK_SHARE / vms as f64;
-        let budget = inner.budgets.entry(self.service.clone());
-        let budget = budget.or_insert_with(|| {
-            retry::Budget::new(retry::Config {
-                per_1000_calls: limits.repeats_per_1000_calls,
-                ..retry::Config::default()
-            })
-        });
-        budget.set_burst(burst as u32);
-        budget
-    }
-
-    /// Returns the questions for load that calls of the service may ask.
-    fn questions<'a>(&self, inner: &'a mut state::Inner) -> &'a mut retry::Budget {
-        let limits = &self.state.cfg.limits;
-        let questions = inner.questions.entry(self.service.clone());
-        questions.or_insert_with(|| {
-            retry::Budget::new(retry::Config {
-                per_1000_calls: limits.questions_per_1000_calls(),
-                burst: QUESTION_BURST,
-                ..retry::Config::default()
-            })
-        })
-    }
-
     /// Ends when a second attempt beside the one in flight is of use.
     async fn hedge_due(self: &rc::Rc<Self>) {
         if !self.parts.repeatable || self.route.max_attempts <= 1 {
--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! Read in this order: `listener` takes a request, `call` keeps its deadline, `find` looks for a
 //! target with room, `attempt` sends the call there, `pool` holds the connections, `probe` asks targets for their load,
-//! `crash` notices targets that are lost with a call.
+//! `crash` notices targets that are lost with a call, `allowance` bounds repeats and questions.
 
+mod allowance;
 mod answer;
 mod attempt;
 mod call;
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -27,6 +27,7 @@
     pub(crate) metrics: metrics::Metrics,
     /// Addresses at which other VMs may be found; they change with the settings file.
     pub(crate) seeds: cell::RefCell<Vec<net::SocketAddr>>,
+    /// What is newer in memory than on the disk.
     pub(crate) due: store::Due,
     /// Spreads what must not happen on all VMs at once.
     pub(crate) rng: cell::RefCell<rngs::SmallRng>,
@@ -246,12 +247,19 @@
 
     /// Waits until a configuration is known, at most until `limit` is over.
     pub async fn configured_within(&self, limit: time::Duration) {
-        let (tx, rx) = oneshot::channel();
-        self.unconfigured.borrow_mut().push(tx);
+        let rx = self.wait_for_configuration();
         // Whether there is a configuration now is looked up by the one who waits.
         let _ = compio::time::timeout(limit, rx).await;
     }
 
+    fn wait_for_configuration(&self) -> oneshot::Receiver<()> {
+        let (tx, rx) = oneshot::channel();
+        let mut waiting = self.unconfigured.borrow_mut();
+        waiting.retain(|tx| !tx.is_canceled());
+        waiting.push(tx);
+        rx
+    }
+
     /// Looks again whether the process can serve.
     pub fn changed(&self) {
         let known = self.with(|inner| inner.machine.table.version().0 > 0);
