Ask one place whether this VM leads

Cause: the same look at the replica's role stood at five places of the entry path, one of them beside State::is_leading, and State::is_ended was a twin of State::stopped. Behaviour stays: Inner::is_leading serves all of them, is_ended is gone.

--- a/wagtailshunt/src/entry/feed.rs
+++ b/wagtailshunt/src/entry/feed.rs
@@ -117,10 +117,7 @@
 /// A VM wants the state of this leader, or any state when it has none.
 pub fn subscribed(state: &rc::Rc<state::State>, from: types::VmId, applied: u64) {
     let answer = state.with(|inner| {
-        let leads = inner
-            .replica
-            .as_ref()
-            .is_some_and(replica::Replica::is_leading);
+        let leads = inner.is_leading();
         if !leads && (applied > 0 || inner.applied.0 == 0) {
             return None;
         }
@@ -279,10 +276,7 @@
     bytes: &Bytes,
 ) {
     let subscribers: Vec<types::VmId> = state.with(|inner| {
-        let leads = inner
-            .replica
-            .as_ref()
-            .is_some_and(replica::Replica::is_leading);
+        let leads = inner.is_leading();
         let connected = if leads {
             state.peers.connected()
         } else {
--- a/wagtailshunt/src/entry/orders.rs
+++ b/wagtailshunt/src/entry/orders.rs
@@ -40,21 +40,12 @@
     }
 }
 
-fn leads(state: &state::State) -> bool {
-    state.with(|inner| {
-        inner
-            .replica
-            .as_ref()
-            .is_some_and(replica::Replica::is_leading)
-    })
-}
-
 /// Decides a change by the replicated log.
 pub async fn submit(
     state: &rc::Rc<state::State>,
     change: routing::Change,
 ) -> Outcome<routing::Verdict> {
-    if !leads(state) {
+    if !state.is_leading() {
         return redirect(state);
     }
     let (base, version) = (change.base, change.version);
@@ -81,7 +72,7 @@
 
 /// Reads the configuration so that no acknowledged change is missed.
 pub async fn read(state: &rc::Rc<state::State>) -> Outcome<Current> {
-    if !leads(state) {
+    if !state.is_leading() {
         return redirect(state);
     }
     match replica::read(state).await {
--- a/wagtailshunt/src/entry/replica.rs
+++ b/wagtailshunt/src/entry/replica.rs
@@ -385,8 +385,7 @@
 
 /// Hands the leadership over before a planned stop.
 pub fn hand_over(state: &rc::Rc<state::State>, now: core_time::Instant) {
-    let leads = state.with(|inner| inner.replica.as_ref().is_some_and(Replica::is_leading));
-    if leads {
+    if state.is_leading() {
         with_node(state, |node| node.transfer_leadership(now, None));
     }
 }
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -73,6 +73,12 @@
 }
 
 impl Inner {
+    /// Returns whether this VM leads the group.
+    pub fn is_leading(&self) -> bool {
+        let replica = self.replica.as_ref();
+        replica.is_some_and(replica::Replica::is_leading)
+    }
+
     /// Returns whether a VM votes, as far as this VM knows.
     pub fn is_member(&self, vm: types::VmId) -> bool {
         let replica = self.replica.as_ref();
@@ -165,12 +171,7 @@
 
     /// Returns whether this VM leads the group.
     pub fn is_leading(&self) -> bool {
-        self.with(|inner| {
-            inner
-                .replica
-                .as_ref()
-                .is_some_and(replica::Replica::is_leading)
-        })
+        self.with(|inner| inner.is_leading())
     }
 
     /// Returns the id of the VM.
@@ -202,11 +203,6 @@
         &self.events
     }
 
-    /// Returns whether the process is ending.
-    pub fn is_ended(&self) -> bool {
-        self.stopped()
-    }
-
     /// Returns the leader when this VM leads or is connected to it.
     pub fn reachable_leader(&self) -> Option<types::VmId> {
         let (_, leader) = self.with(|inner| inner.leader)?;
