Groups of VMs share targets; digests in place of whole lists; one state request at a time

Cause: on sites of 61 and 130 VMs every VM exchanged loads with all VMs of its failure domain, forwarded every learned VM to all connected VMs, and got the whole list of targets from each VM it connected to. The messages grew with the square of the VMs. A VM that missed the end of a target while it was down or cut off kept the target for good. Ruled out: the regular probes as the quadratic part (their number for each VM is the same on all sites). Change: core::placement::group, core::fleet::digest, renewals to the leader once a second, timers every 100 ms.

--- a/core/src/formation/mod.rs
+++ b/core/src/formation/mod.rs
@@ -8,7 +8,7 @@
 
 use std::{collections, net, time};
 
-use crate::{replication, storage, time as core_time, types};
+use crate::{fleet, replication, storage, time as core_time, types};
 
 /// Largest number of voters of a group. More voters make commits slower and tolerate no further
 /// failure that occurs in practice.
@@ -92,6 +92,17 @@
         self.vms.values()
     }
 
+    /// Returns a digest of the known VMs and their incarnations; never 0.
+    pub fn digest(&self) -> u64 {
+        let mut digest = fleet::SetDigest::default();
+        for vm in self.vms.values() {
+            let id = vm.id;
+            let incarnation = vm.incarnation;
+            digest.add(format!("{} {id} {incarnation}", vm.peer_address).as_bytes());
+        }
+        digest.finish()
+    }
+
     /// Returns the VMs that may become voters: all VMs with disks or, when no VM has one, at most
     /// [`MAX_VOTERS`] of the counted VMs, or of all VMs when none is counted. Without disks, votes
     /// last only as long as the processes.
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -9,6 +9,7 @@
 
 mod contention;
 mod estimate;
+mod group;
 mod hedge;
 mod queue;
 mod search;
@@ -21,6 +22,7 @@
 
 pub use self::contention::Contention;
 pub use self::estimate::{Estimate, LoadReport};
+pub use self::group::{Group, MAX_GROUP_VMS, Position};
 pub use self::hedge::{Hedge, InFlight, hedge};
 pub use self::queue::{Queue, Ticket};
 pub use self::search::{Search, SearchConfig, Step};
@@ -38,6 +40,9 @@
     pub occupancy_fade: time::Duration,
     /// Latency that a target in another failure domain must save to be preferred.
     pub domain_penalty: time::Duration,
+    /// Share of the service time that a target of the own failure domain costs more when another
+    /// group of VMs prefers it.
+    pub group_penalty: f64,
     /// Number of consecutive failures that eject a target.
     pub eject_after: u32,
     /// Duration of the first ejection; doubled with each further failure.
@@ -58,6 +63,7 @@
             slowness_fade: time::Duration::from_millis(400),
             occupancy_fade: time::Duration::from_millis(200),
             domain_penalty: time::Duration::from_millis(60),
+            group_penalty: 0.3,
             eject_after: 2,
             eject_for: time::Duration::from_millis(500),
             eject_max: time::Duration::from_secs(4),
@@ -110,41 +116,62 @@
 pub struct Placement {
     cfg: Config,
     own_domain: types::FailureDomain,
-    targets: collections::BTreeMap<types::TargetId, Target>,
+    /// Service of each target.
+    services_by_target: collections::BTreeMap<types::TargetId, types::ServiceName>,
     services: collections::BTreeMap<types::ServiceName, Service>,
     domain_position: Position,
     system_position: Position,
     rng: rngs::SmallRng,
 }
 
-/// Position of this VM in the ordered list of VMs that select from the same targets.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Position {
-    /// Number of VMs that precede this one.
-    pub rank: usize,
-    /// Number of VMs; 0 while it is not known.
-    pub count: usize,
-}
-
-impl Position {
-    /// Returns how far the `index`th of `len` targets is from the one that this VM prefers most.
-    /// The preferred targets of the VMs are spread evenly over the list, so that two VMs use the
-    /// same target as late as possible.
-    fn distance(self, index: usize, len: usize) -> usize {
-        let start = self.rank * len / self.count.max(1);
-        (index + len - start.min(len)) % len.max(1)
-    }
+/// Targets of a service.
+#[derive(Debug, Default)]
+struct Service {
+    targets: collections::BTreeMap<types::TargetId, Target>,
+    means: ServiceMeans,
 }
 
-/// Targets of a service and the means over their reports.
+/// Means over the reports of the targets of a service.
 #[derive(Debug)]
-pub(super) struct Service {
-    members: collections::BTreeSet<types::TargetId>,
+pub(super) struct ServiceMeans {
     slowness: f64,
     occupancy: f64,
     contention: Contention,
 }
 
+impl Default for ServiceMeans {
+    fn default() -> Self {
+        ServiceMeans {
+            slowness: 1.0,
+            occupancy: 0.0,
+            contention: Contention::default(),
+        }
+    }
+}
+
+/// Largest number of candidates for a call; further ones are not worth the time of ranking them.
+const MAX_CANDIDATES: usize = 32;
+
+/// A candidate while the targets of a service are ranked.
+struct Ranked<'a> {
+    id: &'a types::TargetId,
+    cost: f64,
+    estimate: Estimate,
+    expected_latency: time::Duration,
+    ejected: bool,
+}
+
+impl Ranked<'_> {
+    fn into_choice(self) -> Choice {
+        Choice {
+            target: self.id.clone(),
+            estimate: self.estimate,
+            expected_latency: self.expected_latency,
+            ejected: self.ejected,
+        }
+    }
+}
+
 /// Share of the service time that each own call in flight adds to the cost of a target of unknown
 /// load.
 const UNKNOWN_LOAD_OWN_CALL_COST: f64 = 0.5;
@@ -162,7 +189,7 @@
         Placement {
             cfg,
             own_domain,
-            targets: collections::BTreeMap::new(),
+            services_by_target: collections::BTreeMap::new(),
             services: collections::BTreeMap::new(),
             domain_position: Position::default(),
             system_position: Position::default(),
@@ -176,11 +203,24 @@
         self.system_position = system_position;
     }
 
+    /// Returns the targets of the own failure domain that the group of this VM prefers.
+    pub fn group_targets(&self) -> impl Iterator<Item = &types::TargetId> {
+        let group = self.domain_position.group();
+        self.services.values().flat_map(move |service| {
+            let in_domain = service
+                .targets
+                .iter()
+                .filter(|(_, target)| target.same_domain);
+            let ids: Vec<&types::TargetId> = in_domain.map(|(id, _)| id).collect();
+            let own_part = group.range(ids.len());
+            ids.into_iter().skip(own_part.start).take(own_part.len())
+        })
+    }
+
     /// Adds a target that may get calls, or updates it. A new incarnation starts without history.
     pub fn add(&mut self, now: core_time::Instant, announcement: &fleet::Announcement) {
         let same_domain = announcement.failure_domain == self.own_domain;
-        let known = self.targets.get_mut(&announcement.target);
-        if let Some(target) = known
+        if let Some(target) = self.target_mut(&announcement.target)
             && target.born == announcement.born
             && target.service == announcement.service
         {
@@ -189,29 +229,37 @@
         }
         self.remove(&announcement.target);
         let target = Target::new(now, announcement, same_domain);
-        self.targets.insert(announcement.target.clone(), target);
+        let id = &announcement.target;
+        self.services_by_target
+            .insert(id.clone(), announcement.service.clone());
         let service = self.services.entry(announcement.service.clone());
-        let service = service.or_insert_with(|| Service {
-            members: collections::BTreeSet::new(),
-            slowness: 1.0,
-            occupancy: 0.0,
-            contention: Contention::default(),
-        });
-        service.members.insert(announcement.target.clone());
+        service.or_default().targets.insert(id.clone(), target);
+    }
+
+    fn target(&self, id: &types::TargetId) -> Option<&Target> {
+        let service = self.services.get(self.services_by_target.get(id)?)?;
+        service.targets.get(id)
+    }
+
+    fn target_mut(&mut self, id: &types::TargetId) -> Option<&mut Target> {
+        let service = self.services.get_mut(self.services_by_target.get(id)?)?;
+        service.targets.get_mut(id)
     }
 
     /// Removes a target and its estimates.
     pub fn remove(&mut self, target: &types::TargetId) {
-        if let Some(old) = self.targets.remove(target)
-            && let Some(service) = self.services.get_mut(&old.service)
+        if let Some(service) = self.services_by_target.remove(target)
+            && let Some(service) = self.services.get_mut(&service)
         {
-            service.members.remove(target);
+            service.targets.remove(target);
         }
     }
 
     /// Returns the number of targets of a service.
     pub fn len(&self, service: &types::ServiceName) -> usize {
-        self.services.get(service).map_or(0, |s| s.members.len())
+        self.services
+            .get(service)
+            .map_or(0, |service| service.targets.len())
     }
 
     /// Returns whether a service has no target.
@@ -226,23 +274,26 @@
         target: &types::TargetId,
         load: &LoadReport,
     ) {
-        let Some(known) = self.targets.get_mut(target) else {
+        let name = self.services_by_target.get(target);
+        let Some(service) = name.and_then(|name| self.services.get_mut(name)) else {
+            return;
+        };
+        let Some(known) = service.targets.get_mut(target) else {
             return;
         };
         if !known.reported(at, load) {
             return;
         }
-        if let Some(service) = self.services.get_mut(&known.service) {
-            let slowness = known.last_slowness();
-            let occupancy = f64::from(load.running + load.waiting);
-            service.slowness += (slowness - service.slowness) * SERVICE_MEAN_WEIGHT;
-            service.occupancy += (occupancy - service.occupancy) * SERVICE_MEAN_WEIGHT;
-        }
+        let means = &mut service.means;
+        let slowness = known.last_slowness();
+        let occupancy = f64::from(load.running + load.waiting);
+        means.slowness += (slowness - means.slowness) * SERVICE_MEAN_WEIGHT;
+        means.occupancy += (occupancy - means.occupancy) * SERVICE_MEAN_WEIGHT;
     }
 
     /// Records that a call is sent to a target.
     pub fn started(&mut self, target: &types::TargetId) {
-        if let Some(target) = self.targets.get_mut(target) {
+        if let Some(target) = self.target_mut(target) {
             target.in_flight += 1;
         }
     }
@@ -254,51 +305,56 @@
         target: &types::TargetId,
         outcome: Outcome,
     ) -> bool {
-        let cfg = &self.cfg;
-        let known = self.targets.get_mut(target);
-        known.is_some_and(|target| target.finished(now, outcome, cfg))
+        let cfg = self.cfg.clone();
+        let known = self.target_mut(target);
+        known.is_some_and(|target| target.finished(now, outcome, &cfg))
     }
 
     /// Returns the estimated state of a target; `None` when the target is not known.
     pub fn estimate(&self, now: core_time::Instant, target: &types::TargetId) -> Option<Estimate> {
-        let target = self.targets.get(target)?;
-        let service = self.services.get(&target.service)?;
-        Some(target.estimate(now, service, &self.cfg))
+        let service = self.services.get(self.services_by_target.get(target)?)?;
+        let target = service.targets.get(target)?;
+        Some(target.estimate(now, &service.means, &self.cfg))
     }
 
     /// Returns the candidates for a call, without the targets that it was already sent to, by
-    /// rising cost. The cost is the expected latency with penalties; ejected targets are last.
+    /// rising cost, at most [`MAX_CANDIDATES`]. The cost is the expected latency with penalties;
+    /// ejected targets are last.
     pub fn ranked(&mut self, now: core_time::Instant, demand: &Demand<'_>) -> Vec<Choice> {
         let Some(service) = self.services.get(demand.service) else {
             return Vec::new();
         };
-        let mut ranked = Vec::with_capacity(service.members.len());
-        let is_local = |id: &&types::TargetId| self.targets.get(*id).is_some_and(|t| t.same_domain);
-        let local_len = service.members.iter().filter(is_local).count();
-        let remote_len = service.members.len() - local_len;
+        let domain_group = self.domain_position.group();
+        let local_len = service.targets.values().filter(|t| t.same_domain).count();
+        let remote_len = service.targets.len() - local_len;
+        let own_part = domain_group.range(local_len);
         let (mut local_index, mut remote_index) = (0, 0);
-        for id in &service.members {
-            let distance = match self.targets.get(id).is_some_and(|t| t.same_domain) {
+        let mut ranked = Vec::with_capacity(service.targets.len());
+        for (id, target) in &service.targets {
+            let (distance, penalty) = match target.same_domain {
                 true => {
+                    let index = local_index;
                     local_index += 1;
-                    self.domain_position.distance(local_index - 1, local_len)
+                    let group_penalty = match own_part.contains(&index) {
+                        true => 0.0,
+                        false => self.cfg.group_penalty * demand.work.as_secs_f64(),
+                    };
+                    let distance = self.domain_position.distance(index, local_len);
+                    (distance, group_penalty)
                 }
                 false => {
                     remote_index += 1;
-                    self.system_position.distance(remote_index - 1, remote_len)
+                    let distance = self.system_position.distance(remote_index - 1, remote_len);
+                    (distance, self.cfg.domain_penalty.as_secs_f64())
                 }
             };
-            let Some(target) = self.targets.get(id).filter(|_| !demand.tried.contains(id)) else {
+            if demand.tried.contains(id) {
                 continue;
-            };
-            let estimate = target.estimate(now, service, &self.cfg);
+            }
+            let estimate = target.estimate(now, &service.means, &self.cfg);
             let expected_latency = estimate.expected_latency(demand.work);
             // Spreads the choices of VMs whose estimates are equal.
             let jitter = self.rng.random_range(0.0..0.02) * demand.work.as_secs_f64();
-            let penalty = match target.same_domain {
-                true => 0.0,
-                false => self.cfg.domain_penalty.as_secs_f64(),
-            };
             // The calls of other VMs on a target without load reports are not known. Own calls are
             // spread over the targets that other VMs prefer less.
             let unknown_load_cost = match target.reports_load {
@@ -309,17 +365,17 @@
                     (own_cost + order_cost) * demand.work.as_secs_f64()
                 }
             };
-            let cost = expected_latency.as_secs_f64() + penalty + jitter + unknown_load_cost;
-            let choice = Choice {
-                target: id.clone(),
+            ranked.push(Ranked {
+                id,
+                cost: expected_latency.as_secs_f64() + penalty + jitter + unknown_load_cost,
                 estimate,
                 expected_latency,
                 ejected: target.is_ejected(now),
-            };
-            ranked.push((cost, choice));
+            });
         }
-        ranked.sort_by(|(a, x), (b, y)| x.ejected.cmp(&y.ejected).then(a.total_cmp(b)));
-        ranked.into_iter().map(|(_, choice)| choice).collect()
+        ranked.sort_by(|a, b| a.ejected.cmp(&b.ejected).then(a.cost.total_cmp(&b.cost)));
+        ranked.truncate(MAX_CANDIDATES);
+        ranked.into_iter().map(Ranked::into_choice).collect()
     }
 
     /// Returns the best candidate for a call; `None` when the call was already sent to all targets
@@ -332,29 +388,28 @@
     /// that already ran `running - 1` calls.
     pub fn record_slowdown(&mut self, service: &types::ServiceName, running: u32, slowdown: f64) {
         if let Some(service) = self.services.get_mut(service) {
-            service.contention.record(running, slowdown);
+            service.means.contention.record(running, slowdown);
         }
     }
 
     /// Records that a target answered a probe without a load report; it is not probed until it
     /// reports its load.
     pub fn answered_without_load(&mut self, target: &types::TargetId) {
-        if let Some(target) = self.targets.get_mut(target) {
+        if let Some(target) = self.target_mut(target) {
             target.reports_load = false;
         }
     }
 
     /// Returns whether a target reports its load, so that probes of it are useful.
     pub fn reports_load(&self, target: &types::TargetId) -> bool {
-        self.targets
-            .get(target)
+        self.target(target)
             .is_some_and(|target| target.reports_load)
     }
 
     /// Records that a target did not answer a probe.
     pub fn probe_unanswered(&mut self, now: core_time::Instant, target: &types::TargetId) {
         let penalty_duration = self.cfg.doubt_for;
-        if let Some(target) = self.targets.get_mut(target) {
+        if let Some(target) = self.target_mut(target) {
             target.slow_until = Some(now + penalty_duration);
         }
     }
--- a/core/src/placement/target.rs
+++ b/core/src/placement/target.rs
@@ -3,7 +3,7 @@
 
 use std::time;
 
-use super::{Config, Estimate, LoadReport, Outcome, Service};
+use super::{Config, Estimate, LoadReport, Outcome, ServiceMeans};
 use crate::{fleet, time as core_time, types};
 
 /// The last load report of a target.
@@ -113,7 +113,12 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
-    pub fn estimate(&self, now: core_time::Instant, service: &Service, cfg: &Config) -> Estimate {
+    pub fn estimate(
+        &self,
+        now: core_time::Instant,
+        service: &ServiceMeans,
+        cfg: &Config,
+    ) -> Estimate {
         let own_in_flight = f64::from(self.in_flight);
         let mut estimate = Estimate {
             occupancy: own_in_flight.max(service.occupancy),
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -89,3 +89,29 @@
     assert!(!directory.remove(&other_incarnation));
     assert!(directory.remove(&fleet::incarnation_of(&announcement("a", 1, 100, 1))));
 }
+
+/// Guards against the exchange of the whole list of targets for a few that differ, and against
+/// differences that the digests do not show.
+#[test]
+fn digests_show_the_buckets_that_differ() {
+    let mut here = fleet::Directory::default();
+    let mut there = fleet::Directory::default();
+    for i in 0..700 {
+        let name = format!("t{i}");
+        here.register(NOW, announcement(&name, i, 100, 1));
+        // Another order and later announcements of the same incarnations make no difference.
+        let name = format!("t{}", 699 - i);
+        there.register(NOW, announcement(&name, 699 - i, 100, 2));
+    }
+    assert_eq!(here.digests(), there.digests());
+    assert_eq!(here.digests().total(), there.digests().total());
+    there.remove(&fleet::incarnation_of(&announcement("t3", 3, 100, 1)));
+    here.register(NOW, announcement("t9", 9, 200, 1));
+    let differing = here.digests().differing(&there.digests());
+    let mut expected = [fleet::bucket(&"t3".into()), fleet::bucket(&"t9".into())];
+    expected.sort_unstable();
+    assert_eq!(differing, expected);
+    let sent = differing.iter().flat_map(|i| here.in_bucket(*i)).count();
+    assert!(sent < 100, "{sent} of 700 targets are sent");
+    assert_ne!(here.digests().total(), there.digests().total());
+}
--- a/core/tests/formation.rs
+++ b/core/tests/formation.rs
@@ -124,3 +124,13 @@
     roster.learn(at(1_100), &vm(9, 9, "a", 1), formation::Source::Announced);
     assert_eq!(roster.initial_voters(at(1_500)), Some(vec![types::VmId(9)]));
 }
+
+/// Guards against the exchange of whole rosters between VMs that know the same VMs.
+#[test]
+fn roster_digest_shows_a_new_incarnation() {
+    let here = roster(&[vm(1, 1, "a", 1), vm(2, 2, "b", 1)]);
+    let there = roster(&[vm(2, 2, "b", 1), vm(1, 1, "a", 1)]);
+    assert_eq!(here.digest(), there.digest());
+    let restarted = roster(&[vm(1, 1, "a", 2), vm(2, 2, "b", 1)]);
+    assert_ne!(here.digest(), restarted.digest());
+}
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -397,3 +397,56 @@
     assert_eq!(hedged_at_ms(sent(80)), 560);
     assert_eq!(hedged_at_ms(None), 5000);
 }
+
+/// Placement of one of `vms` VMs of a failure domain with `targets` targets.
+fn placement_in_group(targets: usize, rank: usize, vms: usize) -> placement::Placement {
+    let mut placement = placement(targets, rank as u64);
+    let position = placement::Position { rank, count: vms };
+    placement.set_position(position, position);
+    placement
+}
+
+/// Guards against probes and connections that spread over all targets of a failure domain with many
+/// VMs: a target then reports to each VM too seldom to be of use.
+#[test]
+fn groups_of_vms_divide_the_targets() {
+    const TARGETS: usize = 60;
+    const VMS: usize = 22;
+    let mut covered = vec![0; TARGETS];
+    for rank in 0..VMS {
+        let placement = placement_in_group(TARGETS, rank, VMS);
+        let own: Vec<_> = placement.group_targets().cloned().collect();
+        assert!((10..=20).contains(&own.len()), "{} targets", own.len());
+        for (i, covered) in covered.iter_mut().enumerate() {
+            *covered += usize::from(own.contains(&id(i)));
+        }
+        let group = placement::Position { rank, count: VMS }.group();
+        assert!(group.range(VMS).contains(&rank));
+        assert!(group.range(VMS).len() <= placement::MAX_GROUP_VMS);
+    }
+    assert!(covered.iter().all(|vms| *vms >= 4), "{covered:?}");
+    // All VMs of a small failure domain share all targets.
+    let small = placement_in_group(TARGETS, 2, placement::MAX_GROUP_VMS);
+    assert_eq!(small.group_targets().count(), TARGETS);
+}
+
+/// Guards against a group that waits for its own targets while others have free slots: the load is
+/// a group whose targets are all busy in the middle of a failure domain with free ones.
+#[test]
+fn calls_leave_a_group_whose_targets_are_full() {
+    let mut placement = placement_in_group(60, 5, 22);
+    let own: Vec<_> = placement.group_targets().cloned().collect();
+    let service = service();
+    let demand = placement::Demand {
+        service: &service,
+        work: WORK,
+        tried: &[],
+    };
+    let first = placement.choose(at(0), &demand).unwrap();
+    assert!(own.contains(&first.target), "an idle group keeps its calls");
+    for target in &own {
+        placement.reported(at(1), target, &load(6, 100));
+    }
+    let chosen = placement.choose(at(1), &demand).unwrap();
+    assert!(!own.contains(&chosen.target));
+}
--- a/wagtailshunt/src/entry/calls/probe.rs
+++ b/wagtailshunt/src/entry/calls/probe.rs
@@ -1,8 +1,8 @@
 //! Probes: requests to the health endpoint of targets, whose response headers report their load.
 //!
-//! The VMs of a failure domain divide its targets among themselves and send each other the reported
-//! loads, so that the number of probes does not grow with the number of VMs. The rate comes from
-//! the settings, the health path from the configured service.
+//! The VMs of a group divide its targets among themselves and send each other the reported loads, so
+//! that the number of probes does not grow with the number of VMs. The rate comes from the settings,
+//! the health path from the configured service.
 
 use std::{rc, time};
 
@@ -14,7 +14,7 @@
 use crate::{
     entry::{
         calls::attempt::{self, Destination},
-        state, targets,
+        state,
     },
     http,
 };
@@ -22,23 +22,11 @@
 /// Timeout of a probe. A slow target answers within some tens of milliseconds.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
-/// Interval at which reported loads are sent to the other VMs; those of one interval share a
-/// message.
-const LOAD_SEND_INTERVAL: time::Duration = time::Duration::from_millis(20);
-
 /// Largest body of a probe response that is read.
 const MAX_BODY_BYTES: usize = 4096;
 
-/// Runs the regular probes and sends reported loads to the other VMs until the process ends.
+/// Runs the regular probes until the process ends.
 pub async fn run(state: rc::Rc<state::State>) {
-    let sender_state = state.clone();
-    compio::runtime::spawn(async move {
-        while !sender_state.stopped() {
-            compio::time::sleep(LOAD_SEND_INTERVAL).await;
-            targets::send_loads(&sender_state);
-        }
-    })
-    .detach();
     let Some(interval) = state.cfg.limits.probe_interval() else {
         return;
     };
@@ -78,25 +66,22 @@
     }
 }
 
-/// Returns the targets of the own failure domain that this VM probes regularly. Connected VMs of
-/// the domain take every n-th target by their rank.
+/// Returns the targets of the own group that this VM probes regularly. Connected VMs of the group
+/// take every n-th target by their rank.
 fn assigned_targets(state: &rc::Rc<state::State>) -> Vec<ProbeTarget> {
     state.with(|inner| {
-        let domain = &state.cfg.failure_domain;
-        let mut vms: Vec<types::VmId> = inner.vms_in_domain(domain);
+        let mut vms: Vec<types::VmId> = inner.group.clone();
         vms.retain(|vm| *vm == state.vm || state.peers.is_connected(*vm));
         vms.sort_unstable();
         let rank = vms.iter().position(|vm| *vm == state.vm).unwrap_or(0);
         let count = vms.len().max(1);
         let services = &inner.machine.table.items().services;
-        let in_domain = inner
-            .directory
-            .targets()
-            .filter(|known| known.announcement.failure_domain == *domain);
-        in_domain
+        let own_targets = inner.placement.group_targets();
+        own_targets
             .enumerate()
             .filter(|(i, _)| i % count == rank)
-            .filter_map(|(_, known)| {
+            .filter_map(|(_, target)| {
+                let known = inner.directory.get(target)?;
                 let service = services.get(known.announcement.service.as_str())?;
                 Some(ProbeTarget::new(known, &service.health_path))
             })
--- a/wagtailshunt/src/entry/leader_sync.rs
+++ b/wagtailshunt/src/entry/leader_sync.rs
@@ -2,11 +2,16 @@
 //!
 //! Such a VM applies the commands that the leader sends, in the order of their index. When one is
 //! missing, it requests the whole state. Members apply the same commands from their own log.
+//!
+//! Targets that join or end are sent to all VMs once. A VM that was not connected then finds the
+//! difference by the digest in the leader's regular message, and requests the buckets of the
+//! directory that differ.
 
-use std::rc;
+use std::{collections, rc, time};
 
 use bytes::Bytes;
-use wagtailshunt_core::{event, replication, routing, state_machine, types};
+use rand::Rng;
+use wagtailshunt_core::{event, fleet as core_fleet, replication, routing, state_machine, types};
 use wagtailshunt_wire::{
     self as wire,
     generated::fleet::{self, fleet_message::Body as Fleet},
@@ -14,19 +19,61 @@
 
 use crate::entry::{replica, state, targets};
 
+/// Time after which a VM without any state requests it from another VM. The state of some hundred
+/// targets takes about 150 ms on a link of 5 Mbit/s, and all replies share the link.
+const STATE_REQUEST_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
+/// Time after its election from which a leader knows all targets. Each announces itself at some VM
+/// within its interval, and the VMs forward this to the leader every second.
+const DIRECTORY_COMPLETE_AFTER: time::Duration = time::Duration::from_secs(6);
+
 /// Starts the exchange of state with a newly connected VM. A leader announces itself. A VM without
 /// a configuration requests the state of any VM, so that it can serve before there is a leader.
 pub fn peer_connected(state: &rc::Rc<state::State>, to: types::VmId) {
-    if state.with(|inner| inner.applied.0 == 0) {
-        request_state(state, to);
-    }
+    request_first_state(state, to);
     if let Some(leading) = leading_message(state) {
         state.peers.send_fleet(to, leading);
     }
 }
 
+/// Requests the state from a VM if this VM has none, and if no other request is under way.
+fn request_first_state(state: &rc::Rc<state::State>, from: types::VmId) {
+    let now = state.clock.now();
+    let is_due = state.with(|inner| {
+        let waits = |at| now.since(at) < STATE_REQUEST_TIMEOUT;
+        inner.applied.0 == 0 && !inner.state_requested_at.is_some_and(waits)
+    });
+    if is_due {
+        request_state(state, from);
+    }
+}
+
+/// Requests the state from another connected VM if this VM has none and the last request was not
+/// answered.
+pub fn request_missing_state(state: &rc::Rc<state::State>) {
+    if state.with(|inner| inner.applied.0 > 0 || inner.state_requested_at.is_none()) {
+        return;
+    }
+    let connected = state.peers.connected();
+    if !connected.is_empty() {
+        let index = state.rng.borrow_mut().random_range(0..connected.len());
+        request_first_state(state, connected[index]);
+    }
+}
+
+/// Returns whether this VM leads and has heard of all targets since it was elected.
+fn knows_all_targets(state: &state::State, inner: &state::Inner) -> bool {
+    let now = state.clock.now();
+    let led_since = inner.leading_since.filter(|_| inner.is_leading());
+    led_since.is_some_and(|since| now.since(since) >= DIRECTORY_COMPLETE_AFTER)
+}
+
 fn leading_message(state: &state::State) -> Option<Fleet> {
     state.with(|inner| {
+        let directory_digest = match knows_all_targets(state, inner) {
+            true => inner.directory.digests().total(),
+            false => 0,
+        };
         let replica = inner
             .replica
             .as_ref()
@@ -34,6 +81,7 @@
         Some(Fleet::Leading(fleet::Leading {
             term: replica.node.term().0,
             applied: inner.applied.0,
+            directory_digest,
         }))
     })
 }
@@ -105,23 +153,38 @@
     if !accept_leader(state, from, types::Term(leading.term)) {
         return;
     }
-    let is_behind =
-        state.with(|inner| !inner.is_member(state.vm) && inner.applied.0 < leading.applied);
+    let is_behind = state.with(|inner| {
+        let lacks_commands = !inner.is_member(state.vm) && inner.applied.0 < leading.applied;
+        let digest = leading.directory_digest;
+        lacks_commands || digest != 0 && digest != inner.directory.digests().total()
+    });
     if is_behind {
         request_state(state, from);
     }
 }
 
-/// Requests the state from the leader, with the index up to which this VM has applied commands.
-fn request_state(state: &rc::Rc<state::State>, leader: types::VmId) {
-    let applied = state.with(|inner| inner.applied.0);
-    let subscribe = fleet::Subscribe { applied };
-    state.peers.send_fleet(leader, Fleet::Subscribe(subscribe));
+/// Requests the state, with the index up to which this VM has applied commands and the digests of
+/// the targets that it knows.
+fn request_state(state: &rc::Rc<state::State>, from: types::VmId) {
+    let now = state.clock.now();
+    let subscribe = state.with(|inner| {
+        inner.state_requested_at = Some(now);
+        fleet::Subscribe {
+            applied: inner.applied.0,
+            bucket_digests: inner.directory.digests().as_slice().to_vec(),
+        }
+    });
+    state.peers.send_fleet(from, Fleet::Subscribe(subscribe));
 }
 
 /// Handles a request for the state. A VM that does not lead answers only requests of VMs without
 /// any state.
-pub fn state_requested(state: &rc::Rc<state::State>, from: types::VmId, applied: u64) {
+pub fn state_requested(
+    state: &rc::Rc<state::State>,
+    from: types::VmId,
+    subscribe: &fleet::Subscribe,
+) {
+    let applied = subscribe.applied;
     let response = state.with(|inner| {
         let leads = inner.is_leading();
         if !leads && (applied > 0 || inner.applied.0 == 0) {
@@ -136,8 +199,17 @@
                 return None;
             }
         };
-        let known = inner.directory.targets();
+        let differing = match core_fleet::Digests::from_slice(&subscribe.bucket_digests) {
+            Some(digests) => inner.directory.digests().differing(&digests),
+            None => (0..core_fleet::BUCKETS).collect(),
+        };
+        let known = differing.iter().flat_map(|i| inner.directory.in_bucket(*i));
         let reports = known.map(|known| wire::fleet::encode_announcement(&known.announcement));
+        let reports = reports.collect();
+        let complete_buckets = match knows_all_targets(state, inner) {
+            true => differing.iter().map(|i| *i as u32).collect(),
+            false => Vec::new(),
+        };
         Some(fleet::State {
             applied: if snapshot.is_empty() {
                 0
@@ -145,7 +217,8 @@
                 inner.applied.0
             },
             snapshot,
-            reports: reports.collect(),
+            reports,
+            complete_buckets,
         })
     });
     if let Some(response) = response {
@@ -171,9 +244,13 @@
     if is_newer {
         restore_snapshot(state, types::LogIndex(received.applied), &received.snapshot);
     }
+    let mut listed = collections::BTreeSet::new();
     for report in received.reports {
-        targets::register(state, wire::fleet::decode_announcement(report)?);
+        let announcement = wire::fleet::decode_announcement(report)?;
+        listed.insert(core_fleet::incarnation_of(&announcement));
+        targets::register(state, announcement);
     }
+    targets::remove_unlisted(state, &received.complete_buckets, &listed);
     Ok(())
 }
 
--- a/wagtailshunt/src/entry/members.rs
+++ b/wagtailshunt/src/entry/members.rs
@@ -103,25 +103,28 @@
     replica::process_outputs(state);
 }
 
-/// Updates the rank of this VM by address, among the VMs of its failure domain and among all.
+/// Updates the rank of this VM by address, among the VMs of its failure domain and among all, and
+/// the VMs of its group.
 fn update_placement_position(state: &state::State) {
     state.with(|inner| {
         let own_address = state.cfg.peer_address;
-        let position = |same_domain: bool| {
-            let domain = &state.cfg.failure_domain;
-            let vms = inner.roster.vms();
-            let counted = vms.filter(|vm| !same_domain || vm.failure_domain == *domain);
-            let addresses: Vec<_> = counted.map(|vm| vm.peer_address).collect();
-            placement::Position {
-                rank: addresses
-                    .iter()
-                    .filter(|address| **address < own_address)
-                    .count(),
-                count: addresses.len(),
-            }
+        let position = |vms: &[&formation::Vm]| placement::Position {
+            rank: vms
+                .iter()
+                .filter(|vm| vm.peer_address < own_address)
+                .count(),
+            count: vms.len(),
         };
-        let (in_domain, all) = (position(true), position(false));
-        inner.placement.set_position(in_domain, all);
+        let all: Vec<&formation::Vm> = inner.roster.vms().collect();
+        let domain = &state.cfg.failure_domain;
+        let in_domain = all.iter().filter(|vm| vm.failure_domain == *domain);
+        let in_domain: Vec<&formation::Vm> = in_domain.copied().collect();
+        let domain_position = position(&in_domain);
+        let group = domain_position.group().range(in_domain.len());
+        inner.group = in_domain[group].iter().map(|vm| vm.id).collect();
+        inner
+            .placement
+            .set_position(domain_position, position(&all));
     });
 }
 
@@ -129,10 +132,12 @@
 pub fn tick(state: &rc::Rc<state::State>, slow: bool) {
     bootstrap(state);
     update_membership(state);
+    leader_sync::request_missing_state(state);
     if slow {
         update_placement_position(state);
         leader_sync::announce_leadership(state);
         targets::expire_silent(state);
-        peers::dial_missing(state);
+        targets::send_renewals(state);
+        peers::update_dialers(state);
     }
 }
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -34,10 +34,10 @@
 
 /// Interval at which timers run; election timeouts that expire in between are handled at their
 /// time.
-const TIMER_INTERVAL: time::Duration = time::Duration::from_millis(25);
+const TIMER_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// Timer ticks between two runs of the slow tasks: one second.
-const TICKS_PER_SLOW_TICK: u32 = 40;
+const TICKS_PER_SLOW_TICK: u32 = 10;
 
 /// Limit of open caller connections; the platform's VMs allow a few thousand file descriptors.
 const MAX_CALLER_CONNECTIONS: usize = 3000;
@@ -285,11 +285,9 @@
         state.clock.sleep_until(next_tick).await;
         ticks += 1;
         replica::tick(&state);
-        if ticks % 4 == 0 {
-            members::tick(&state, ticks % TICKS_PER_SLOW_TICK == 0);
-            store::save_roster(&state);
-            store::save_configuration(&state);
-        }
+        members::tick(&state, ticks % TICKS_PER_SLOW_TICK == 0);
+        store::save_roster(&state);
+        store::save_configuration(&state);
         if ticks % TICKS_PER_SLOW_TICK == 0 {
             store::save_targets(&state);
             state.pool.remove_expired(state.clock.now());
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -1,9 +1,13 @@
 //! Connections between the processes of the system, and dispatch of the received messages.
 //!
-//! Every process opens connections to the seeds, to all VMs eligible as voters, and to the VMs of
-//! its own failure domain, which send each other the loads of targets.
+//! Every process opens connections to the seeds and to all VMs eligible as voters. The VMs of a
+//! group, which send each other the loads of targets, have one connection for each pair.
+//!
+//! A VM announces itself on each new connection. VMs that can be voters, and the seeds by being
+//! connected to all others, forward it; so the messages about a new VM do not grow with the square
+//! of the VMs.
 
-use std::{cell, collections, net, rc};
+use std::{cell, collections, net, rc, time};
 
 use wagtailshunt_core::{event, formation, types};
 use wagtailshunt_wire::{
@@ -19,6 +23,9 @@
     transport,
 };
 
+/// Time for which learned VMs are collected before they are forwarded in one message.
+const ROSTER_FORWARD_DELAY: time::Duration = time::Duration::from_millis(20);
+
 /// Open connections by VM, the newest last, and the dialers that open them by address.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -89,19 +96,44 @@
     Body::Fleet(fleet::FleetMessage { body: Some(body) })
 }
 
-/// Starts dialers for all addresses that this process must be connected to and that have none.
-pub fn dial_missing(state: &rc::Rc<state::State>) {
-    let own = &state.cfg.failure_domain;
+/// Returns the addresses that this process keeps connections to.
+fn wanted_addresses(state: &state::State) -> collections::BTreeSet<net::SocketAddr> {
+    let own = state.cfg.peer_address;
     let mut wanted: collections::BTreeSet<net::SocketAddr> =
         state.seeds.borrow().iter().copied().collect();
     state.with(|inner| {
-        let in_domain = inner.roster.vms().filter(|vm| vm.failure_domain == *own);
-        wanted.extend(in_domain.map(|vm| vm.peer_address));
+        // Of a pair of the same group, the VM with the lower address opens the connection.
+        let group = inner.group.iter().filter_map(|vm| inner.roster.get(*vm));
+        let group = group.filter(|vm| vm.peer_address > own);
+        wanted.extend(group.map(|vm| vm.peer_address));
         let eligible = inner.roster.eligible();
         wanted.extend(eligible.iter().map(|vm| vm.peer_address));
     });
-    wanted.remove(&state.cfg.peer_address);
-    for address in wanted {
+    wanted.remove(&own);
+    wanted
+}
+
+/// Starts missing dialers, and stops those to VMs that have moved to another group.
+pub fn update_dialers(state: &rc::Rc<state::State>) {
+    let wanted = wanted_addresses(state);
+    let known = state.with(|inner| {
+        let vms = inner.roster.vms().map(|vm| vm.peer_address);
+        vms.collect::<collections::BTreeSet<_>>()
+    });
+    state.peers.dialers.borrow_mut().retain(|address, dialer| {
+        // An address that is not in the roster may be that of a seed that does not answer yet.
+        let keep = wanted.contains(address) || !known.contains(address);
+        if !keep {
+            dialer.stop();
+        }
+        keep
+    });
+    dial_missing(state);
+}
+
+/// Starts dialers for all addresses that this process must be connected to and that have none.
+pub fn dial_missing(state: &rc::Rc<state::State>) {
+    for address in wanted_addresses(state) {
         let has_dialer = state.peers.dialers.borrow().contains_key(&address);
         if !has_dialer {
             dial(state, address);
@@ -132,16 +164,26 @@
     }
     state.peers.add_connection(peer.vm, handle);
     let own = wire::fleet::encode_vm(&state.cfg.vm(state.vm, state.incarnation));
-    state
-        .peers
-        .send_fleet(peer.vm, Fleet::Announce(fleet::Announce { vm: Some(own) }));
-    let vms = state.with(|inner| inner.roster.vms().map(wire::fleet::encode_vm).collect());
-    state
-        .peers
-        .send_fleet(peer.vm, Fleet::Roster(fleet::Roster { vms }));
+    let announce = fleet::Announce {
+        vm: Some(own),
+        roster_digest: state.with(|inner| inner.roster.digest()),
+    };
+    state.peers.send_fleet(peer.vm, Fleet::Announce(announce));
     leader_sync::peer_connected(state, peer.vm);
 }
 
+/// Sends a VM that has just announced itself the known VMs, unless it knows the same ones.
+fn send_roster(state: &state::State, to: types::VmId, known_digest: u64) {
+    let vms = state.with(|inner| {
+        let differs = inner.roster.digest() != known_digest;
+        differs.then(|| inner.roster.vms().map(wire::fleet::encode_vm).collect())
+    });
+    if let Some(vms) = vms {
+        let roster = fleet::Roster { vms };
+        state.peers.send_fleet(to, Fleet::Roster(roster));
+    }
+}
+
 /// Handles a received frame.
 pub fn frame_received(
     state: &rc::Rc<state::State>,
@@ -176,6 +218,7 @@
         Fleet::Announce(announce) => {
             let vm = announce.vm.ok_or(wire::fleet::Error::Missing("a VM"))?;
             learn_vm(state, vm, formation::Source::Announced)?;
+            send_roster(state, from, announce.roster_digest);
         }
         Fleet::Roster(roster) => {
             for vm in roster.vms {
@@ -184,7 +227,7 @@
         }
         Fleet::Founding(founding) => members::bootstrap_received(state, from, &founding.voters),
         Fleet::Leading(leading) => leader_sync::leadership_received(state, from, &leading),
-        Fleet::Subscribe(subscribe) => leader_sync::state_requested(state, from, subscribe.applied),
+        Fleet::Subscribe(subscribe) => leader_sync::state_requested(state, from, &subscribe),
         Fleet::State(received) => leader_sync::state_received(state, from, received)?,
         Fleet::Command(command) => leader_sync::command_received(state, from, &command),
         Fleet::Report(report) => {
@@ -232,11 +275,30 @@
             ("disk", &vm.has_disk),
         ],
     );
-    let vms = vec![wire::fleet::encode_vm(&vm)];
-    state
-        .peers
-        .broadcast(&Fleet::Roster(fleet::Roster { vms }), Some(vm.id));
+    if source == formation::Source::Announced || vm.has_disk {
+        schedule_forward(state, vm);
+    }
     members::roster_changed(state);
     dial_missing(state);
     Ok(())
 }
+
+/// Forwards a VM to all connected VMs, together with others that are learned at the same time.
+fn schedule_forward(state: &rc::Rc<state::State>, vm: formation::Vm) {
+    let is_first = state.with(|inner| {
+        inner.unforwarded_vms.push(vm);
+        inner.unforwarded_vms.len() == 1
+    });
+    if !is_first {
+        return;
+    }
+    let state = state.clone();
+    compio::runtime::spawn(async move {
+        compio::time::sleep(ROSTER_FORWARD_DELAY).await;
+        let vms = state.with(|inner| std::mem::take(&mut inner.unforwarded_vms));
+        let vms = vms.iter().map(wire::fleet::encode_vm).collect();
+        let roster = Fleet::Roster(fleet::Roster { vms });
+        state.peers.broadcast(&roster, None);
+    })
+    .detach();
+}
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -64,6 +64,14 @@
     pub(crate) leading_since: Option<core_time::Instant>,
     /// Whether this process has sent the list of initial voters.
     pub(crate) bootstrapped: bool,
+    /// Connected or known VMs of this VM's group, which share the load reports of their targets.
+    pub(crate) group: Vec<types::VmId>,
+    /// VMs that were learned since the roster was last forwarded.
+    pub(crate) unforwarded_vms: Vec<formation::Vm>,
+    /// Targets whose renewed announcements were not sent to the leader yet.
+    pub(crate) unsent_renewals: collections::BTreeSet<types::TargetId>,
+    /// When the state was last requested from a VM.
+    pub(crate) state_requested_at: Option<core_time::Instant>,
     /// Targets that announce themselves at this VM, with the time of the last announcement.
     pub(crate) announced_here: collections::BTreeMap<types::TargetId, core_time::Instant>,
     /// Loads reported to this VM since the last message to the other VMs of its failure domain.
@@ -96,13 +104,6 @@
         let replica = self.replica.as_ref();
         replica.is_some_and(|replica| replica.node.members().iter().any(|member| member == vm))
     }
-
-    /// Returns the known VMs of a failure domain; this VM is among those of its own.
-    pub fn vms_in_domain(&self, domain: &types::FailureDomain) -> Vec<types::VmId> {
-        let vms = self.roster.vms();
-        let in_domain = vms.filter(|vm| vm.failure_domain == *domain);
-        in_domain.map(|vm| vm.id).collect()
-    }
 }
 
 impl State {
@@ -145,6 +146,10 @@
                 leader: None,
                 leading_since: None,
                 bootstrapped: false,
+                group: Vec::new(),
+                unforwarded_vms: Vec::new(),
+                unsent_renewals: collections::BTreeSet::new(),
+                state_requested_at: None,
                 announced_here: collections::BTreeMap::new(),
                 unsent_loads: collections::BTreeMap::new(),
                 retry_budgets: collections::BTreeMap::new(),
--- a/wagtailshunt/src/entry/store.rs
+++ b/wagtailshunt/src/entry/store.rs
@@ -220,7 +220,7 @@
         snapshot.map(|snapshot| fleet::State {
             applied: inner.applied.0,
             snapshot,
-            reports: Vec::new(),
+            ..fleet::State::default()
         })
     });
     match known {
--- a/wagtailshunt/src/entry/targets.rs
+++ b/wagtailshunt/src/entry/targets.rs
@@ -2,9 +2,9 @@
 //!
 //! A VM forwards the announcements that it receives to the leader. The leader sends new targets to
 //! all other VMs and removes targets that have stopped announcing themselves. Deregistrations are
-//! replicated. Loads are sent only to the VMs of the same failure domain.
+//! replicated. Loads are sent only to the VMs of the same group.
 
-use std::{rc, time};
+use std::{collections, rc, time};
 
 use futures_channel::oneshot;
 use wagtailshunt_core::{
@@ -23,6 +23,9 @@
 /// Delay of an announcement on its way to the leader that is tolerated in addition.
 const MAX_ANNOUNCEMENT_DELAY: time::Duration = time::Duration::from_millis(2500);
 
+/// Time for which reported loads are collected before they are sent to the group.
+const LOAD_SEND_DELAY: time::Duration = time::Duration::from_millis(20);
+
 /// Sends the leader the targets that announce themselves at this VM.
 pub fn send_own_announcements(state: &rc::Rc<state::State>, leader: types::VmId) {
     let now = state.clock.now();
@@ -74,12 +77,19 @@
     let now = state.clock.now();
     let target = announcement.target.clone();
     let (result, replaced) = state.with(|inner| {
-        let same_address: Vec<types::TargetId> = inner
-            .directory
-            .targets()
-            .filter(|known| known.announcement.address == announcement.address)
-            .map(|known| known.announcement.target.clone())
-            .collect();
+        let known = inner.directory.get(&target);
+        let has_address =
+            |known: &core_fleet::TargetEntry| known.announcement.address == announcement.address;
+        // Only one target is registered at an address, so a renewal replaces none.
+        let same_address: Vec<types::TargetId> = match known.is_some_and(has_address) {
+            true => Vec::new(),
+            false => {
+                let targets = inner.directory.targets();
+                let same_address = targets.filter(|known| has_address(known));
+                let ids = same_address.map(|known| known.announcement.target.clone());
+                ids.collect()
+            }
+        };
         let result = inner.directory.register(now, announcement);
         let removed = same_address
             .into_iter()
@@ -136,14 +146,34 @@
             core_fleet::RegistrationResult::Joined => forward_to_all(state, &announcement, None),
             core_fleet::RegistrationResult::Renewed | core_fleet::RegistrationResult::Stale => {}
         },
-        Some((_, leader)) => {
+        Some((_, leader)) if result == core_fleet::RegistrationResult::Joined => {
             let announcement = wire::fleet::encode_announcement(&announcement);
             state.peers.send_fleet(leader, Fleet::Report(announcement));
         }
+        Some(_) => state.with(|inner| {
+            inner.unsent_renewals.insert(announcement.target);
+        }),
         None => {}
     }
 }
 
+/// Sends the leader the announcements that were renewed at this VM since the last call. The leader
+/// needs them only to notice targets that have stopped announcing themselves.
+pub fn send_renewals(state: &rc::Rc<state::State>) {
+    let (leader, announcements) = state.with(|inner| {
+        let renewed = std::mem::take(&mut inner.unsent_renewals);
+        let known = renewed.iter().filter_map(|id| inner.directory.get(id));
+        let announcements =
+            known.map(|known| wire::fleet::encode_announcement(&known.announcement));
+        (inner.leader, announcements.collect::<Vec<_>>())
+    });
+    if let Some((_, leader)) = leader.filter(|(_, leader)| *leader != state.vm) {
+        for announcement in announcements {
+            state.peers.send_fleet(leader, Fleet::Report(announcement));
+        }
+    }
+}
+
 /// Handles an announcement forwarded by another VM: to the leader by any VM, or to all VMs by the
 /// leader.
 pub fn announcement_received(
@@ -205,6 +235,32 @@
     }
 }
 
+/// Removes the targets of some buckets of the directory that the leader does not list, unless they
+/// announce themselves at this VM. They have ended while this VM was not connected to the leader.
+pub fn remove_unlisted(
+    state: &rc::Rc<state::State>,
+    buckets: &[u32],
+    listed: &collections::BTreeSet<core_fleet::TargetIncarnation>,
+) {
+    let now = state.clock.now();
+    let limit = silence_timeout(state);
+    let unlisted: Vec<core_fleet::TargetIncarnation> = state.with(|inner| {
+        let known = buckets
+            .iter()
+            .flat_map(|i| inner.directory.in_bucket(*i as usize));
+        let known = known.map(|known| core_fleet::incarnation_of(&known.announcement));
+        let unlisted = known.filter(|known| !listed.contains(known));
+        let announced_here = |known: &core_fleet::TargetIncarnation| {
+            let last = inner.announced_here.get(&known.target);
+            last.is_some_and(|last| now.since(*last) < limit)
+        };
+        unlisted.filter(|known| !announced_here(known)).collect()
+    });
+    for incarnation in &unlisted {
+        expiry_received(state, incarnation);
+    }
+}
+
 /// Returns the start of the known incarnation of a target; 0 when the target is not known.
 pub fn known_born(state: &state::State, target: &types::TargetId) -> core_time::UnixMillis {
     state.with(|inner| {
@@ -266,7 +322,7 @@
     .detach();
 }
 
-/// Handles the loads that a VM of the same failure domain received from targets.
+/// Handles the loads that a VM of the same group received from targets.
 pub fn loads_received(state: &rc::Rc<state::State>, loads: fleet::Loads) {
     let now = state.clock.now();
     state.with(|inner| {
@@ -279,21 +335,31 @@
 }
 
 /// Records the load that a target reported to this VM, for its own use and for the VMs of its
-/// domain.
+/// group.
 pub fn record_load(
     state: &rc::Rc<state::State>,
     target: &types::TargetId,
     load: placement::LoadReport,
 ) {
     let now = state.clock.now();
-    state.with(|inner| {
+    let is_first = state.with(|inner| {
         inner.placement.reported(now, target, &load);
+        let is_first = inner.unsent_loads.is_empty();
         inner.unsent_loads.insert(target.clone(), (now, load));
+        is_first
     });
+    if is_first {
+        let state = state.clone();
+        compio::runtime::spawn(async move {
+            compio::time::sleep(LOAD_SEND_DELAY).await;
+            send_loads(&state);
+        })
+        .detach();
+    }
 }
 
-/// Sends the loads recorded since the last call to the VMs of the same failure domain.
-pub fn send_loads(state: &rc::Rc<state::State>) {
+/// Sends the loads recorded since the last call to the VMs of the same group.
+fn send_loads(state: &rc::Rc<state::State>) {
     let now = state.clock.now();
     let (loads, vms) = state.with(|inner| {
         let unsent = std::mem::take(&mut inner.unsent_loads);
@@ -301,11 +367,8 @@
             .iter()
             .map(|(target, (at, load))| wire::fleet::encode_load(target, load, now.since(*at)))
             .collect();
-        (loads, inner.vms_in_domain(&state.cfg.failure_domain))
+        (loads, inner.group.clone())
     });
-    if loads.is_empty() {
-        return;
-    }
     for vm in vms {
         let loads = fleet::Loads {
             loads: loads.clone(),
--- a/wagtailshunt/src/transport/connection.rs
+++ b/wagtailshunt/src/transport/connection.rs
@@ -99,6 +99,11 @@
         sent
     }
 
+    /// Ends the connection after the queued frames, for all clones of the handle.
+    pub fn close(&self) {
+        self.tx.close_channel();
+    }
+
     /// Returns whether the connection is still running.
     pub fn is_open(&self) -> bool {
         !self.tx.is_closed()
--- a/wagtailshunt/src/transport/dial.rs
+++ b/wagtailshunt/src/transport/dial.rs
@@ -45,7 +45,9 @@
     /// Closes the connection and stops reopening it.
     pub fn stop(&self) {
         self.stopped.set(true);
-        self.handle.borrow_mut().take();
+        if let Some(handle) = self.handle.borrow_mut().take() {
+            handle.close();
+        }
     }
 }
 
