Faults of targets and planned stops: late copies, broken bodies, bytes without end, pipelined calls

Found with tests that fail without the change: - pipelined calls that were already passed on to a target were cut off by the response that closes the connection during a planned stop; the connection now closes after the last of them, and none is started early any more. - connections accepted just before the listener closed were reset; the listener takes the last ones, and a connection without a request stays open for half a second. - interim responses without end were read until the call's timeout; a head has 128 KiB now. - a configuration that could not be stored (full disk) was not stored later, so that a restart brought back the old one. - a process whose log had a torn tail could not start on a full disk. - a leader that was suspended would take the silence of its own suspension for the end of all targets, and the report of an earlier leader was believed. - a probe could take the late response of a call for its own, and put the connection back. Looked for and not found: a body that breaks off does not look complete; a running call goes on when its target leaves.

--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -19,6 +19,10 @@
 /// one of them again.
 const MAX_DEREGISTERED: usize = 4096;
 
+/// Longest time between two checks for silent targets. After a longer one the process was suspended,
+/// and the announcements of that time were not read yet.
+const MAX_CHECK_GAP: time::Duration = time::Duration::from_secs(3);
+
 /// Announcement of a target that is ready for calls.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
@@ -77,6 +81,8 @@
 pub struct Directory {
     targets: collections::BTreeMap<types::TargetId, TargetEntry>,
     deregistered: collections::VecDeque<TargetIncarnation>,
+    /// When silent targets were last looked for.
+    checked_at: Option<core_time::Instant>,
 }
 
 impl Directory {
@@ -183,6 +189,21 @@
             .collect()
     }
 
+    /// Returns the incarnations to remove because they have been silent for `limit` or longer. To be
+    /// called every second; after a pause of this process, silence proves nothing, and the limit
+    /// starts anew for all targets.
+    pub fn check_silent(
+        &mut self,
+        now: core_time::Instant,
+        limit: time::Duration,
+    ) -> Vec<TargetIncarnation> {
+        let last = self.checked_at.replace(now);
+        if last.is_none_or(|last| now.since(last) > MAX_CHECK_GAP) {
+            self.reset_last_seen(now);
+        }
+        self.silent(now, limit)
+    }
+
     /// Counts all targets as announced at `now`. A new leader calls this, because it may not have
     /// received the announcements that went to the previous leader.
     pub fn reset_last_seen(&mut self, now: core_time::Instant) {
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -115,3 +115,21 @@
     assert!(sent < 100, "{sent} of 700 targets are sent");
     assert_ne!(here.digests().total(), there.digests().total());
 }
+
+/// Guards against a leader that was suspended and, when it wakes, takes the silence of all targets
+/// during that time for their end.
+#[test]
+fn targets_are_not_silent_while_the_vm_was_suspended() {
+    let limit = time::Duration::from_secs(7);
+    let at = |ms: u64| core_time::Instant(ms * 1000);
+    let mut directory = fleet::Directory::default();
+    directory.register(at(0), announcement("a", 1, 100, 1));
+    for second in 1..=3 {
+        assert!(directory.check_silent(at(second * 1000), limit).is_empty());
+    }
+    assert!(directory.check_silent(at(12_000), limit).is_empty());
+    for second in 13..19 {
+        assert!(directory.check_silent(at(second * 1000), limit).is_empty());
+    }
+    assert_eq!(directory.check_silent(at(19_000), limit).len(), 1);
+}
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -450,3 +450,24 @@
     let chosen = placement.choose(at(1), &demand).unwrap();
     assert!(!own.contains(&chosen.target));
 }
+
+/// Guards against regular probes that cost more than the calls they are for: the load is seven calls
+/// a second on a VM that shares many targets. With more calls the probes rise to the allowed rate.
+#[test]
+fn regular_probes_follow_the_calls() {
+    const MIN_INTERVAL: time::Duration = time::Duration::from_millis(100);
+    let probes_per_s = |calls_per_s: u64, targets: usize| {
+        let mut rate = placement::ProbeRate::default();
+        for i in 0..5 * calls_per_s {
+            rate.count_call(at(i * 1000 / calls_per_s));
+        }
+        1.0 / rate.pause(at(5000), targets, MIN_INTERVAL).as_secs_f64()
+    };
+    let few_calls = probes_per_s(7, 12);
+    assert!((5.0..10.0).contains(&few_calls), "{few_calls}");
+    let many_calls = probes_per_s(500, 12);
+    assert!((119.0..=121.0).contains(&many_calls), "{many_calls}");
+    // Without calls each target is still probed every two seconds.
+    let idle = placement::ProbeRate::default().pause(at(60_000), 12, MIN_INTERVAL);
+    assert_eq!(idle, time::Duration::from_secs(2) / 12);
+}
--- a/lab/tests/disk.rs
+++ b/lab/tests/disk.rs
@@ -174,6 +174,78 @@
     }
 }
 
+/// Files on a disk that takes no bytes and no change of length while the flag is set.
+struct FullDisk(Folder, bool);
+
+impl FullDisk {
+    fn check(&self) -> io::Result<()> {
+        match self.1 {
+            true => Err(io::ErrorKind::StorageFull.into()),
+            false => Ok(()),
+        }
+    }
+}
+
+impl Files for FullDisk {
+    fn path(&self) -> &path::Path {
+        self.0.path()
+    }
+    fn read_all(&mut self) -> io::Result<Vec<(String, Vec<u8>)>> {
+        self.0.read_all()
+    }
+    fn write(&mut self, file: &str, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.check()?;
+        self.0.write(file, offset, data)
+    }
+    fn sync(&mut self, file: &str) -> io::Result<()> {
+        self.0.sync(file)
+    }
+    fn set_len(&mut self, file: &str, len: u64) -> io::Result<()> {
+        self.check()?;
+        self.0.set_len(file, len)
+    }
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.check()?;
+        self.0.rename(from, to)
+    }
+    fn remove(&mut self, file: &str) -> io::Result<()> {
+        self.0.remove(file)
+    }
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.0.sync_folder()
+    }
+}
+
+/// Guards against a process that cannot start while its disk is full: a torn tail was to be cut
+/// before the group could be used.
+#[test]
+fn a_group_opens_on_a_full_disk_and_is_repaired_later() {
+    let folder = Temporary::new("full-start");
+    let open = |full| {
+        let files = FullDisk(Folder::open(folder.0.clone()).unwrap(), full);
+        Store::open(files, None)
+    };
+    let (mut store, _) = open(false).unwrap();
+    for index in 1..=3 {
+        store.execute(&[append(index, index)]).unwrap();
+    }
+    drop(store);
+    let log = folder.0.join("log-00000000000000000001.wal");
+    let whole = fs::read(&log).unwrap();
+    fs::write(&log, &whole[..whole.len() - 1]).unwrap();
+    let (mut store, recovered) = open(true).unwrap();
+    assert_eq!(recovered.entries.len(), 2);
+    let refused = store.execute(&[append(3, 4)]);
+    assert!(matches!(refused, Err(Error::Full { .. })));
+    let mut files = store.into_files();
+    files.1 = false;
+    let (mut store, _) = Store::open(files, None).unwrap();
+    store.execute(&[append(3, 4)]).unwrap();
+    drop(store);
+    let (_, recovered) = open(false).unwrap();
+    assert_eq!(recovered.entries.len(), 4);
+}
+
 /// Guards against a retry after a failed sync: the kernel may have dropped the unwritten pages, so
 /// that a second sync succeeds without the data on disk.
 #[test]
--- a/wagtailshunt/src/disk/store.rs
+++ b/wagtailshunt/src/disk/store.rs
@@ -26,7 +26,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Storage`] if the stored state is damaged, or any I/O error of the file system.
+    /// [`Error::Storage`] if the stored state is damaged, or any I/O error of the file system. A full
+    /// disk is an error only for a new group with `initial`.
     pub fn open(
         mut files: F,
         initial: Option<&storage::Membership>,
@@ -51,7 +52,12 @@
             torn_bytes: recovery.torn_bytes,
             stopped: false,
         };
-        store.retry()?;
+        match store.retry() {
+            // The repair stays pending and runs before the first batch. Until then nothing is
+            // written, so what was recovered stays true.
+            Err(err) if err.is_full() => log::warn!("{err}; repair of the log is retried later"),
+            repaired => repaired?,
+        }
         if let Some(initial) = initial
             && recovered == storage::Recovered::default()
         {
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -153,6 +153,7 @@
     /// Runs the call until it has a response or its deadline expires.
     pub async fn run(self: &rc::Rc<Self>) -> CallOutcome {
         self.state.with(|inner| {
+            inner.probe_rate.count_call(self.arrival);
             budget::retries(&self.state.cfg.limits, inner, &self.service).count_call();
             budget::probes(&self.state.cfg.limits, inner, &self.service).count_call();
         });
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -81,9 +81,10 @@
 }
 
 /// Returns whether a pipelined request may start before the earlier ones are answered. Only
-/// repeatable calls may, since the caller sends them again when the connection closes first.
+/// repeatable calls may, since the caller sends them again when the connection closes first. During
+/// a planned stop none is started, as the next response closes the connection.
 pub fn may_start_early(state: &state::State, req: &Request<http::Body>) -> bool {
-    route(state, req).is_ok_and(|named_route| named_route.1.repeatable)
+    !state.stopping() && route(state, req).is_ok_and(|named_route| named_route.1.repeatable)
 }
 
 /// Counts a call as in progress until it is dropped.
--- a/wagtailshunt/src/entry/calls/probe.rs
+++ b/wagtailshunt/src/entry/calls/probe.rs
@@ -32,14 +32,16 @@
     };
     while !state.stopped() {
         let assigned = assigned_targets(&state);
-        let pause = interval / u32::try_from(assigned.len()).unwrap_or(u32::MAX).max(1);
+        let count = assigned.len();
+        if count == 0 {
+            compio::time::sleep(interval).await;
+        }
         for target_to_probe in assigned {
             compio::runtime::spawn(send_probe(state.clone(), target_to_probe)).detach();
+            let now = state.clock.now();
+            let pause = state.with(|inner| inner.probe_rate.pause(now, count, interval));
             compio::time::sleep(pause).await;
         }
-        if pause == interval {
-            compio::time::sleep(interval).await;
-        }
     }
 }
 
@@ -158,7 +160,12 @@
     state.metrics.probes.inc();
     let response = client.send(req).await.map_err(|(err, _)| err)?;
     let (head, body) = response.into_parts();
-    let header_target_id = http::header_text(&head.headers, &state.cfg.protocol.target_id);
+    let protocol = &state.cfg.protocol;
+    if head.headers.contains_key(&protocol.request_id) {
+        // The response to the probe is still to come, and would be taken for that of the next call.
+        return Err("late response to a call instead of the response to the probe".into());
+    }
+    let header_target_id = http::header_text(&head.headers, &protocol.target_id);
     if header_target_id.is_none_or(|id| id == destination.target.as_str()) {
         match attempt::record_load_header(state, &destination.target, &head.headers) {
             true => {}
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -234,7 +234,7 @@
             targets::announcement_received(state, from, wire::fleet::decode_announcement(report)?);
         }
         Fleet::Gone(life) => {
-            targets::expiry_received(state, &wire::fleet::decode_incarnation(life))
+            targets::expiry_received(state, from, &wire::fleet::decode_incarnation(life))
         }
         Fleet::Depart(life) => {
             targets::deregister_requested(
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -81,6 +81,8 @@
     pub(crate) retry_budgets: collections::BTreeMap<types::ServiceName, retry::Budget>,
     /// Probes that calls may still send, by service.
     pub probe_budgets: collections::BTreeMap<types::ServiceName, retry::Budget>,
+    /// Rate of the regular probes.
+    pub(crate) probe_rate: placement::ProbeRate,
     /// Calls that wait for a target, by service.
     pub queues: collections::BTreeMap<types::ServiceName, placement::Queue>,
     /// Requests during which targets crashed.
@@ -154,6 +156,7 @@
                 unsent_loads: collections::BTreeMap::new(),
                 retry_budgets: collections::BTreeMap::new(),
                 probe_budgets: collections::BTreeMap::new(),
+                probe_rate: placement::ProbeRate::default(),
                 queues: collections::BTreeMap::new(),
                 crashes: containment::CrashCounter::default(),
                 split_credits: collections::BTreeMap::new(),
--- a/wagtailshunt/src/entry/store.rs
+++ b/wagtailshunt/src/entry/store.rs
@@ -2,7 +2,7 @@
 //! targets, and the applied configuration. They let a restarted VM serve calls before it has found
 //! a leader.
 
-use std::{cell, collections, fs, io, path, rc};
+use std::{cell, collections, fs, io, path, rc, time};
 
 use prost::Message;
 use rand::{Rng, SeedableRng, rngs};
@@ -16,6 +16,9 @@
 const TARGETS_FILE: &str = "targets";
 const CONFIGURATION_FILE: &str = "configuration";
 
+/// Interval at which a file that could not be written is written again.
+const WRITE_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
 /// Errors of the file with the VM's id.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -95,6 +98,8 @@
     pub configuration: cell::Cell<bool>,
     /// Files that are being written. A concurrent second write could finish before the first one.
     writing: cell::RefCell<collections::BTreeSet<&'static str>>,
+    /// Files whose last write failed.
+    failed: cell::RefCell<collections::BTreeSet<&'static str>>,
 }
 
 impl Unsaved {
@@ -104,6 +109,14 @@
         flags.iter().all(|unsaved| !unsaved.get()) && self.writing.borrow().is_empty()
     }
 
+    fn flag(&self, name: &'static str) -> &cell::Cell<bool> {
+        match name {
+            ROSTER_FILE => &self.roster,
+            TARGETS_FILE => &self.targets,
+            _ => &self.configuration,
+        }
+    }
+
     /// Returns whether a file must be written now, and clears its flag. A file that is being
     /// written keeps its flag.
     fn start_save(&self, name: &'static str, unsaved: &cell::Cell<bool>) -> bool {
@@ -111,7 +124,8 @@
     }
 }
 
-/// Writes a file in the background.
+/// Writes a file in the background. A file that cannot be written, for example on a full disk, is
+/// written again: a restart must not bring back what has been withdrawn since.
 fn write_later(state: &rc::Rc<state::State>, name: &'static str, content: Vec<u8>) {
     let Some(folder) = state.cfg.data_folder.clone() else {
         return;
@@ -121,15 +135,26 @@
     compio::runtime::spawn(async move {
         let task = compio::runtime::spawn_blocking(move || write(&folder, name, &content));
         match task.await {
-            Ok(Ok(())) => {}
-            Ok(Err(err)) => log::warn!("cannot write {name}: {err}; retrying at its next change"),
-            Err(_) => log::warn!("cannot write {name}: task ended; retrying at its next change"),
+            Ok(Ok(())) => {
+                state.unsaved.failed.borrow_mut().remove(name);
+            }
+            Ok(Err(err)) => write_failed(&state, name, &err.to_string()).await,
+            Err(_) => write_failed(&state, name, "task ended").await,
         }
         state.unsaved.writing.borrow_mut().remove(name);
     })
     .detach();
 }
 
+/// Schedules a file to be written again. Logs only the first of several failures in a row.
+async fn write_failed(state: &state::State, name: &'static str, reason: &str) {
+    if state.unsaved.failed.borrow_mut().insert(name) {
+        log::warn!("cannot write {name}: {reason}; retrying every {WRITE_RETRY_INTERVAL:?}");
+    }
+    compio::time::sleep(WRITE_RETRY_INTERVAL).await;
+    state.unsaved.flag(name).set(true);
+}
+
 /// Loads the VMs that were known before the restart.
 pub fn load_roster(state: &rc::Rc<state::State>) {
     let now = state.clock.now();
--- a/wagtailshunt/src/entry/targets.rs
+++ b/wagtailshunt/src/entry/targets.rs
@@ -207,18 +207,31 @@
     let now = state.clock.now();
     let limit = silence_timeout(state);
     let silent = state.with(|inner| match inner.leading_since {
-        Some(_) => inner.directory.silent(now, limit),
+        Some(_) => inner.directory.check_silent(now, limit),
         None => Vec::new(),
     });
     for incarnation in silent {
-        expiry_received(state, &incarnation);
+        remove_silent(state, &incarnation);
         let gone = Fleet::Gone(wire::fleet::encode_incarnation(&incarnation));
         state.peers.broadcast(&gone, None);
     }
 }
 
-/// Removes a target that has stopped announcing itself.
-pub fn expiry_received(state: &rc::Rc<state::State>, incarnation: &core_fleet::TargetIncarnation) {
+/// Handles the report of a target that has stopped announcing itself. Only the current leader hears
+/// of all announcements, so the report of an earlier one is ignored.
+pub fn expiry_received(
+    state: &rc::Rc<state::State>,
+    from: types::VmId,
+    incarnation: &core_fleet::TargetIncarnation,
+) {
+    let leader = state.with(|inner| inner.leader.map(|(_, leader)| leader));
+    if leader == Some(from) {
+        remove_silent(state, incarnation);
+    }
+}
+
+/// Removes a target that has stopped announcing itself. Calls that run on it go on.
+fn remove_silent(state: &rc::Rc<state::State>, incarnation: &core_fleet::TargetIncarnation) {
     let removed = state.with(|inner| {
         let removed = inner.directory.remove(incarnation);
         if removed {
@@ -257,7 +270,7 @@
         unlisted.filter(|known| !announced_here(known)).collect()
     });
     for incarnation in &unlisted {
-        expiry_received(state, incarnation);
+        remove_silent(state, incarnation);
     }
 }
 
--- a/wagtailshunt/src/http/client.rs
+++ b/wagtailshunt/src/http/client.rs
@@ -6,7 +6,14 @@
 use compio::net::TcpStream;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 
-use crate::http::{self, io::Io};
+use crate::http::{
+    self,
+    io::{Io, ReadLimit},
+};
+
+/// Largest number of bytes that a target may send before the head of its response is complete,
+/// interim responses included. A target in trouble may send bytes without end.
+const MAX_HEAD_BYTES: usize = 128 * 1024;
 
 /// Errors of a connection to a target.
 #[derive(Debug, thiserror::Error)]
@@ -36,6 +43,7 @@
 pub struct Client {
     sender: http1::SendRequest<http::Body>,
     ended: rc::Rc<cell::Cell<bool>>,
+    read_limit: ReadLimit,
 }
 
 impl Client {
@@ -58,7 +66,8 @@
         // With Nagle's algorithm, a small request waits for the acknowledgement of the previous
         // segment.
         stream.set_nodelay(true).map_err(ClientError::Connect)?;
-        let io = Io::new(stream);
+        let read_limit = ReadLimit::default();
+        let io = Io::with_read_limit(stream, read_limit.clone());
         let (sender, conn) = http1::handshake(io).await.map_err(ClientError::Broken)?;
         let ended = rc::Rc::new(cell::Cell::new(false));
         let connection_ended = ended.clone();
@@ -69,7 +78,11 @@
             on_end();
         })
         .detach();
-        Ok(Client { sender, ended })
+        Ok(Client {
+            sender,
+            ended,
+            read_limit,
+        })
     }
 
     /// Returns whether the connection can carry a further call.
@@ -99,7 +112,10 @@
         if !self.is_usable() {
             return Err((ClientError::NotSent, Some(req.into_body())));
         }
-        match self.sender.try_send_request(req).await {
+        self.read_limit.set(Some(MAX_HEAD_BYTES));
+        let response = self.sender.try_send_request(req).await;
+        self.read_limit.set(None);
+        match response {
             Ok(response) => Ok(response),
             // hyper returns the request only if it wrote nothing of it.
             Err(mut err) => match err.take_message() {
--- a/wagtailshunt/src/http/io.rs
+++ b/wagtailshunt/src/http/io.rs
@@ -3,7 +3,7 @@
 //! An entry VM keeps some hundred connections open, few of which carry a request at the same time.
 //! Their buffers are most of its memory.
 
-use std::{io, pin, task};
+use std::{cell, io, pin, rc, task};
 
 use compio::{io::compat, net::TcpStream};
 use futures_util::{AsyncRead, AsyncWrite};
@@ -16,18 +16,28 @@
 /// Size to which a buffer may grow while the peer reads slowly.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Number of bytes that may still be read from a connection; `None` without a limit.
+pub type ReadLimit = rc::Rc<cell::Cell<Option<usize>>>;
+
 /// A TCP connection with small buffers.
 pub struct Io {
     stream: pin::Pin<Box<compat::AsyncStream<TcpStream>>>,
+    read_limit: ReadLimit,
 }
 
 impl Io {
     /// Wraps a connection.
     pub fn new(stream: TcpStream) -> Io {
+        Io::with_read_limit(stream, ReadLimit::default())
+    }
+
+    /// Wraps a connection that fails once more bytes arrive than `read_limit` allows.
+    pub fn with_read_limit(stream: TcpStream, read_limit: ReadLimit) -> Io {
         let stream =
             compat::AsyncStream::with_limits(INITIAL_BUFFER_BYTES, MAX_BUFFER_BYTES, stream);
         Io {
             stream: Box::pin(stream),
+            read_limit,
         }
     }
 }
@@ -41,7 +51,19 @@
         let mut chunk = [0; INITIAL_BUFFER_BYTES];
         let capacity = buf.remaining().min(INITIAL_BUFFER_BYTES);
         let read = self.stream.as_mut().poll_read(cx, &mut chunk[..capacity]);
-        read.map_ok(|n| buf.put_slice(&chunk[..n]))
+        let n = match read {
+            task::Poll::Ready(Ok(n)) => n,
+            task::Poll::Ready(Err(err)) => return task::Poll::Ready(Err(err)),
+            task::Poll::Pending => return task::Poll::Pending,
+        };
+        if let Some(left) = self.read_limit.get() {
+            let Some(left) = left.checked_sub(n) else {
+                return task::Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            };
+            self.read_limit.set(Some(left));
+        }
+        buf.put_slice(&chunk[..n]);
+        task::Poll::Ready(Ok(()))
     }
 }
 
--- a/wagtailshunt/src/http/pipeline.rs
+++ b/wagtailshunt/src/http/pipeline.rs
@@ -103,6 +103,12 @@
         early.task.await.ok()
     }
 
+    /// Returns whether requests behind the current one were started. They must be answered before
+    /// the connection closes.
+    pub fn has_early_requests(&self) -> bool {
+        !self.early_requests.borrow().is_empty()
+    }
+
     /// Records that the current request has its response.
     pub fn response_ready(&self) {
         self.response_pending.set(false);
--- a/wagtailshunt/src/http/serve.rs
+++ b/wagtailshunt/src/http/serve.rs
@@ -148,7 +148,7 @@
     accept(listener, limits, shutdown, move |stream, peer| {
         let handler = handler.clone();
         let respond = move |req| handler(req, peer);
-        serve_connection(Io::new(stream), limits, stopping.clone(), respond)
+        serve_connection(Io::new(stream), limits, stopping.clone(), || true, respond)
     })
     .await
 }
@@ -179,19 +179,24 @@
         let pipeline_state = pipeline::PipelineState::new(peer, limits.header_count, start.clone());
         let io = pipeline::PipelinedIo::new(Io::new(stream), pipeline_state.clone());
         let handler = handler.clone();
+        let pipeline = pipeline_state.clone();
+        let may_close = move || !pipeline.has_early_requests();
         let respond = move |req: Request<Incoming>| {
             let (pipeline_state, handler) = (pipeline_state.clone(), handler.clone());
             async move {
                 let early = pipeline_state.take_early(req.method(), req.uri()).await;
-                let response = match early {
+                let mut response = match early {
                     Some(response) => response,
                     None => handler(req.map(Body::Incoming), peer).await,
                 };
+                if pipeline_state.has_early_requests() {
+                    response.headers_mut().remove(hyper::header::CONNECTION);
+                }
                 pipeline_state.response_ready();
                 response
             }
         };
-        serve_connection(io, limits, stopping.clone(), respond)
+        serve_connection(io, limits, stopping.clone(), may_close, respond)
     })
     .await
 }
@@ -205,6 +210,9 @@
 where
     C: Future<Output = ()> + 'static,
 {
+    // Counts as an open connection, so that the shutdown waits for connections accepted last.
+    let _listening = shutdown.track_connection();
+    let mut closing = false;
     loop {
         if shutdown.open_connections() >= limits.connections {
             compio::time::sleep(time::Duration::from_millis(1)).await;
@@ -213,12 +221,22 @@
             }
             continue;
         }
-        let stop = shutdown.wait().fuse();
-        let accept = listener.accept().fuse();
-        pin_mut!(stop, accept);
-        let accepted = select_biased! {
-            () = stop => return Ok(()),
-            accepted = accept => accepted,
+        let accepted = if closing {
+            match compio::time::timeout(LAST_ACCEPT_TIMEOUT, listener.accept()).await {
+                Ok(accepted) => accepted,
+                Err(_) => return Ok(()),
+            }
+        } else {
+            let stop = shutdown.wait().fuse();
+            let accept = listener.accept().fuse();
+            pin_mut!(stop, accept);
+            select_biased! {
+                () = stop => {
+                    closing = true;
+                    continue;
+                }
+                accepted = accept => accepted,
+            }
         };
         match accepted {
             Ok((stream, peer)) => {
@@ -254,20 +272,42 @@
     ) || matches!(err.raw_os_error(), Some(EMFILE | ENFILE))
 }
 
-async fn serve_connection<S, H, F>(io: S, limits: Limits, shutdown: Shutdown, handler: H)
-where
+/// Interval at which a connection that must not close yet is checked during a shutdown.
+const CLOSE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(10);
+
+/// Age up to which a connection without a request stays open during a shutdown: its first request
+/// may be on the way, and closing the connection would cut it off.
+const FIRST_REQUEST_GRACE: time::Duration = time::Duration::from_millis(500);
+
+/// Time without a new connection after which a listener that shuts down is closed. Connections that
+/// the kernel has accepted would be reset with it.
+const LAST_ACCEPT_TIMEOUT: time::Duration = time::Duration::from_millis(5);
+
+/// Serves a connection until it ends or, after the start of the shutdown, until `may_close` and the
+/// request in progress has its response.
+async fn serve_connection<S, H, F>(
+    io: S,
+    limits: Limits,
+    shutdown: Shutdown,
+    may_close: impl Fn() -> bool + Clone + 'static,
+    handler: H,
+) where
     S: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     let stopping = shutdown.clone();
+    let close_allowed = may_close.clone();
+    let has_request = rc::Rc::new(cell::Cell::new(false));
+    let request_arrived = has_request.clone();
     let service = service::service_fn(move |req| {
+        request_arrived.set(true);
         let response = handler(req);
-        let stopping = stopping.clone();
+        let (stopping, close_allowed) = (stopping.clone(), close_allowed.clone());
         // Boxed, because hyper reserves memory for the future on idle connections as well.
         Box::pin(async move {
             let mut response = response.await;
-            if stopping.is_started() {
+            if stopping.is_started() && close_allowed() {
                 let close = hyper::header::HeaderValue::from_static("close");
                 response
                     .headers_mut()
@@ -283,7 +323,14 @@
         .max_headers(limits.header_count)
         .serve_connection(io, service);
     let mut conn = Box::pin(conn);
-    let stop = shutdown.wait();
+    let opened = time::Instant::now();
+    let stop = async {
+        shutdown.wait().await;
+        let is_new = || !has_request.get() && opened.elapsed() < FIRST_REQUEST_GRACE;
+        while is_new() || !may_close() {
+            compio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+        }
+    };
     pin_mut!(stop);
     match future_util::select(conn.as_mut(), stop).await {
         future_util::Either::Left(_) => {}
