Calls go to another group of the domain before another failure domain

Cause: the penalty of another failure domain is 60 ms whatever the call takes; for calls of 390 to 1,600 ms it was less than the penalty of another group in the own domain, so calls of a group with slowed targets crossed domains. Change: at least half of the service time. Test fails with the share at 0.

--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -42,8 +42,10 @@
     pub occupancy_fade: time::Duration,
     /// Latency that a target in another failure domain must save to be preferred.
     pub domain_penalty: time::Duration,
-    /// Share of the service time that a target of the own failure domain costs more when another
-    /// group of VMs prefers it.
+    /// The same as a share of the service time; the larger of both counts.
+    pub domain_penalty_share: f64,
+    /// Share of the service time that a target of the own failure domain must save to be preferred
+    /// although another group of VMs prefers it; less than that of another failure domain.
     pub group_penalty: f64,
     /// Number of consecutive failures that eject a target.
     pub eject_after: u32,
@@ -65,6 +67,7 @@
             slowness_fade: time::Duration::from_millis(400),
             occupancy_fade: time::Duration::from_millis(200),
             domain_penalty: time::Duration::from_millis(60),
+            domain_penalty_share: 0.5,
             group_penalty: 0.3,
             eject_after: 2,
             eject_for: time::Duration::from_millis(500),
@@ -330,6 +333,9 @@
         let local_len = service.targets.values().filter(|t| t.same_domain).count();
         let remote_len = service.targets.len() - local_len;
         let own_part = domain_group.range(local_len);
+        let work = demand.work.as_secs_f64();
+        let domain_penalty = self.cfg.domain_penalty.as_secs_f64();
+        let domain_penalty = domain_penalty.max(self.cfg.domain_penalty_share * work);
         let (mut local_index, mut remote_index) = (0, 0);
         let mut ranked = Vec::with_capacity(service.targets.len());
         for (id, target) in &service.targets {
@@ -339,7 +345,7 @@
                     local_index += 1;
                     let group_penalty = match own_part.contains(&index) {
                         true => 0.0,
-                        false => self.cfg.group_penalty * demand.work.as_secs_f64(),
+                        false => self.cfg.group_penalty * work,
                     };
                     let distance = self.domain_position.distance(index, local_len);
                     (distance, group_penalty)
@@ -347,7 +353,7 @@
                 false => {
                     remote_index += 1;
                     let distance = self.system_position.distance(remote_index - 1, remote_len);
-                    (distance, self.cfg.domain_penalty.as_secs_f64())
+                    (distance, domain_penalty)
                 }
             };
             if demand.tried.contains(id) {
@@ -356,7 +362,7 @@
             let estimate = target.estimate(now, &service.means, &self.cfg);
             let expected_latency = estimate.expected_latency(demand.work);
             // Spreads the choices of VMs whose estimates are equal.
-            let jitter = self.rng.random_range(0.0..0.02) * demand.work.as_secs_f64();
+            let jitter = self.rng.random_range(0.0..0.02) * work;
             // The calls of other VMs on a target without load reports are not known. Own calls are
             // spread over the targets that other VMs prefer less.
             let unknown_load_cost = match target.reports_load {
@@ -364,7 +370,7 @@
                 false => {
                     let own_cost = f64::from(target.in_flight) * UNKNOWN_LOAD_OWN_CALL_COST;
                     let order_cost = distance as f64 * UNKNOWN_LOAD_ORDER_COST;
-                    (own_cost + order_cost) * demand.work.as_secs_f64()
+                    (own_cost + order_cost) * work
                 }
             };
             ranked.push(Ranked {
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -471,3 +471,31 @@
     let idle = placement::ProbeRate::default().pause(at(60_000), 12, MIN_INTERVAL);
     assert_eq!(idle, time::Duration::from_secs(2) / 12);
 }
+
+/// Guards against calls that leave the failure domain although other groups of it have free targets:
+/// long calls, all targets of the own group slowed.
+#[test]
+fn calls_go_to_another_group_before_another_domain() {
+    let mut placement = placement_in_group(60, 5, 22);
+    for i in 60..80 {
+        placement.add(at(0), &report(i, "nadi"));
+    }
+    let own: Vec<_> = placement.group_targets().cloned().collect();
+    let service = service();
+    let demand = placement::Demand {
+        service: &service,
+        work: time::Duration::from_millis(1600),
+        tried: &[],
+    };
+    for target in &own {
+        placement.reported(at(1), target, &load(0, 700));
+    }
+    let ranked = placement.ranked(at(1), &demand);
+    let local = |choice: &placement::Choice| (0..60).any(|i| id(i) == choice.target);
+    let firsts = ranked.iter().take(10);
+    assert!(
+        firsts
+            .clone()
+            .all(|choice| local(choice) && !own.contains(&choice.target))
+    );
+}
