Warn before a disk is full: metrics, events 131 and 132, time left at the present growth

Cause: from outside nobody could tell which machine would fill its disk next. Change: core::storage::space decides the warnings, entry::disk_space measures the data folder every ten seconds.

--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -115,4 +115,6 @@
     SettingsReloaded = 128, Info, "settings file reloaded";
     VmLearned = 129, Info, "peer VM discovered";
     TargetLostWithCall = 130, Warn, "target lost while it ran a call";
+    DiskSpaceLow = 131, Warn, "disk space low";
+    DiskFull = 132, Warn, "disk full or writable again";
 }
--- a/core/src/storage/mod.rs
+++ b/core/src/storage/mod.rs
@@ -9,11 +9,13 @@
 mod entry;
 mod frame;
 mod recovery;
+mod space;
 mod writer;
 
 pub use entry::{Entry, HardState, Membership, Op, Payload, Recovered, Snapshot};
 pub use frame::{FRAME_HEADER_BYTES, MAX_FRAME_BYTES};
 pub use recovery::{Opened, recover};
+pub use space::{SpaceWarning, SpaceWatch};
 pub use writer::{DEFAULT_SEGMENT_BYTES, FileOp, Writer};
 
 use crate::types;
--- a/core/tests/storage.rs
+++ b/core/tests/storage.rs
@@ -340,3 +340,29 @@
         .tests(300)
         .quickcheck(check as fn(Batches, u8) -> TestResult);
 }
+
+/// Guards against a disk of which nobody hears before it is full: the load is a log that grows by
+/// 100 KB a second.
+#[test]
+fn growing_files_warn_before_the_disk_is_full() {
+    const LIMIT: u64 = 64 * 1024 * 1024;
+    let mut watch = storage::SpaceWatch::default();
+    let mut warnings = Vec::new();
+    for second in (0..700).step_by(10) {
+        let now = wagtailshunt_core::time::Instant(second * 1_000_000);
+        warnings.extend(watch.observe(now, second * 100_000, LIMIT));
+    }
+    assert_eq!(warnings.len(), 3, "{warnings:?}");
+    for warning in &warnings {
+        let expected = (LIMIT - warning.used) as f64 / 100_000.0;
+        let full_in = warning.full_in.unwrap().as_secs_f64();
+        assert!(
+            (full_in / expected - 1.0).abs() < 0.01,
+            "{full_in} {expected}"
+        );
+    }
+    // The warnings come again after the use has fallen.
+    let later = wagtailshunt_core::time::Instant(800_000_000);
+    assert_eq!(watch.observe(later, 0, LIMIT), None);
+    assert!(watch.observe(later, LIMIT, LIMIT).is_some());
+}
--- a/wagtailshunt/src/entry/metrics.rs
+++ b/wagtailshunt/src/entry/metrics.rs
@@ -21,6 +21,12 @@
     pub in_progress: IntGauge,
     /// Announcements of targets received by this VM.
     pub announcements: IntCounter,
+    /// Bytes that the files of this VM take on its disk.
+    pub disk_used_bytes: IntGauge,
+    /// Bytes that they may take; 0 if not known.
+    pub disk_limit_bytes: IntGauge,
+    /// 1 while the disk refuses writes because it is full.
+    pub disk_full: IntGauge,
 }
 
 /// Bucket bounds of the latency histogram in seconds, from below the shortest service time to the
@@ -59,6 +65,9 @@
                 "announcements_total",
                 "Announcements of targets taken here.",
             ),
+            disk_used_bytes: metrics::gauge(&registry, "disk_used_bytes", "Size of the files."),
+            disk_limit_bytes: metrics::gauge(&registry, "disk_limit_bytes", "Size of the disk."),
+            disk_full: metrics::gauge(&registry, "disk_full", "1 while the disk is full."),
             registry,
         }
     }
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -7,6 +7,7 @@
 //! replicated configuration.
 
 pub mod calls;
+mod disk_space;
 mod leader_sync;
 mod members;
 mod metrics;
@@ -113,6 +114,7 @@
         peers::dial_missing(&state);
         compio::runtime::spawn(run_timers(state.clone())).detach();
         compio::runtime::spawn(calls::run_probes(state.clone())).detach();
+        compio::runtime::spawn(disk_space::run(state.clone())).detach();
         state.events.emit(
             event::Id::ProcessStarted,
             &[
--- a/wagtailshunt/src/entry/replica.rs
+++ b/wagtailshunt/src/entry/replica.rs
@@ -228,8 +228,17 @@
     state.events.emit(id, &[("group", &GROUP), ("reason", err)]);
 }
 
+/// Handles a disk that has become full or takes writes again. While it is full, the node neither
+/// votes nor leads, and calls are served as before.
 fn disk_full(state: &rc::Rc<state::State>, full: bool) {
     let now = state.clock.now();
+    let was_full = state.metrics.disk_full.get() == 1;
+    if full != was_full {
+        state.metrics.disk_full.set(i64::from(full));
+        state
+            .events
+            .emit(event::Id::DiskFull, &[("group", &GROUP), ("full", &full)]);
+    }
     with_node(state, |node| node.set_disk_full(now, full));
 }
 
--- a/wagtailshunt/src/entry/settings.rs
+++ b/wagtailshunt/src/entry/settings.rs
@@ -88,6 +88,8 @@
     pub change_timeout: time::Duration,
     /// Probes per second that a target may get from all VMs together; 0 for none.
     pub probes_per_second: f64,
+    /// Bytes that the files of this VM may take on its disk, if known.
+    pub disk_bytes: Option<u64>,
 }
 
 impl Limits {
@@ -115,6 +117,7 @@
             retry_burst: 50,
             change_timeout: time::Duration::from_millis(900),
             probes_per_second: FULL_PROBE_RATE,
+            disk_bytes: None,
         }
     }
 }
