Start with many targets: one log line for a list, lookup by address

Also: a state received from the leader removed a target from the placement when an earlier incarnation of it had deregistered.

--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -117,4 +117,5 @@
     TargetLostWithCall = 130, Warn, "target lost while it ran a call";
     DiskSpaceLow = 131, Warn, "disk space low";
     DiskFull = 132, Warn, "disk full or writable again";
+    TargetsLearned = 133, Info, "targets added from a list";
 }
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -80,7 +80,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     targets: collections::BTreeMap<types::TargetId, TargetEntry>,
+    /// The target at each address of `targets`.
+    by_address: collections::BTreeMap<net::SocketAddr, types::TargetId>,
     deregistered: collections::VecDeque<TargetIncarnation>,
+    /// Latest start of the deregistered incarnations of each target in `deregistered`.
+    latest_deregistered: collections::BTreeMap<types::TargetId, core_time::UnixMillis>,
     /// When silent targets were last looked for.
     checked_at: Option<core_time::Instant>,
 }
@@ -115,6 +119,8 @@
             return RegistrationResult::Stale;
         }
         let target = announcement.target.clone();
+        self.remove_entry(&target);
+        self.by_address.insert(announcement.address, target.clone());
         let entry = TargetEntry {
             announcement,
             last_seen: now,
@@ -128,42 +134,57 @@
     ///
     /// Returns `false` if a later incarnation holds the address.
     fn claim_address(&mut self, announcement: &Announcement) -> bool {
-        let holder = self.targets.values().find(|entry| {
-            entry.announcement.address == announcement.address
-                && entry.announcement.target != announcement.target
-        });
-        let Some(holder) = holder.map(|entry| entry.announcement.clone()) else {
+        let holder = self.at_address(&announcement.address);
+        let holder = holder.map(|entry| &entry.announcement);
+        let Some(holder) = holder.filter(|holder| holder.target != announcement.target) else {
             return true;
         };
         if holder.born > announcement.born {
             return false;
         }
-        self.targets.remove(&holder.target);
+        let holder = holder.target.clone();
+        self.remove_entry(&holder);
         true
     }
 
+    fn remove_entry(&mut self, target: &types::TargetId) {
+        if let Some(entry) = self.targets.remove(target) {
+            self.by_address.remove(&entry.announcement.address);
+        }
+    }
+
+    /// Returns the registered target at an address.
+    pub fn at_address(&self, address: &net::SocketAddr) -> Option<&TargetEntry> {
+        self.targets.get(self.by_address.get(address)?)
+    }
+
     /// Removes an incarnation for good; only a later incarnation of the target can register again.
     ///
     /// Returns whether the incarnation was not deregistered before.
     pub fn deregister(&mut self, incarnation: &TargetIncarnation) -> bool {
         let entry = self.targets.get(&incarnation.target);
         if entry.is_some_and(|entry| entry.announcement.born <= incarnation.born) {
-            self.targets.remove(&incarnation.target);
+            self.remove_entry(&incarnation.target);
         }
         if self.is_deregistered(&incarnation.target, incarnation.born) {
             return false;
         }
-        if self.deregistered.len() == MAX_DEREGISTERED {
-            self.deregistered.pop_front();
+        if self.deregistered.len() == MAX_DEREGISTERED
+            && let Some(oldest) = self.deregistered.pop_front()
+            && self.latest_deregistered.get(&oldest.target) == Some(&oldest.born)
+        {
+            self.latest_deregistered.remove(&oldest.target);
         }
         self.deregistered.push_back(incarnation.clone());
+        self.latest_deregistered
+            .insert(incarnation.target.clone(), incarnation.born);
         true
     }
 
     /// Returns whether this or a later incarnation of the target was deregistered.
     pub fn is_deregistered(&self, target: &types::TargetId, born: core_time::UnixMillis) -> bool {
-        let covers = |other: &&TargetIncarnation| other.target == *target && born <= other.born;
-        self.deregistered.iter().rev().any(|other| covers(&other))
+        let latest = self.latest_deregistered.get(target);
+        latest.is_some_and(|latest| born <= *latest)
     }
 
     /// Removes an incarnation that stopped announcing itself; it may register again.
@@ -173,7 +194,7 @@
         let entry = self.targets.get(&incarnation.target);
         let same = entry.is_some_and(|entry| entry.announcement.born == incarnation.born);
         if same {
-            self.targets.remove(&incarnation.target);
+            self.remove_entry(&incarnation.target);
         }
         same
     }
--- a/wagtailshunt/src/entry/leader_sync.rs
+++ b/wagtailshunt/src/entry/leader_sync.rs
@@ -245,11 +245,13 @@
         restore_snapshot(state, types::LogIndex(received.applied), &received.snapshot);
     }
     let mut listed = collections::BTreeSet::new();
+    let mut announcements = Vec::new();
     for report in received.reports {
         let announcement = wire::fleet::decode_announcement(report)?;
         listed.insert(core_fleet::incarnation_of(&announcement));
-        targets::register(state, announcement);
+        announcements.push(announcement);
     }
+    targets::register_all(state, announcements, "received");
     targets::remove_unlisted(state, &received.complete_buckets, &listed);
     Ok(())
 }
@@ -282,7 +284,10 @@
     state.with(|inner| {
         for deregistered in machine.deregistrations() {
             inner.directory.deregister(deregistered);
-            inner.placement.remove(&deregistered.target);
+            // A later incarnation of the target may be registered.
+            if inner.directory.get(&deregistered.target).is_none() {
+                inner.placement.remove(&deregistered.target);
+            }
         }
         inner.machine = machine;
         inner.applied = index;
--- a/wagtailshunt/src/entry/store.rs
+++ b/wagtailshunt/src/entry/store.rs
@@ -188,12 +188,14 @@
 /// target.
 pub fn load_targets(state: &rc::Rc<state::State>) {
     let known: fleet::State = read(state, TARGETS_FILE).unwrap_or_default();
+    let mut announcements = Vec::new();
     for report in known.reports {
         match wire::fleet::decode_announcement(report) {
-            Ok(report) => targets::restored(state, report),
+            Ok(announcement) => announcements.push(announcement),
             Err(err) => log::warn!("cannot decode a stored target: {err}; ignored"),
         }
     }
+    targets::register_all(state, announcements, "stored");
 }
 
 /// Stores the known targets if they changed.
--- a/wagtailshunt/src/entry/targets.rs
+++ b/wagtailshunt/src/entry/targets.rs
@@ -68,34 +68,36 @@
     }
 }
 
-/// Adds or renews a target in the directory and the placement; removes targets whose address it
-/// takes over.
-pub fn register(
+/// Adds or renews a target in the directory and the placement; removes the target whose address it
+/// takes over. Logs a target that joins.
+fn register(
+    state: &rc::Rc<state::State>,
+    announcement: core_fleet::Announcement,
+) -> core_fleet::RegistrationResult {
+    let target = announcement.target.clone();
+    let result = register_quietly(state, announcement);
+    if result == core_fleet::RegistrationResult::Joined {
+        let id: &dyn std::fmt::Display = &target;
+        state
+            .events
+            .emit(event::Id::TargetJoined, &[("target", id)]);
+        state.update_readiness();
+    }
+    result
+}
+
+fn register_quietly(
     state: &rc::Rc<state::State>,
     announcement: core_fleet::Announcement,
 ) -> core_fleet::RegistrationResult {
     let now = state.clock.now();
     let target = announcement.target.clone();
     let (result, replaced) = state.with(|inner| {
-        let known = inner.directory.get(&target);
-        let has_address =
-            |known: &core_fleet::TargetEntry| known.announcement.address == announcement.address;
-        // Only one target is registered at an address, so a renewal replaces none.
-        let same_address: Vec<types::TargetId> = match known.is_some_and(has_address) {
-            true => Vec::new(),
-            false => {
-                let targets = inner.directory.targets();
-                let same_address = targets.filter(|known| has_address(known));
-                let ids = same_address.map(|known| known.announcement.target.clone());
-                ids.collect()
-            }
-        };
+        let holder = inner.directory.at_address(&announcement.address);
+        let holder = holder.map(|known| known.announcement.target.clone());
         let result = inner.directory.register(now, announcement);
-        let removed = same_address
-            .into_iter()
-            .filter(|id| inner.directory.get(id).is_none());
-        let replaced: Vec<types::TargetId> = removed.collect();
-        for id in &replaced {
+        let replaced = holder.filter(|id| inner.directory.get(id).is_none());
+        if let Some(id) = &replaced {
             inner.placement.remove(id);
         }
         if result != core_fleet::RegistrationResult::Stale
@@ -105,26 +107,38 @@
         }
         (result, replaced)
     });
-    for id in replaced {
+    if let Some(id) = replaced {
         let id: &dyn std::fmt::Display = &id;
         let reason: &dyn std::fmt::Display = &"address taken over";
         let fields = [("target", id), ("reason", reason)];
         state.events.emit(event::Id::TargetLeft, &fields);
     }
     if result == core_fleet::RegistrationResult::Joined {
-        let id: &dyn std::fmt::Display = &target;
-        state
-            .events
-            .emit(event::Id::TargetJoined, &[("target", id)]);
         state.unsaved.targets.set(true);
-        state.update_readiness();
     }
     result
 }
 
-/// Adds a target that was stored before the restart.
-pub fn restored(state: &rc::Rc<state::State>, announcement: core_fleet::Announcement) {
-    register(state, announcement);
+/// Adds targets from a list: stored before a restart, or received from another VM. Logs one line for
+/// all of them, since a line for each would take longer than the rest of a start with many targets.
+pub fn register_all(
+    state: &rc::Rc<state::State>,
+    announcements: Vec<core_fleet::Announcement>,
+    source: &'static str,
+) {
+    let total = announcements.len();
+    let mut joined = 0;
+    for announcement in announcements {
+        let result = register_quietly(state, announcement);
+        joined += usize::from(result == core_fleet::RegistrationResult::Joined);
+    }
+    if joined > 0 {
+        state.events.emit(
+            event::Id::TargetsLearned,
+            &[("joined", &joined), ("listed", &total), ("source", &source)],
+        );
+        state.update_readiness();
+    }
 }
 
 /// Handles an announcement that a target sent to this VM.
