Baseline of the further and large sites; an abort closes the listener at once

Finding: after the change that takes the last connections of a listener, a VM restarted at once after an abort found its address in use, and a target that had crashed still accepted a connection, so its crash was not counted (end_to_end, twice in one run). Cause: the listener stayed open for 5 ms after the start of the shutdown. An abort now closes it at once.

--- a/wagtailshunt/src/control/mod.rs
+++ b/wagtailshunt/src/control/mod.rs
@@ -148,8 +148,8 @@
     /// Stops immediately, without transferring leadership or waiting for requests.
     pub fn abort(&self) {
         self.state.stop();
-        self.peers.start();
-        self.admin.start();
+        self.peers.start_immediately();
+        self.admin.start_immediately();
     }
 
     fn serve_peers(&self, listener: TcpListener) {
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -212,8 +212,8 @@
     /// Stops at once without draining, as a crash would.
     pub fn abort(&self) {
         self.state.stop();
-        self.caller_shutdown.start();
-        self.internal_shutdown.start();
+        self.caller_shutdown.start_immediately();
+        self.internal_shutdown.start_immediately();
     }
 
     /// Returns the state shared by the tasks of the process.
--- a/wagtailshunt/src/gateway/mod.rs
+++ b/wagtailshunt/src/gateway/mod.rs
@@ -132,8 +132,8 @@
 
     /// Stops without draining, as a crash does. Dropping the runtime closes the connections.
     pub fn abort(&self) {
-        self.caller_shutdown.start();
-        self.admin_shutdown.start();
+        self.caller_shutdown.start_immediately();
+        self.admin_shutdown.start_immediately();
         self.state.stop_links();
     }
 
--- a/wagtailshunt/src/http/serve.rs
+++ b/wagtailshunt/src/http/serve.rs
@@ -37,6 +37,7 @@
 #[derive(Default)]
 struct ShutdownInner {
     is_started: cell::Cell<bool>,
+    is_immediate: cell::Cell<bool>,
     open_connections: cell::Cell<usize>,
     start_waiters: cell::RefCell<Vec<oneshot::Sender<()>>>,
     drain_waiters: cell::RefCell<Vec<oneshot::Sender<()>>>,
@@ -60,6 +61,13 @@
         self.notify_drained();
     }
 
+    /// Starts the shutdown and closes the listener at once, as a crash would: connections that the
+    /// kernel has accepted are reset.
+    pub fn start_immediately(&self) {
+        self.inner.is_immediate.set(true);
+        self.start();
+    }
+
     /// Returns whether the shutdown has started.
     pub fn is_started(&self) -> bool {
         self.inner.is_started.get()
@@ -232,6 +240,9 @@
             pin_mut!(stop, accept);
             select_biased! {
                 () = stop => {
+                    if shutdown.inner.is_immediate.get() {
+                        return Ok(());
+                    }
                     closing = true;
                     continue;
                 }
