Voters that are gone leave the group after 3 s, down to the fewest that the tolerated losses need

At 41 s b-1 lost its disk and two of four voters were no quorum: version 61 was acknowledged and never applied after the restart. Change: REMOVE_ABSENT_AFTER 12 s -> 3 s; the number of voters stays at 2 x tolerated losses + 1 or more, from the setting. Test: replaced_voters_leave_before_the_next_loss, group_keeps_the_voters_that_its_tolerance_needs.

--- a/core/src/formation/mod.rs
+++ b/core/src/formation/mod.rs
@@ -23,8 +23,16 @@
 pub const BOOTSTRAP_QUIET_PERIOD_WITHOUT_DISK: time::Duration = time::Duration::from_millis(1000);
 
 /// Time without contact after which a disconnected member is removed, if it is a learner or the
-/// group has more than three voters. It is longer than a restart or a freeze usually lasts.
-pub const REMOVE_ABSENT_AFTER: time::Duration = time::Duration::from_secs(12);
+/// group has more than the fewest voters that it needs. A voter that is gone for good, beside its
+/// successor, raises the quorum: one more loss could then stop the group. It is longer than most
+/// restarts; a VM that comes back later joins again.
+pub const REMOVE_ABSENT_AFTER: time::Duration = time::Duration::from_secs(3);
+
+/// Returns the fewest voters that keep what was committed, and can elect a leader, when the disks of
+/// `tolerated_losses` of them are lost at once.
+pub fn fewest_voters(tolerated_losses: usize) -> usize {
+    2 * tolerated_losses.max(1) + 1
+}
 
 /// VM of the system, as it announced itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -165,11 +173,13 @@
 /// Returns the next membership change that the leader proposes so that the group consists of the
 /// eligible VMs that are connected, or `None` when there is none.
 ///
-/// Only the leader of the group calls this; `since` is when it was elected.
+/// Only the leader of the group calls this; `since` is when it was elected. Absent voters are
+/// removed as long as `fewest_voters` are left.
 pub fn next_membership_change(
     now: core_time::Instant,
     since: core_time::Instant,
     members: &storage::Membership,
+    fewest_voters: usize,
     roster: &Roster,
     status: impl Fn(types::VmId) -> MemberStatus,
 ) -> Option<replication::MembershipChange> {
@@ -181,7 +191,7 @@
             let last_contact = status.last_contact.unwrap_or(since).max(since);
             !status.connected && now.since(last_contact) >= REMOVE_ABSENT_AFTER
         };
-        let removable = members.voters.len() > 3 || members.learners.contains(&vm);
+        let removable = members.voters.len() > fewest_voters || members.learners.contains(&vm);
         if replaced && !status(vm).connected && now.since(since) >= REMOVE_REPLACED_AFTER
             || removable && absent(status(vm))
         {
--- a/core/tests/formation.rs
+++ b/core/tests/formation.rs
@@ -60,7 +60,7 @@
             connected: roster.get(vm).is_some(),
             ..connected(vm)
         };
-        formation::next_membership_change(at(10_000), at(0), members, roster, status)
+        formation::next_membership_change(at(10_000), at(0), members, 3, roster, status)
     };
     assert_eq!(next(&roster, &members), None);
     roster.learn(at(9_000), &vm(9, 3, "c", 2), formation::Source::Announced);
@@ -93,15 +93,15 @@
     let four = storage::Membership::of_voters(ids(4));
     let soon = at(3_000);
     assert_eq!(
-        formation::next_membership_change(soon, at(0), &four, &roster, status),
+        formation::next_membership_change(soon, at(0), &four, 3, &roster, status),
         None
     );
     let late = at(1_000) + formation::REMOVE_ABSENT_AFTER + time::Duration::from_secs(1);
-    let change = formation::next_membership_change(late, at(0), &four, &roster, status);
+    let change = formation::next_membership_change(late, at(0), &four, 3, &roster, status);
     let removed = replication::MembershipChange::Remove(types::VmId(4));
     assert_eq!(change, Some(removed));
     let three = storage::Membership::of_voters([types::VmId(1), types::VmId(2), types::VmId(4)]);
-    let kept = formation::next_membership_change(late, at(0), &three, &roster, status);
+    let kept = formation::next_membership_change(late, at(0), &three, 3, &roster, status);
     assert_eq!(
         kept,
         Some(replication::MembershipChange::AddLearner(types::VmId(3)))
@@ -134,3 +134,57 @@
     let restarted = roster(&[vm(1, 1, "a", 2), vm(2, 2, "b", 1)]);
     assert_ne!(here.digest(), restarted.digest());
 }
+
+/// Guards against a voter that is gone for good, beside its successor, until another voter loses its
+/// disk and the rest is no quorum: two of three VMs are replaced within half a minute.
+#[test]
+fn replaced_voters_leave_before_the_next_loss() {
+    let roster = roster(&(1..=5).map(|i| vm(i, i as u8, "a", 1)).collect::<Vec<_>>());
+    let gone = [types::VmId(1), types::VmId(4)];
+    let mut members = storage::Membership::of_voters((1..=5).map(types::VmId));
+    // The leader was elected when the second VM was gone already.
+    let elected = at(27_000);
+    let status = |vm: types::VmId| formation::MemberStatus {
+        connected: !gone.contains(&vm),
+        last_contact: None,
+        caught_up: true,
+    };
+    let mut now = elected;
+    while now < at(33_000) {
+        now = now + time::Duration::from_millis(100);
+        let fewest = formation::fewest_voters(1);
+        match formation::next_membership_change(now, elected, &members, fewest, &roster, status) {
+            Some(replication::MembershipChange::Remove(vm)) => {
+                assert!(members.voters.remove(&vm));
+            }
+            // A VM that is gone is not connected, so it does not join again.
+            None => {}
+            Some(other) => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(
+        members,
+        storage::Membership::of_voters([2, 3, 5].map(types::VmId))
+    );
+}
+
+/// Guards against a group that shrinks so far that the loss of as many disks as the deployment
+/// tolerates takes what was committed.
+#[test]
+fn group_keeps_the_voters_that_its_tolerance_needs() {
+    let roster = roster(&(1..=6).map(|i| vm(i, i as u8, "a", 1)).collect::<Vec<_>>());
+    let status = |vm: types::VmId| formation::MemberStatus {
+        connected: vm.0 <= 3,
+        last_contact: Some(at(0)),
+        caught_up: true,
+    };
+    let mut members = storage::Membership::of_voters((1..=6).map(types::VmId));
+    let fewest = formation::fewest_voters(2);
+    let late = at(60_000);
+    while let Some(replication::MembershipChange::Remove(vm)) =
+        formation::next_membership_change(late, at(0), &members, fewest, &roster, status)
+    {
+        members.voters.remove(&vm);
+    }
+    assert_eq!(members.voters.len(), 5);
+}
--- a/wagtailshunt/src/entry/members.rs
+++ b/wagtailshunt/src/entry/members.rs
@@ -78,7 +78,8 @@
             }
         };
         let members = replica.node.members();
-        formation::next_membership_change(now, since, members, &inner.roster, status)
+        let fewest = formation::fewest_voters(state.cfg.limits.tolerated_losses);
+        formation::next_membership_change(now, since, members, fewest, &inner.roster, status)
     });
     let Some(change) = change else {
         return;
--- a/wagtailshunt/src/entry/settings.rs
+++ b/wagtailshunt/src/entry/settings.rs
@@ -90,6 +90,8 @@
     pub probes_per_second: f64,
     /// Bytes that the files of this VM may take on its disk, if known.
     pub disk_bytes: Option<u64>,
+    /// VMs with disks whose loss at the same time the deployment tolerates.
+    pub tolerated_losses: usize,
 }
 
 impl Limits {
@@ -118,6 +120,7 @@
             change_timeout: time::Duration::from_millis(900),
             probes_per_second: FULL_PROBE_RATE,
             disk_bytes: None,
+            tolerated_losses: 1,
         }
     }
 }
