A listener that shuts down takes last connections for 100 ms at most

Cause (read in the diff): the listener stayed open until no caller connected for 5 ms, so under load it never closed and the stop ended by its timeout, cutting the calls of that moment. Test: listener_closes_while_callers_keep_connecting.

--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -154,7 +154,7 @@
     }
 }
 
-/// Largest number of candidates for a call; further ones are not worth the time of ranking them.
+/// Largest number of candidates that a ranking returns. A call probes and tries only the first few.
 const MAX_CANDIDATES: usize = 32;
 
 /// A candidate while the targets of a service are ranked.
--- a/wagtailshunt/src/http/serve.rs
+++ b/wagtailshunt/src/http/serve.rs
@@ -220,7 +220,7 @@
 {
     // Counts as an open connection, so that the shutdown waits for connections accepted last.
     let _listening = shutdown.track_connection();
-    let mut closing = false;
+    let mut closing_since: Option<time::Instant> = None;
     loop {
         if shutdown.open_connections() >= limits.connections {
             compio::time::sleep(time::Duration::from_millis(1)).await;
@@ -229,7 +229,10 @@
             }
             continue;
         }
-        let accepted = if closing {
+        let accepted = if let Some(since) = closing_since {
+            if since.elapsed() >= LAST_ACCEPT_LIMIT {
+                return Ok(());
+            }
             match compio::time::timeout(LAST_ACCEPT_TIMEOUT, listener.accept()).await {
                 Ok(accepted) => accepted,
                 Err(_) => return Ok(()),
@@ -243,7 +246,7 @@
                     if shutdown.inner.is_immediate.get() {
                         return Ok(());
                     }
-                    closing = true;
+                    closing_since = Some(time::Instant::now());
                     continue;
                 }
                 accepted = accept => accepted,
@@ -294,6 +297,9 @@
 /// the kernel has accepted would be reset with it.
 const LAST_ACCEPT_TIMEOUT: time::Duration = time::Duration::from_millis(5);
 
+/// Time after which the listener is closed although callers still connect.
+const LAST_ACCEPT_LIMIT: time::Duration = time::Duration::from_millis(100);
+
 /// Serves a connection until it ends or, after the start of the shutdown, until `may_close` and the
 /// request in progress has its response.
 async fn serve_connection<S, H, F>(
