--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -155,7 +155,7 @@
 }
 
 /// Largest number of candidates that a ranking returns. A call probes and tries only the first few.
-const MAX_CANDIDATES: usize = 32;
+pub const MAX_CANDIDATES: usize = 32;
 
 /// A candidate while the targets of a service are ranked.
 struct Ranked<'a> {
