Calls of a VM without a path to the targets go through another VM

Cause: a VM took the failure of its own path for the failure of each target. It ejected the targets one by one (545 times by seven VMs in 12 s) and knew no way to a target but a connection of its own. Ruled out: elections, readiness (with most of a failure domain cut off, callers are sent to all of its VMs anyway).

Change: core::reach counts failures of several targets in a row, apart for new and open connections, and checks the path by connecting to a random sample of all targets; if none is reached, the path is lost. Calls then go over HTTP to another VM (core::relay chooses it, entry::calls::relay sends), which forwards them as its own; a relay never relays further, makes no more attempts than the sender has left, and declines with an older configuration. What no VM can relay is refused at once. Events 113 and 134, metrics relayed_total and path_lost.

--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -104,6 +104,7 @@
     CallFinished = 110, Info, "call finished";
     AttemptFailed = 111, Info, "attempt at a target failed";
     CallHedged = 112, Info, "call sent to a second target";
+    CallRelayed = 113, Info, "call relayed by another VM";
     OrderDecided = 120, Info, "configuration change decided";
     ConfigurationApplied = 121, Info, "configuration applied";
     LeaderKnown = 122, Info, "leader known";
@@ -118,4 +119,5 @@
     DiskSpaceLow = 131, Warn, "disk space low";
     DiskFull = 132, Warn, "disk full or writable again";
     TargetsLearned = 133, Info, "targets added from a list";
+    PathChanged = 134, Warn, "path to the targets lost or regained";
 }
--- a/core/src/formation/mod.rs
+++ b/core/src/formation/mod.rs
@@ -43,6 +43,9 @@
     pub peer_address: net::SocketAddr,
     /// Address at which it accepts requests of operators.
     pub operator_address: net::SocketAddr,
+    /// Address at which it accepts calls of other VMs that have lost their path to the targets;
+    /// `None` if it relays none.
+    pub relay_address: Option<net::SocketAddr>,
     /// Failure domain of the VM.
     pub failure_domain: types::FailureDomain,
     /// Whether it has a disk.
--- a/core/tests/formation.rs
+++ b/core/tests/formation.rs
@@ -9,6 +9,7 @@
         id: types::VmId(id),
         peer_address: net::SocketAddr::from(([10, 0, 0, host], 7200)),
         operator_address: net::SocketAddr::from(([10, 0, 0, host], 8382)),
+        relay_address: None,
         failure_domain: types::FailureDomain::from(domain),
         has_disk: true,
         counted: true,
--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -13,10 +13,10 @@
     header::{self, HeaderValue},
     http::response,
 };
-use wagtailshunt_core::{placement, time as core_time, types};
+use wagtailshunt_core::{fleet, placement, reach, time as core_time, types};
 
 use crate::{
-    entry::{state, targets},
+    entry::{path, settings, state, targets},
     http,
 };
 
@@ -50,12 +50,24 @@
 /// A target as the destination of an attempt.
 #[derive(Clone, Debug)]
 pub struct Destination {
+    /// Id of the target.
     pub target: types::TargetId,
     /// Start of the target's incarnation.
     pub born: core_time::UnixMillis,
+    /// Address of the target.
     pub address: net::SocketAddr,
 }
 
+impl From<&fleet::TargetEntry> for Destination {
+    fn from(known: &fleet::TargetEntry) -> Self {
+        Destination {
+            target: known.announcement.target.clone(),
+            born: known.announcement.born,
+            address: known.announcement.address,
+        }
+    }
+}
+
 /// A response of a target; the body is buffered or still being received.
 pub struct TargetResponse {
     pub head: response::Parts,
@@ -66,6 +78,8 @@
 pub enum AttemptOutcome {
     /// The target sent a valid response.
     Answered(TargetResponse),
+    /// No byte of the call reached the target; with the reason for the log.
+    NotSent(String),
     /// The target did not run the call; with the reason for the log.
     NotRun(String),
     /// The target may have run the call, but there is no valid response; with the reason for the
@@ -126,11 +140,16 @@
         Err(err) => {
             flight.finish(placement::Outcome::Failed);
             return match err.proves_not_run() {
-                true => AttemptOutcome::NotRun(err.to_string()),
-                false => AttemptOutcome::Lost(err.to_string()),
+                true => AttemptOutcome::NotSent(err.to_string()),
+                false => {
+                    let target = &destination.target;
+                    path::record(state, target, reach::Evidence::NotAnswered);
+                    AttemptOutcome::Lost(err.to_string())
+                }
             };
         }
     };
+    path::record(state, &destination.target, reach::Evidence::Answered);
     let (mut head, body) = response.into_parts();
     record_load_header(state, &destination.target, &head.headers);
     let protocol = &state.cfg.protocol;
@@ -149,15 +168,9 @@
             head.status.as_u16()
         ));
     }
-    if head.headers.get(&protocol.request_id) != Some(&call_request.request_id) {
-        flight.finish(placement::Outcome::Failed);
-        return AttemptOutcome::Lost("response carries the id of another call".to_owned());
-    }
-    let digest = protocol.digest.as_ref();
-    let has_digest = digest.is_none_or(|name| head.headers.contains_key(name));
-    if head.status.is_success() && !has_digest {
+    if let Err(reason) = check_response(protocol, &head, call_request) {
         flight.finish(placement::Outcome::Failed);
-        return AttemptOutcome::Lost("successful response without a digest".to_owned());
+        return AttemptOutcome::Lost(reason.to_owned());
     }
     let keep_alive = keep_alive_timeout(&head.headers);
     let closes = closes_connection(&head.headers);
@@ -178,6 +191,24 @@
     AttemptOutcome::Answered(TargetResponse { head, body })
 }
 
+/// Checks that a response belongs to the call and, if it is a success, has a digest; returns the
+/// reason otherwise.
+pub fn check_response(
+    protocol: &settings::Protocol,
+    head: &response::Parts,
+    call_request: &CallRequest,
+) -> Result<(), &'static str> {
+    if head.headers.get(&protocol.request_id) != Some(&call_request.request_id) {
+        return Err("response carries the id of another call");
+    }
+    let digest = protocol.digest.as_ref();
+    let has_digest = digest.is_none_or(|name| head.headers.contains_key(name));
+    match head.status.is_success() && !has_digest {
+        true => Err("successful response without a digest"),
+        false => Ok(()),
+    }
+}
+
 /// Returns how the status of a response counts for the health of its target.
 fn outcome_of_status(status: StatusCode) -> placement::Outcome {
     match status {
@@ -201,7 +232,7 @@
     };
     if let Some(mut client) = state.pool.take(state.clock.now(), &key, max_idle) {
         match client
-            .send(build_request(state, call_request, destination))
+            .send(build_target_request(state, call_request, destination))
             .await
         {
             Ok(response) => return Ok((client, response)),
@@ -212,7 +243,7 @@
     }
     let mut client = connect(state, destination).await?;
     match client
-        .send(build_request(state, call_request, destination))
+        .send(build_target_request(state, call_request, destination))
         .await
     {
         Ok(response) => Ok((client, response)),
@@ -226,10 +257,16 @@
 ///
 /// Returns an error when the target does not accept within [`CONNECT_TIMEOUT`].
 pub async fn connect(
-    state: &state::State,
+    state: &rc::Rc<state::State>,
     destination: &Destination,
 ) -> Result<http::Client, http::ClientError> {
-    let mut client = http::Client::connect(destination.address, CONNECT_TIMEOUT, || {}).await?;
+    let connected = http::Client::connect(destination.address, CONNECT_TIMEOUT, || {}).await;
+    let evidence = match &connected {
+        Ok(_) => reach::Evidence::Connected,
+        Err(_) => reach::Evidence::NotConnected,
+    };
+    path::record(state, &destination.target, evidence);
+    let mut client = connected?;
     state.metrics.connections.inc();
     match client.ready().await {
         true => Ok(client),
@@ -237,28 +274,45 @@
     }
 }
 
-fn build_request(
-    state: &state::State,
-    call_request: &CallRequest,
-    destination: &Destination,
-) -> Request<http::Body> {
-    let protocol = &state.cfg.protocol;
+/// Opens a connection to a target and keeps it for a call; returns whether the target accepted it.
+pub async fn connect_to_pool(state: &rc::Rc<state::State>, destination: &Destination) -> bool {
+    let connected = connect(state, destination).await;
+    // A target that closes a connection at once has accepted it: it has too many.
+    let accepted = matches!(connected, Ok(_) | Err(http::ClientError::NotSent));
+    if let Ok(client) = connected {
+        let key = (destination.target.clone(), destination.born);
+        state.pool.put(state.clock.now(), key, client, None);
+    }
+    accepted
+}
+
+/// Builds the request of a call with the time that is left.
+pub fn build_request(state: &state::State, call_request: &CallRequest) -> Request<http::Body> {
     let time_left = call_request.deadline.since(state.clock.now());
     let mut req = Request::new(http::full(call_request.body.clone()));
     *req.method_mut() = call_request.method.clone();
     *req.uri_mut() = call_request.uri.clone();
     *req.headers_mut() = call_request.headers.clone();
-    let headers = req.headers_mut();
     let time_left_ms = u64::try_from(time_left.as_millis())
         .unwrap_or(u64::MAX)
         .max(1);
-    headers.insert(
-        protocol.time_left_ms.clone(),
+    req.headers_mut().insert(
+        state.cfg.protocol.time_left_ms.clone(),
         HeaderValue::from(time_left_ms),
     );
+    req
+}
+
+fn build_target_request(
+    state: &state::State,
+    call_request: &CallRequest,
+    destination: &Destination,
+) -> Request<http::Body> {
+    let mut req = build_request(state, call_request);
     match HeaderValue::from_str(destination.target.as_str()) {
         Ok(target) => {
-            headers.insert(protocol.expected_target.clone(), target);
+            let name = state.cfg.protocol.expected_target.clone();
+            req.headers_mut().insert(name, target);
         }
         Err(err) => log::warn!(
             "id of target {} is not a valid header value: {err}; sending the call without it",
@@ -269,7 +323,7 @@
 }
 
 /// Reads a small body completely. A body of known larger size is forwarded as it arrives.
-async fn buffer_body(body: Incoming) -> Result<http::Body, String> {
+pub async fn buffer_body(body: Incoming) -> Result<http::Body, String> {
     let size = hyper::body::Body::size_hint(&body);
     if size.lower() > MAX_BUFFERED_BYTES as u64 {
         return Ok(http::Body::Incoming(body));
@@ -358,7 +412,7 @@
 
 /// Removes a target whose address now belongs to another target.
 fn remove_misdirected(state: &state::State, destination: &Destination) {
-    let removed = wagtailshunt_core::fleet::TargetIncarnation {
+    let removed = fleet::TargetIncarnation {
         target: destination.target.clone(),
         born: destination.born,
     };
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -17,6 +17,7 @@
             attempt::{self, AttemptOutcome, CallRequest, Destination, TargetResponse},
             budget, crash,
             failure::Failure,
+            relay::{self, RelayOutcome, RelayedCall},
             target_search,
             work::ServiceTime,
         },
@@ -44,6 +45,8 @@
     pub service: types::ServiceName,
     pub request: CallRequest,
     pub arrival: core_time::Instant,
+    /// Set if another VM relays the call to this one.
+    relayed: Option<RelayedCall>,
     /// Targets that the call was sent to.
     tried: cell::RefCell<Vec<types::TargetId>>,
     /// Each chosen target with its estimate at that time, and the time from the arrival to the
@@ -61,6 +64,8 @@
     Retry,
     /// An earlier attempt is slow and still in flight.
     Hedge,
+    /// The earlier attempts have reached no target, perhaps since this VM has lost its path.
+    Reroute,
 }
 
 /// An attempt that was sent to a target, with the estimate made before.
@@ -79,6 +84,8 @@
     NotSent(Failure),
     /// The call was sent to a target.
     Sent(Box<(SentAttempt, AttemptOutcome)>),
+    /// The call was sent to another VM.
+    Relayed(RelayOutcome),
 }
 
 type Attempts = stream::FuturesUnordered<future::LocalBoxFuture<'static, AttemptResult>>;
@@ -98,6 +105,8 @@
     /// A 5xx response to a repeatable call; another target may succeed.
     ServerError(TargetResponse),
     NotSent(Failure),
+    /// No byte of the call reached the target.
+    NotReached,
     /// The target did not run the call.
     NotRun,
     /// The target may have run the call, and there is no response.
@@ -111,6 +120,7 @@
         named_route: &(String, routing::Route),
         service: types::ServiceName,
         request: CallRequest,
+        relayed: Option<RelayedCall>,
         arrival: core_time::Instant,
     ) -> rc::Rc<Call> {
         rc::Rc::new(Call {
@@ -120,6 +130,7 @@
             service,
             request,
             arrival,
+            relayed,
             tried: cell::RefCell::default(),
             choices: cell::RefCell::default(),
             in_flight: cell::Cell::new(None),
@@ -152,17 +163,14 @@
 
     /// Runs the call until it has a response or its deadline expires.
     pub async fn run(self: &rc::Rc<Self>) -> CallOutcome {
-        self.state.with(|inner| {
-            inner.probe_rate.count_call(self.arrival);
-            budget::retries(&self.state.cfg.limits, inner, &self.service).count_call();
-            budget::probes(&self.state.cfg.limits, inner, &self.service).count_call();
-        });
+        self.count_call();
         if self.is_blocked() {
             return CallOutcome::Failed(Failure::CrashesTargets);
         }
         let attempts = Attempts::new();
         let mut attempts_started = 1;
-        attempts.push(self.clone().run_attempt(Purpose::First).boxed_local());
+        let left = self.attempts_left(Purpose::First, 0);
+        attempts.push(self.clone().run_attempt(Purpose::First, left).boxed_local());
         let clock = self.state.clock;
         let deadline = clock.sleep_until(self.request.deadline).fuse();
         let hedge = self.wait_for_hedge().fuse();
@@ -176,12 +184,14 @@
                         return final_outcome(fallback, may_have_run, Failure::RefusedByTargets);
                     };
                     let mut reason = Failure::RefusedByTargets;
+                    let mut purpose = Purpose::Retry;
                     match self.evaluate(result) {
                         Evaluation::Final(response) => return CallOutcome::Response(response),
                         Evaluation::ServerError(response) => {
                             may_have_run = true;
                             fallback = Some(response);
                         }
+                        Evaluation::NotReached => purpose = Purpose::Reroute,
                         Evaluation::NotRun => {}
                         Evaluation::Lost => may_have_run = true,
                         Evaluation::NotSent(not_sent) => {
@@ -193,17 +203,19 @@
                     }
                     let may_retry = (self.request.repeatable || !may_have_run) && !self.is_blocked();
                     if attempts.is_empty() {
-                        if !may_retry || attempts_started >= self.route.max_attempts {
+                        let left = self.attempts_left(purpose, attempts_started);
+                        if !may_retry || left == 0 {
                             return final_outcome(fallback, may_have_run, reason);
                         }
                         attempts_started += 1;
-                        attempts.push(self.clone().run_attempt(Purpose::Retry).boxed_local());
+                        attempts.push(self.clone().run_attempt(purpose, left).boxed_local());
                     }
                 }
                 () = hedge => {
-                    if attempts_started < self.route.max_attempts {
+                    let left = self.attempts_left(Purpose::Hedge, attempts_started);
+                    if left > 0 {
                         attempts_started += 1;
-                        attempts.push(self.clone().run_attempt(Purpose::Hedge).boxed_local());
+                        attempts.push(self.clone().run_attempt(Purpose::Hedge, left).boxed_local());
                     }
                 }
                 () = deadline => return self.deadline_outcome(fallback),
@@ -211,6 +223,42 @@
         }
     }
 
+    /// Adds the call to the budgets. Of a relayed call, only the relay spends from them.
+    fn count_call(&self) {
+        let relays = self.uses_relay();
+        self.state.with(|inner| {
+            let limits = &self.state.cfg.limits;
+            inner.probe_rate.count_call(self.arrival);
+            if !relays {
+                budget::retries(limits, inner, &self.service).count_call();
+            }
+            budget::probes(limits, inner, &self.service).count_call();
+        });
+    }
+
+    /// Returns whether another VM has sent the call here.
+    pub fn is_relayed(&self) -> bool {
+        self.relayed.is_some()
+    }
+
+    /// Returns how many targets the call may still be sent to after `started` attempts. One that
+    /// reached no target does not count if the path to the targets is lost or being checked.
+    fn attempts_left(&self, purpose: Purpose, started: u32) -> u32 {
+        let limit = self.relayed.map_or(u32::MAX, |relayed| relayed.attempts);
+        let left = self.route.max_attempts.min(limit).saturating_sub(started);
+        let in_doubt = |inner: &mut state::Inner| inner.path.is_lost() || inner.path.is_checking();
+        match purpose == Purpose::Reroute && self.state.with(in_doubt) {
+            true => left.max(1),
+            false => left,
+        }
+    }
+
+    /// Returns whether attempts of the call go to another VM: this one has lost its path to the
+    /// targets, and no other VM has sent the call here.
+    fn uses_relay(&self) -> bool {
+        self.relayed.is_none() && self.state.is_path_lost()
+    }
+
     fn deadline_outcome(&self, fallback: Option<TargetResponse>) -> CallOutcome {
         match fallback {
             Some(response) => CallOutcome::Response(response),
@@ -219,13 +267,22 @@
         }
     }
 
-    /// Chooses a target and sends the call to it.
-    async fn run_attempt(self: rc::Rc<Self>, purpose: Purpose) -> AttemptResult {
+    /// Chooses a target and sends the call to it, or to another VM if this one has lost its path to
+    /// the targets. `attempts_left` counts this attempt.
+    async fn run_attempt(
+        self: rc::Rc<Self>,
+        purpose: Purpose,
+        attempts_left: u32,
+    ) -> AttemptResult {
+        if purpose == Purpose::Reroute {
+            self.state.path_checked().await;
+        }
         let choice = match target_search::find_target(&self, self.search()).await {
             Ok(choice) => choice,
+            Err(_) if self.uses_relay() => return self.run_relayed(purpose, attempts_left).await,
             Err(reason) => return AttemptResult::NotSent(reason),
         };
-        if let Some(reason) = self.check_extra_attempt(purpose, &choice) {
+        if let Some(reason) = self.check_extra_attempt(purpose, choice.expected_latency) {
             return AttemptResult::NotSent(reason);
         }
         let destination = self.state.with(|inner| {
@@ -256,6 +313,15 @@
         AttemptResult::Sent(Box::new((sent, outcome)))
     }
 
+    /// Sends the call to another VM. An attempt after one that reached no target is no retry.
+    async fn run_relayed(&self, purpose: Purpose, attempts_left: u32) -> AttemptResult {
+        let is_retry = matches!(purpose, Purpose::Retry | Purpose::Hedge);
+        if is_retry && let Some(reason) = self.check_extra_attempt(purpose, time::Duration::ZERO) {
+            return AttemptResult::NotSent(reason);
+        }
+        AttemptResult::Relayed(relay::run(self, attempts_left).await)
+    }
+
     fn search(&self) -> placement::Search {
         let objective = self.arrival + self.route.objective;
         let cfg = self.state.cfg.search.clone();
@@ -265,7 +331,11 @@
 
     /// Returns why a retry or hedged attempt must not go to a target. Otherwise spends one token of
     /// the retry budget and returns `None`.
-    fn check_extra_attempt(&self, purpose: Purpose, choice: &placement::Choice) -> Option<Failure> {
+    fn check_extra_attempt(
+        &self,
+        purpose: Purpose,
+        expected_latency: time::Duration,
+    ) -> Option<Failure> {
         if purpose == Purpose::First {
             return None;
         }
@@ -275,7 +345,7 @@
             true => objective,
             false => self.request.deadline,
         };
-        if purpose == Purpose::Hedge && now + choice.expected_latency > limit {
+        if purpose == Purpose::Hedge && now + expected_latency > limit {
             return Some(Failure::Overloaded);
         }
         let limits = &self.state.cfg.limits;
@@ -289,7 +359,6 @@
                 event::Id::CallHedged,
                 &[
                     ("request", &self.request_id_text()),
-                    ("target", &choice.target),
                     ("waited_ms", &now.since(self.arrival).as_millis()),
                 ],
             );
@@ -302,6 +371,13 @@
         let (sent, outcome) = match result {
             AttemptResult::NotSent(reason) => return Evaluation::NotSent(reason),
             AttemptResult::Sent(sent_and_outcome) => *sent_and_outcome,
+            AttemptResult::Relayed(RelayOutcome::Answered(response)) => {
+                return Evaluation::Final(response);
+            }
+            AttemptResult::Relayed(RelayOutcome::Failed(reason)) => {
+                return Evaluation::NotSent(reason);
+            }
+            AttemptResult::Relayed(RelayOutcome::Lost(_)) => return Evaluation::Lost,
         };
         let taken = self.state.clock.now().since(sent.started);
         self.record_attempt(&sent, &outcome, taken);
@@ -318,6 +394,7 @@
                 self.update_estimates(taken, &sent);
                 Evaluation::Final(response)
             }
+            AttemptOutcome::NotSent(_) => Evaluation::NotReached,
             AttemptOutcome::NotRun(_) => Evaluation::NotRun,
             AttemptOutcome::Lost(_) => {
                 let fingerprint = crash::fingerprint(&self.service, &self.request);
@@ -353,7 +430,9 @@
                 ("error", response.head.status.to_string())
             }
             AttemptOutcome::Answered(_) => ("answered", String::new()),
-            AttemptOutcome::NotRun(reason) => ("not-run", reason.clone()),
+            AttemptOutcome::NotSent(reason) | AttemptOutcome::NotRun(reason) => {
+                ("not-run", reason.clone())
+            }
             AttemptOutcome::Lost(reason) => ("lost", reason.clone()),
         };
         let attempts = self.state.metrics.attempts.with_label_values(&[result]);
--- a/wagtailshunt/src/entry/calls/failure.rs
+++ b/wagtailshunt/src/entry/calls/failure.rs
@@ -34,6 +34,9 @@
     /// The service has no target to which the call was not sent already.
     #[display("no-target")]
     NoTarget,
+    /// This VM has lost its path to the targets, and no other VM could relay the call.
+    #[display("unreachable")]
+    Unreachable,
     /// Every attempt was refused by its target before it ran, or the retry budget is spent.
     #[display("refused-by-targets")]
     RefusedByTargets,
@@ -46,6 +49,27 @@
 }
 
 impl Failure {
+    const ALL: [Failure; 12] = [
+        Failure::Malformed,
+        Failure::NoRoute,
+        Failure::NoConfiguration,
+        Failure::BodyTooLarge,
+        Failure::BodyIncomplete,
+        Failure::Overloaded,
+        Failure::CrashesTargets,
+        Failure::NoTarget,
+        Failure::Unreachable,
+        Failure::RefusedByTargets,
+        Failure::Lost,
+        Failure::Timeout,
+    ];
+
+    /// Returns the failure with the given display text.
+    pub fn from_text(text: &str) -> Option<Failure> {
+        let mut all = Failure::ALL.into_iter();
+        all.find(|failure| failure.to_string() == text)
+    }
+
     /// Returns the status. The statuses 408, 421, 429 and 503 guarantee that the call never runs.
     pub fn status(self) -> StatusCode {
         match self {
@@ -56,6 +80,7 @@
             Failure::NoConfiguration
             | Failure::Overloaded
             | Failure::NoTarget
+            | Failure::Unreachable
             | Failure::CrashesTargets
             | Failure::RefusedByTargets => StatusCode::SERVICE_UNAVAILABLE,
             Failure::Lost => StatusCode::BAD_GATEWAY,
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -21,6 +21,7 @@
             attempt::CallRequest,
             call::{self, Call, CallOutcome},
             failure::Failure,
+            relay::{self, RelayedCall},
         },
         state,
     },
@@ -46,17 +47,52 @@
     state: rc::Rc<state::State>,
     req: Request<http::Body>,
     _peer: net::SocketAddr,
+) -> Response<http::Body> {
+    respond(&state, req, None).await
+}
+
+/// Handles a call that another VM relays to this one, and returns the response of a target or a
+/// marked failure.
+pub async fn handle_relayed(
+    state: rc::Rc<state::State>,
+    mut req: Request<http::Body>,
+    _peer: net::SocketAddr,
+) -> Response<http::Body> {
+    let Some(relayed) = RelayedCall::take_from(req.headers_mut()) else {
+        log::warn!("relayed call without valid headers of the relay; refused");
+        return failed_response(Failure::Malformed, None, true);
+    };
+    respond(&state, req, Some(relayed)).await
+}
+
+/// Builds the response of a failed call, which is marked if the call is relayed.
+fn failed_response(
+    reason: Failure,
+    retry_after: Option<std::time::Duration>,
+    is_relayed: bool,
+) -> Response<http::Body> {
+    let mut response = reason.response(retry_after);
+    if is_relayed {
+        relay::mark_failure(&mut response, reason);
+    }
+    response
+}
+
+async fn respond(
+    state: &rc::Rc<state::State>,
+    req: Request<http::Body>,
+    relayed: Option<RelayedCall>,
 ) -> Response<http::Body> {
     state.metrics.in_progress.inc();
     let _guard = InProgressGuard(state.clone());
     let arrival = state.clock.now();
     let request_id = req.headers().get(&state.cfg.protocol.request_id).cloned();
-    let mut response = match serve_call(&state, req, arrival).await {
+    let mut response = match serve_call(state, req, relayed, arrival).await {
         Ok(response) => response,
         Err(reason) => {
             let id = request_id.as_ref().map_or(&b"-"[..], HeaderValue::as_bytes);
             record_finished(
-                &state,
+                state,
                 arrival,
                 reason.status().as_u16(),
                 &[
@@ -66,7 +102,7 @@
             );
             let retry_after =
                 (reason == Failure::NoConfiguration).then_some(CONFIGURATION_RETRY_AFTER);
-            reason.response(retry_after)
+            failed_response(reason, retry_after, relayed.is_some())
         }
     };
     if let Some(id) = request_id {
@@ -123,9 +159,14 @@
 async fn serve_call(
     state: &rc::Rc<state::State>,
     req: Request<http::Body>,
+    relayed: Option<RelayedCall>,
     arrival: core_time::Instant,
 ) -> Result<Response<http::Body>, Failure> {
     http::check_head(&req).map_err(|_| Failure::Malformed)?;
+    let version = state.with(|inner| inner.machine.table.version());
+    if relayed.is_some_and(|relayed| relayed.version > version) {
+        return Err(Failure::NoConfiguration);
+    }
     let named_route = match route(state, &req) {
         Err(Failure::NoConfiguration) => {
             let wait = MAX_CONFIGURATION_WAIT
@@ -156,7 +197,14 @@
         caller_deadline,
     };
     let service = pick_service(state, &named_route);
-    let call = Call::new(state.clone(), &named_route, service, call_request, arrival);
+    let call = Call::new(
+        state.clone(),
+        &named_route,
+        service,
+        call_request,
+        relayed,
+        arrival,
+    );
     let outcome = call.run().await;
     Ok(finish_call(state, &call, outcome))
 }
@@ -164,12 +212,17 @@
 /// Builds the response to a call and records its result.
 fn finish_call(state: &state::State, call: &Call, outcome: CallOutcome) -> Response<http::Body> {
     let (response, outcome) = match outcome {
-        CallOutcome::Response(response) => (call::build_response(response), "answered".to_owned()),
+        CallOutcome::Response(response) => {
+            let mut response = call::build_response(response);
+            relay::clear_failure(&mut response);
+            (response, "answered".to_owned())
+        }
         CallOutcome::Failed(reason) => {
             let not_run = reason.status() == hyper::StatusCode::SERVICE_UNAVAILABLE;
             let may_retry = not_run && reason != Failure::CrashesTargets;
             let retry_after = may_retry.then(|| call.retry_after());
-            (reason.response(retry_after), reason.to_string())
+            let response = failed_response(reason, retry_after, call.is_relayed());
+            (response, reason.to_string())
         }
     };
     let version = state.with(|inner| inner.machine.table.version());
@@ -182,6 +235,7 @@
             ("outcome", &outcome),
             ("route", &call.route_name),
             ("service", &call.service),
+            ("relayed", &call.is_relayed()),
             ("choices", &call.format_choices()),
             ("version", &version),
         ],
--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -4,7 +4,8 @@
 //! `target_search` finds a target with capacity, and `attempt` sends the call to it. `pool` keeps
 //! idle connections, `probe` requests the load of targets, `crash` detects targets that crash
 //! during a call, `budget` limits retries and probes, `work` estimates the service time of a route,
-//! and `failure` builds error responses.
+//! and `failure` builds error responses. `relay` sends calls to another VM while this one has lost its
+//! path to the targets.
 
 mod attempt;
 mod budget;
@@ -14,11 +15,13 @@
 mod handler;
 mod pool;
 mod probe;
+mod relay;
 mod target_search;
 mod work;
 
+pub use attempt::{Destination, connect_to_pool};
 pub use crash::crash_received;
-pub use handler::{handle, may_start_early};
+pub use handler::{handle, handle_relayed, may_start_early};
 pub use pool::Pool;
 pub use probe::run as run_probes;
 pub use work::ServiceTime;
--- a/wagtailshunt/src/entry/calls/pool.rs
+++ b/wagtailshunt/src/entry/calls/pool.rs
@@ -1,20 +1,21 @@
-//! Pool of idle connections to targets, one list for each incarnation of a target.
+//! Pool of idle connections, one list for each destination: an incarnation of a target, or a VM that
+//! relays calls.
 
 use std::{cell, collections, time};
 
-use wagtailshunt_core::{time as core_time, types};
+use wagtailshunt_core::time as core_time;
 
 use crate::http;
 
-/// Share of a target's idle timeout during which a connection is reused. A request that is sent
-/// while the target closes the connection would be lost.
+/// Share of a destination's idle timeout during which a connection is reused. A request that is sent
+/// while the destination closes the connection would be lost.
 const IDLE_TIMEOUT_SHARE: f64 = 0.5;
 
-/// Idle timeout assumed for targets that do not send one.
+/// Idle timeout assumed for destinations that do not send one.
 const DEFAULT_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
-/// Idle connections kept for each target: a few times its number of slots.
-const MAX_IDLE_PER_TARGET: usize = 6;
+/// Idle connections kept for each destination: a few times the slots of a target.
+const MAX_IDLE: usize = 6;
 
 struct IdleConnection {
     client: http::Client,
@@ -22,20 +23,25 @@
     usable_until: core_time::Instant,
 }
 
-/// Idle connections by target id and start of its incarnation; the most recently used is last.
-#[derive(Default)]
-pub struct Pool {
-    idle: cell::RefCell<
-        collections::BTreeMap<(types::TargetId, core_time::UnixMillis), Vec<IdleConnection>>,
-    >,
+/// Idle connections by destination; the most recently used is last.
+pub struct Pool<K> {
+    idle: cell::RefCell<collections::BTreeMap<K, Vec<IdleConnection>>>,
 }
 
-impl Pool {
+impl<K> Default for Pool<K> {
+    fn default() -> Self {
+        Pool {
+            idle: cell::RefCell::default(),
+        }
+    }
+}
+
+impl<K: Ord> Pool<K> {
     /// Takes the most recently used connection if it has been idle for at most `max_idle`.
     pub fn take(
         &self,
         now: core_time::Instant,
-        key: &(types::TargetId, core_time::UnixMillis),
+        key: &K,
         max_idle: time::Duration,
     ) -> Option<http::Client> {
         let mut idle = self.idle.borrow_mut();
@@ -47,11 +53,11 @@
         all.pop().map(|conn| conn.client)
     }
 
-    /// Adds an idle connection. `keep_alive` is the idle timeout that the target sent.
+    /// Adds an idle connection. `keep_alive` is the idle timeout that the destination sent.
     pub fn put(
         &self,
         now: core_time::Instant,
-        key: (types::TargetId, core_time::UnixMillis),
+        key: K,
         client: http::Client,
         keep_alive: Option<time::Duration>,
     ) {
@@ -60,7 +66,7 @@
             .mul_f64(IDLE_TIMEOUT_SHARE);
         let mut idle = self.idle.borrow_mut();
         let all = idle.entry(key).or_default();
-        if all.len() == MAX_IDLE_PER_TARGET {
+        if all.len() == MAX_IDLE {
             all.remove(0);
         }
         all.push(IdleConnection {
--- a/wagtailshunt/src/entry/calls/probe.rs
+++ b/wagtailshunt/src/entry/calls/probe.rs
@@ -9,12 +9,12 @@
 use futures_channel::oneshot;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, header};
-use wagtailshunt_core::{fleet, types};
+use wagtailshunt_core::{fleet, reach, types};
 
 use crate::{
     entry::{
         calls::attempt::{self, Destination},
-        state,
+        path, state,
     },
     http,
 };
@@ -31,7 +31,11 @@
         return;
     };
     while !state.stopped() {
-        let assigned = assigned_targets(&state);
+        let assigned = match state.is_path_lost() {
+            // The checks of the path take the place of probes.
+            true => Vec::new(),
+            false => assigned_targets(&state),
+        };
         let count = assigned.len();
         if count == 0 {
             compio::time::sleep(interval).await;
@@ -58,11 +62,7 @@
 impl ProbeTarget {
     fn new(known: &fleet::TargetEntry, health_path: &str) -> ProbeTarget {
         ProbeTarget {
-            destination: Destination {
-                target: known.announcement.target.clone(),
-                born: known.announcement.born,
-                address: known.announcement.address,
-            },
+            destination: Destination::from(known),
             path: health_path.to_owned(),
         }
     }
@@ -127,6 +127,7 @@
         log::debug!("probe of target {target} timed out after {PROBE_TIMEOUT:?}");
         let now = state.clock.now();
         state.with(|inner| inner.placement.probe_unanswered(now, target));
+        path::record(&state, target, reach::Evidence::NotAnswered);
     }
 }
 
@@ -159,6 +160,7 @@
     req.headers_mut().insert(header::HOST, host);
     state.metrics.probes.inc();
     let response = client.send(req).await.map_err(|(err, _)| err)?;
+    path::record(state, &destination.target, reach::Evidence::Answered);
     let (head, body) = response.into_parts();
     let protocol = &state.cfg.protocol;
     if head.headers.contains_key(&protocol.request_id) {
--- a/wagtailshunt/src/entry/calls/target_search.rs
+++ b/wagtailshunt/src/entry/calls/target_search.rs
@@ -46,15 +46,22 @@
 ///
 /// # Errors
 ///
-/// Returns [`Failure::Overloaded`] when no target is expected to answer in time, and
-/// [`Failure::NoTarget`] when the service has no further target.
+/// Returns [`Failure::Overloaded`] when no target is expected to answer in time,
+/// [`Failure::NoTarget`] when the service has no further target, and [`Failure::Unreachable`] when
+/// this VM has lost its path to the targets.
 pub async fn find_target(
     call: &Call,
     mut search: placement::Search,
 ) -> Result<placement::Choice, Failure> {
+    if call.state.is_path_lost() {
+        return Err(Failure::Unreachable);
+    }
     call.check_queue_wait()?;
     let mut queue_entry = QueueEntry::join(call, &search);
     let choice = loop {
+        if call.state.is_path_lost() {
+            return Err(Failure::Unreachable);
+        }
         let now = call.state.clock.now();
         let is_head = call.with_queue(|queue| queue.is_next(now, queue_entry.ticket));
         match call.step(&mut search, is_head) {
--- a/wagtailshunt/src/entry/metrics.rs
+++ b/wagtailshunt/src/entry/metrics.rs
@@ -13,6 +13,10 @@
     pub attempts: IntCounterVec,
     /// Time of calls from the request head to the response, by outcome, in seconds.
     pub latency: HistogramVec,
+    /// Calls that other VMs relayed, by result.
+    pub relayed: IntCounterVec,
+    /// 1 while this VM has lost its path to the targets.
+    pub path_lost: IntGauge,
     /// Connections opened to targets.
     pub connections: IntCounter,
     /// Probes sent to targets.
@@ -53,6 +57,13 @@
                 "result",
             ),
             latency,
+            relayed: metrics::counter_vec(
+                &registry,
+                "relayed_total",
+                "Calls relayed by other VMs, by result.",
+                "result",
+            ),
+            path_lost: metrics::gauge(&registry, "path_lost", "1 while no target is reached."),
             connections: metrics::counter(
                 &registry,
                 "connections_total",
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod members;
 mod metrics;
 pub mod operators;
+mod path;
 mod peers;
 mod replica;
 mod settings;
@@ -60,7 +61,7 @@
 /// The running process of an entry VM.
 pub struct EntryProcess {
     state: rc::Rc<State>,
-    /// Shutdown of the listener for callers.
+    /// Shutdown of the listeners for calls, from callers and from other VMs.
     caller_shutdown: http::Shutdown,
     /// Shutdown of all other listeners.
     internal_shutdown: http::Shutdown,
@@ -155,6 +156,17 @@
         let serve = http::serve_pipelined(callers, caller_limits(), stop, early, handler);
         daemon::spawn_listener(&state.events, "callers", serve);
 
+        if let Some(address) = state.cfg.relay_address {
+            let relayed = daemon::bind(address).await?;
+            let shared = state.clone();
+            let handler = move |req: Request<Incoming>, peer| {
+                calls::handle_relayed(shared.clone(), req.map(http::Body::Incoming), peer)
+            };
+            let stop = self.caller_shutdown.clone();
+            let serve = http::serve(relayed, caller_limits(), stop, handler);
+            daemon::spawn_listener(&state.events, "relayed calls", serve);
+        }
+
         let operators = daemon::bind(state.cfg.operator_address).await?;
         let shared = state.clone();
         let handler = move |req, _| {
@@ -292,9 +304,11 @@
         members::tick(&state, ticks % TICKS_PER_SLOW_TICK == 0);
         store::save_roster(&state);
         store::save_configuration(&state);
+        path::check(&state);
         if ticks % TICKS_PER_SLOW_TICK == 0 {
             store::save_targets(&state);
             state.pool.remove_expired(state.clock.now());
+            state.relay_pool.remove_expired(state.clock.now());
         }
     }
 }
--- /dev/null
+++ b/wagtailshunt/src/entry/path.rs
@@ -0,0 +1,76 @@
+//! Checks whether this VM reaches any target: collects evidence from connections, and connects to a
+//! sample of the targets when `core::reach` asks for it.
+
+use std::rc;
+
+use futures_util::{StreamExt, stream};
+use rand::seq::IteratorRandom;
+use wagtailshunt_core::{event, reach, types};
+
+use crate::entry::{calls, state};
+
+/// Records what a connection to a target has shown, and starts a check of the path if one is due.
+pub fn record(state: &rc::Rc<state::State>, target: &types::TargetId, evidence: reach::Evidence) {
+    state.with(|inner| inner.path.record(target, evidence));
+    if matches!(
+        evidence,
+        reach::Evidence::NotConnected | reach::Evidence::NotAnswered
+    ) {
+        check(state);
+    }
+}
+
+/// Starts a check of the path in the background if one is due.
+pub fn check(state: &rc::Rc<state::State>) {
+    let now = state.clock.now();
+    if state.with(|inner| inner.path.start_check(now)) {
+        compio::runtime::spawn(run_check(state.clone())).detach();
+    }
+}
+
+async fn run_check(state: rc::Rc<state::State>) {
+    let (first, more) = state.with(|inner| inner.path.sample_sizes());
+    let sample: Vec<calls::Destination> = state.with(|inner| {
+        let known = inner.directory.targets();
+        let sample = known.choose_multiple(&mut *state.rng.borrow_mut(), first + more);
+        sample.into_iter().map(calls::Destination::from).collect()
+    });
+    let first_part = &sample[..first.min(sample.len())];
+    let mut tried = first_part.len();
+    let mut reached = count_reached(&state, first_part).await;
+    if reached == 0 {
+        let rest = &sample[tried..];
+        tried += rest.len();
+        reached = count_reached(&state, rest).await;
+    }
+    let now = state.clock.now();
+    let change = state.with(|inner| inner.path.finish_check(now, reached, tried));
+    if let Some(change) = change {
+        state
+            .metrics
+            .path_lost
+            .set(i64::from(change == reach::PathChange::Lost));
+        state.events.emit(
+            event::Id::PathChanged,
+            &[
+                ("change", &format!("{change:?}")),
+                ("reached", &reached),
+                ("tried", &tried),
+            ],
+        );
+    }
+    state.notify_path_checked();
+}
+
+/// Connects to targets concurrently; returns how many accepted. Their connections are kept for
+/// calls.
+async fn count_reached(state: &rc::Rc<state::State>, targets: &[calls::Destination]) -> usize {
+    let connects: stream::FuturesUnordered<_> = targets
+        .iter()
+        .map(|to| calls::connect_to_pool(state, to))
+        .collect();
+    connects
+        .filter(|reached| std::future::ready(*reached))
+        .count()
+        .await
+}
--- a/wagtailshunt/src/entry/settings.rs
+++ b/wagtailshunt/src/entry/settings.rs
@@ -22,6 +22,9 @@
     pub operator_address: net::SocketAddr,
     /// Address of the listener for other processes of the system.
     pub peer_address: net::SocketAddr,
+    /// Address of the listener for calls of other VMs that have lost their path to the targets;
+    /// `None` to relay none.
+    pub relay_address: Option<net::SocketAddr>,
     /// Address of the listener for metrics; `None` to serve none.
     pub metrics_address: Option<net::SocketAddr>,
     /// Peer addresses of the VMs to which a starting process connects first.
@@ -50,6 +53,7 @@
             id,
             peer_address: self.peer_address,
             operator_address: self.operator_address,
+            relay_address: self.relay_address,
             failure_domain: self.failure_domain.clone(),
             has_disk: self.data_folder.is_some(),
             counted: self.counted,
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -6,8 +6,8 @@
 use futures_channel::oneshot;
 use rand::{SeedableRng, rngs};
 use wagtailshunt_core::{
-    containment, fleet, formation, placement, retry, routing, state_machine, time as core_time,
-    types,
+    containment, fleet, formation, placement, reach, relay, retry, routing, state_machine,
+    time as core_time, types,
 };
 
 use crate::{
@@ -25,7 +25,10 @@
     pub(crate) events: events::EventLog,
     pub(crate) identity: rc::Rc<transport::Identity>,
     pub(crate) peers: peers::Peers,
-    pub(crate) pool: calls::Pool,
+    /// Idle connections to incarnations of targets.
+    pub(crate) pool: calls::Pool<(types::TargetId, core_time::UnixMillis)>,
+    /// Idle connections to VMs that relay calls.
+    pub(crate) relay_pool: calls::Pool<types::VmId>,
     pub(crate) metrics: metrics::Metrics,
     /// Peer addresses of the seed VMs; they change with the settings file.
     pub(crate) seeds: cell::RefCell<Vec<net::SocketAddr>>,
@@ -41,6 +44,8 @@
     ready: cell::Cell<bool>,
     /// Calls that wait for the first configuration.
     awaiting_configuration: cell::RefCell<Vec<oneshot::Sender<()>>>,
+    /// Calls that wait for the end of the running check of the path.
+    awaiting_path_check: cell::RefCell<Vec<oneshot::Sender<()>>>,
     /// Whether a graceful stop has started.
     stopping: cell::Cell<bool>,
     /// Whether the tasks of the process must end.
@@ -58,6 +63,10 @@
     pub(crate) routes: rc::Rc<routing::Index>,
     pub(crate) directory: fleet::Directory,
     pub(crate) placement: placement::Placement,
+    /// Whether this VM reaches targets.
+    pub(crate) path: reach::Path,
+    /// VMs that relay calls while it does not.
+    pub(crate) relays: relay::Relays,
     pub(crate) roster: formation::Roster,
     /// Latest known leader and its term.
     pub(crate) leader: Option<(types::Term, types::VmId)>,
@@ -133,6 +142,7 @@
             identity: rc::Rc::new(identity),
             peers: peers::Peers::default(),
             pool: calls::Pool::default(),
+            relay_pool: calls::Pool::default(),
             metrics: metrics::Metrics::new(),
             seeds: cell::RefCell::new(cfg.seed_addresses.clone()),
             unsaved: store::Unsaved::default(),
@@ -144,6 +154,8 @@
                 routes: rc::Rc::default(),
                 directory: fleet::Directory::default(),
                 placement,
+                path: reach::Path::default(),
+                relays: relay::Relays::default(),
                 roster,
                 leader: None,
                 leading_since: None,
@@ -166,6 +178,7 @@
             last_request: cell::Cell::new(0),
             ready: cell::Cell::new(false),
             awaiting_configuration: cell::RefCell::default(),
+            awaiting_path_check: cell::RefCell::default(),
             stopping: cell::Cell::new(false),
             stopped: cell::Cell::new(false),
             failed: cell::Cell::new(false),
@@ -263,6 +276,30 @@
         self.unsaved.is_stored()
     }
 
+    /// Returns whether this VM has lost its path to the targets.
+    pub fn is_path_lost(&self) -> bool {
+        self.with(|inner| inner.path.is_lost())
+    }
+
+    /// Waits for the end of the running check of the path; returns at once when none is running.
+    pub async fn path_checked(&self) {
+        if !self.with(|inner| inner.path.is_checking()) {
+            return;
+        }
+        let (tx, rx) = oneshot::channel();
+        self.awaiting_path_check.borrow_mut().push(tx);
+        // The sender is dropped only when the process ends.
+        let _ = rx.await;
+    }
+
+    /// Ends the waits of [`State::path_checked`].
+    pub fn notify_path_checked(&self) {
+        for tx in self.awaiting_path_check.take() {
+            // The call may have ended in the meantime.
+            let _ = tx.send(());
+        }
+    }
+
     /// Waits until a configuration is known, for at most `limit`.
     pub async fn wait_until_configured(&self, limit: time::Duration) {
         let rx = self.configuration_waiter();
--- a/wire/src/fleet.rs
+++ b/wire/src/fleet.rs
@@ -106,6 +106,9 @@
         has_disk: vm.has_disk,
         counted: vm.counted,
         incarnation: vm.incarnation.0,
+        relay_address: vm
+            .relay_address
+            .map_or_else(String::new, |address| address.to_string()),
     }
 }
 
@@ -119,6 +122,10 @@
         id: types::VmId(vm.id),
         peer_address: vm.peer_address.parse()?,
         operator_address: vm.operator_address.parse()?,
+        relay_address: match vm.relay_address.as_str() {
+            "" => None,
+            text => Some(text.parse()?),
+        },
         failure_domain: types::FailureDomain(vm.failure_domain),
         has_disk: vm.has_disk,
         counted: vm.counted,
