A path check takes targets of all services in turn

The calls of the other services would have gone through other VMs for no reason. The sample now takes a random target of each service in turn.

--- a/wagtailshunt/src/entry/path.rs
+++ b/wagtailshunt/src/entry/path.rs
@@ -1,11 +1,11 @@
 //! Checks whether this VM reaches any target: collects evidence from connections, and connects to a
 //! sample of the targets when `core::reach` asks for it.
 
-use std::rc;
+use std::{collections, rc};
 
 use futures_util::{StreamExt, stream};
-use rand::seq::IteratorRandom;
-use wagtailshunt_core::{event, reach, types};
+use rand::seq::SliceRandom;
+use wagtailshunt_core::{event, fleet, reach, types};
 
 use crate::entry::{calls, state};
 
@@ -30,11 +30,7 @@
 
 async fn run_check(state: rc::Rc<state::State>) {
     let (first, more) = state.with(|inner| inner.path.sample_sizes());
-    let sample: Vec<calls::Destination> = state.with(|inner| {
-        let known = inner.directory.targets();
-        let sample = known.choose_multiple(&mut *state.rng.borrow_mut(), first + more);
-        sample.into_iter().map(calls::Destination::from).collect()
-    });
+    let sample = sample_targets(&state, first + more);
     let first_part = &sample[..first.min(sample.len())];
     let mut tried = first_part.len();
     let mut reached = count_reached(&state, first_part).await;
@@ -62,6 +58,25 @@
     state.notify_path_checked();
 }
 
+/// Returns random targets, of all services in turn: a service with many targets may fail as a whole.
+fn sample_targets(state: &state::State, count: usize) -> Vec<calls::Destination> {
+    state.with(|inner| {
+        let mut known: Vec<&fleet::TargetEntry> = inner.directory.targets().collect();
+        known.shuffle(&mut *state.rng.borrow_mut());
+        let mut taken: collections::BTreeMap<&types::ServiceName, usize> =
+            collections::BTreeMap::new();
+        let mut by_turn: Vec<(usize, &fleet::TargetEntry)> = Vec::with_capacity(known.len());
+        for target in known {
+            let turn = taken.entry(&target.announcement.service).or_default();
+            by_turn.push((*turn, target));
+            *turn += 1;
+        }
+        by_turn.sort_by_key(|(turn, _)| *turn);
+        let sample = by_turn.into_iter().take(count);
+        sample.map(|(_, target)| target.into()).collect()
+    })
+}
+
 /// Connects to targets concurrently; returns how many accepted. Their connections are kept for
 /// calls.
 async fn count_reached(state: &rc::Rc<state::State>, targets: &[calls::Destination]) -> usize {
