Relays that have handled calls lately come first; declining VMs don't exhaust a call

An older configuration at a relay is no reason to avoid it. Test vms_that_have_relayed_calls_come_before_unknown_ones.

--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -1,8 +1,8 @@
 //! Selects the VM that relays a call of a VM without a path to the targets.
 //!
 //! Any VM of the system may relay. One that fails, or says that it reaches no target itself, is
-//! avoided for a while. VMs of the own failure domain come first, unless one of them is avoided:
-//! a lost path often concerns a whole domain.
+//! avoided for a while. Of the others, VMs that have relayed calls lately come first, and those of the
+//! own failure domain unless one of them is avoided: a lost path often concerns a whole domain.
 
 use std::{collections, time};
 
@@ -14,9 +14,23 @@
 /// failure in a row.
 const AVOID_FOR: time::Duration = time::Duration::from_millis(1000);
 
-/// Longest time for which a VM that cannot be connected to is avoided.
+/// Longest time for which a VM is avoided.
 const AVOID_AT_MOST: time::Duration = time::Duration::from_secs(8);
 
+/// Time after it has handled a call for which a VM counts as proved.
+const PROVED_FOR: time::Duration = time::Duration::from_secs(5);
+
+// Costs of a VM, in calls in flight there.
+
+/// Cost of a VM that is not proved.
+const UNPROVED_COST: f64 = 1.5;
+
+/// Cost of a VM that is not proved, in a failure domain with an avoided VM.
+const IMPAIRED_DOMAIN_COST: f64 = 1.0;
+
+/// Cost of a VM of another failure domain.
+const REMOTE_COST: f64 = 0.5;
+
 /// How the relaying of a call by a VM ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -26,7 +40,7 @@
     Declined,
     /// The VM could not be connected to, or the connection broke.
     Failed,
-    /// The call ended first; this is no evidence about the VM.
+    /// The call ended first, or went elsewhere for a reason that is no evidence about the VM.
     Cancelled,
 }
 
@@ -34,14 +48,30 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Relay {
     in_flight: u32,
+    /// Calls in a row that it declined or failed.
     failures: u32,
     avoid_until: Option<core_time::Instant>,
+    proved_until: Option<core_time::Instant>,
 }
 
 impl Relay {
     fn is_avoided(&self, now: core_time::Instant) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
     }
+
+    fn cost(&self, now: core_time::Instant, is_remote: bool, is_impaired: bool) -> f64 {
+        let mut cost = f64::from(self.in_flight);
+        if is_remote {
+            cost += REMOTE_COST;
+        }
+        if self.proved_until.is_none_or(|until| now >= until) {
+            cost += UNPROVED_COST;
+            if is_impaired {
+                cost += IMPAIRED_DOMAIN_COST;
+            }
+        }
+        cost
+    }
 }
 
 /// VMs that may relay calls, as seen by one VM.
@@ -71,12 +101,14 @@
             let avoided = relay(vm).is_avoided(now);
             !avoided && !tried.contains(&vm.id)
         });
-        usable.min_by_key(|vm| {
+        let ranked = usable.map(|vm| {
             let is_impaired = impaired.contains(&vm.failure_domain);
             let is_remote = vm.failure_domain != *own_domain;
             let tie_breaker: u32 = rng.random();
-            (is_impaired, is_remote, relay(vm).in_flight, tie_breaker)
-        })
+            (relay(vm).cost(now, is_remote, is_impaired), tie_breaker, vm)
+        });
+        let best = ranked.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        best.map(|(_, _, vm)| vm)
     }
 
     /// Records that a call is sent to a VM.
@@ -93,15 +125,13 @@
             Outcome::Handled => {
                 relay.failures = 0;
                 relay.avoid_until = None;
+                relay.proved_until = Some(now + PROVED_FOR);
             }
-            Outcome::Declined => {
-                relay.failures = 0;
-                relay.avoid_until = Some(now + AVOID_FOR);
-            }
-            Outcome::Failed => {
+            Outcome::Declined | Outcome::Failed => {
                 let avoid_for = AVOID_FOR * (1 << relay.failures.min(8));
                 relay.failures += 1;
                 relay.avoid_until = Some(now + avoid_for.min(AVOID_AT_MOST));
+                relay.proved_until = None;
             }
         }
     }
--- a/core/tests/relay.rs
+++ b/core/tests/relay.rs
@@ -126,3 +126,46 @@
     chooser.finish(at(0), 1, Outcome::Cancelled);
     assert_eq!(chooser.choose(at(0), &[]), Some(1));
 }
+
+/// Guards against calls that meet one VM without a path after the other while most VMs have lost it,
+/// although a VM that has it is known.
+#[test]
+fn vms_that_have_relayed_calls_come_before_unknown_ones() {
+    let mut vms: Vec<(u32, &str)> = (1..=40).map(|id| (id, "a")).collect();
+    vms.extend((41..=80).map(|id| (id, "b")));
+    let has_path = |id: u32| id.is_multiple_of(10);
+    let mut chooser = Chooser::new(&vms);
+    let mut now = at(0);
+    let mut declined = 0;
+    for _ in 0..100 {
+        let mut tried = Vec::new();
+        loop {
+            let chosen = chooser.choose(now, &tried).unwrap();
+            tried.push(chosen);
+            if has_path(chosen) {
+                chooser.finish(now, chosen, Outcome::Handled);
+                break;
+            }
+            chooser.finish(now, chosen, Outcome::Declined);
+        }
+        declined += tried.len() - 1;
+        now = now + std::time::Duration::from_millis(150);
+    }
+    // One in ten VMs has a path, so the first call alone meets nine others on average.
+    assert!(declined <= 40, "{declined}");
+}
+
+/// Guards against one proved VM that gets all calls of a VM while others can relay as well.
+#[test]
+fn further_vms_relay_when_the_proved_one_is_busy() {
+    let mut chooser = Chooser::new(&[(1, "a"), (2, "a")]);
+    let first = chooser.choose(at(0), &[]).unwrap();
+    chooser.finish(at(0), first, Outcome::Handled);
+    let mut chosen = collections::BTreeSet::new();
+    for _ in 0..4 {
+        let next = chooser.choose(at(10), &[]).unwrap();
+        chooser.relays.started(types::VmId(next));
+        chosen.insert(next);
+    }
+    assert_eq!(chosen.len(), 2);
+}
--- a/wagtailshunt/src/entry/calls/relay.rs
+++ b/wagtailshunt/src/entry/calls/relay.rs
@@ -40,8 +40,16 @@
 /// domains.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 
-/// VMs that a call is sent to before it fails, as long as none of them handles it.
-const MAX_RELAYS: usize = 4;
+/// VMs that a call is sent to before it fails, as long as all of them decline. One that declines
+/// takes a round trip.
+const MAX_RELAYS: usize = 12;
+
+/// VMs that a call is sent to before it fails, as long as none can be connected to.
+const MAX_FAILED_RELAYS: usize = 2;
+
+/// Longest time for which a relay waits for the version of the sender's configuration. Changes reach
+/// all VMs within some milliseconds of each other.
+pub const VERSION_WAIT: time::Duration = time::Duration::from_millis(200);
 
 /// Longest idle time of a connection to a relay for a call that is not repeatable.
 const MAX_IDLE_NOT_REPEATABLE: time::Duration = time::Duration::from_millis(1500);
@@ -93,15 +101,17 @@
 struct InFlightGuard<'a> {
     state: &'a state::State,
     vm: types::VmId,
+    deadline: core_time::Instant,
     outcome: relay::Outcome,
 }
 
 impl<'a> InFlightGuard<'a> {
-    fn start(state: &'a state::State, vm: types::VmId) -> InFlightGuard<'a> {
-        state.with(|inner| inner.relays.started(vm));
+    fn start(call: &'a Call, vm: types::VmId) -> InFlightGuard<'a> {
+        call.state.with(|inner| inner.relays.started(vm));
         InFlightGuard {
-            state,
+            state: &call.state,
             vm,
+            deadline: call.request.deadline,
             outcome: relay::Outcome::Cancelled,
         }
     }
@@ -110,7 +120,12 @@
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
         let now = self.state.clock.now();
-        let (vm, outcome) = (self.vm, self.outcome);
+        let vm = self.vm;
+        let outcome = match self.outcome {
+            // The relay is silent: it has the same deadline, and answers by then.
+            relay::Outcome::Cancelled if now >= self.deadline => relay::Outcome::Failed,
+            outcome => outcome,
+        };
         self.state
             .with(|inner| inner.relays.finished(now, vm, outcome));
     }
@@ -121,13 +136,14 @@
 pub async fn run(call: &Call, attempts: u32) -> RelayOutcome {
     let state = &call.state;
     let mut tried = Vec::new();
-    while tried.len() < MAX_RELAYS {
+    let mut failed = 0;
+    while tried.len() < MAX_RELAYS && failed < MAX_FAILED_RELAYS {
         let Some((vm, address)) = choose(state, &tried) else {
             break;
         };
         tried.push(vm);
         let started = state.clock.now();
-        let mut guard = InFlightGuard::start(state, vm);
+        let mut guard = InFlightGuard::start(call, vm);
         let exchanged = exchange(state, &call.request, attempts, vm, address).await;
         let (outcome, result) = match exchanged {
             Ok(response) => receive(state, &call.request, vm, response).await,
@@ -143,6 +159,7 @@
         if let Some(result) = result {
             return result;
         }
+        failed += usize::from(outcome == relay::Outcome::Failed);
     }
     RelayOutcome::Failed(Failure::Unreachable)
 }
@@ -227,9 +244,9 @@
         return_to_pool(state, vm, client, keep_alive);
     }
     match failure {
-        Some(Some(Failure::Unreachable | Failure::NoConfiguration)) => {
-            (relay::Outcome::Declined, None)
-        }
+        Some(Some(Failure::Unreachable)) => (relay::Outcome::Declined, None),
+        // The relay has an older configuration, for a moment.
+        Some(Some(Failure::NoConfiguration)) => (relay::Outcome::Cancelled, None),
         Some(Some(failure)) => {
             let failed = RelayOutcome::Failed(failure);
             (relay::Outcome::Handled, Some(failed))
