--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -39,6 +39,9 @@
 /// Largest share of its remaining time that such a call waits, so that enough is left to run it.
 const CONFIGURATION_WAIT_SHARE: f64 = 0.25;
 
+/// Interval at which a relayed call checks for the version of the sender's configuration.
+const VERSION_CHECK_INTERVAL: std::time::Duration = std::time::Duration::from_millis(10);
+
 /// Remaining time assumed for calls that do not state it: longer than the timeout of any route.
 const DEFAULT_TIME_LEFT: std::time::Duration = std::time::Duration::from_secs(3600);
 
@@ -163,9 +166,11 @@
     arrival: core_time::Instant,
 ) -> Result<Response<http::Body>, Failure> {
     http::check_head(&req).map_err(|_| Failure::Malformed)?;
-    let version = state.with(|inner| inner.machine.table.version());
-    if relayed.is_some_and(|relayed| relayed.version > version) {
-        return Err(Failure::NoConfiguration);
+    if let Some(relayed) = relayed {
+        if state.is_path_lost() {
+            return Err(Failure::Unreachable);
+        }
+        wait_for_version(state, relayed.version).await?;
     }
     let named_route = match route(state, &req) {
         Err(Failure::NoConfiguration) => {
@@ -209,6 +214,18 @@
     Ok(finish_call(state, &call, outcome))
 }
 
+/// Waits until this VM has a configuration that is not older than that of the sender.
+async fn wait_for_version(state: &state::State, version: routing::Version) -> Result<(), Failure> {
+    let give_up_at = state.clock.now() + relay::VERSION_WAIT;
+    while state.with(|inner| inner.machine.table.version()) < version {
+        if state.clock.now() >= give_up_at {
+            return Err(Failure::NoConfiguration);
+        }
+        compio::time::sleep(VERSION_CHECK_INTERVAL).await;
+    }
+    Ok(())
+}
+
 /// Builds the response to a call and records its result.
 fn finish_call(state: &state::State, call: &Call, outcome: CallOutcome) -> Response<http::Body> {
     let (response, outcome) = match outcome {
