A call that a relay may run is never refused as not run

At its deadline a call that had gone to a relay only was answered 503, which promises that it has not run, although a target could be running it; so was one whose relay reported a lost or late response while another attempt was in flight.

The call keeps in mind that a relay may run it, with all remaining attempts, until the relay declines or can't be reached; the reason of an unknown outcome is kept apart.

--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -47,6 +47,8 @@
     pub arrival: core_time::Instant,
     /// Set if another VM relays the call to this one.
     relayed: Option<RelayedCall>,
+    /// Whether the call was sent to a relay that may run it, with all attempts that were left.
+    is_at_relay: cell::Cell<bool>,
     /// Targets that the call was sent to.
     tried: cell::RefCell<Vec<types::TargetId>>,
     /// Each chosen target with its estimate at that time, and the time from the arrival to the
@@ -109,8 +111,8 @@
     NotReached,
     /// The target did not run the call.
     NotRun,
-    /// The target may have run the call, and there is no response.
-    Lost,
+    /// A target may have run the call, and there is no response, for this reason.
+    Unknown(Failure),
 }
 
 impl Call {
@@ -131,6 +133,7 @@
             request,
             arrival,
             relayed,
+            is_at_relay: cell::Cell::new(false),
             tried: cell::RefCell::default(),
             choices: cell::RefCell::default(),
             in_flight: cell::Cell::new(None),
@@ -176,36 +179,37 @@
         let hedge = self.wait_for_hedge().fuse();
         pin_mut!(attempts, deadline, hedge);
         let mut fallback = None;
-        let mut may_have_run = false;
+        // Set if a target may have run the call.
+        let mut unknown = None;
         loop {
             select_biased! {
                 result = attempts.next() => {
                     let Some(result) = result else {
-                        return final_outcome(fallback, may_have_run, Failure::RefusedByTargets);
+                        return final_outcome(fallback, unknown, Failure::RefusedByTargets);
                     };
                     let mut reason = Failure::RefusedByTargets;
                     let mut purpose = Purpose::Retry;
                     match self.evaluate(result) {
                         Evaluation::Final(response) => return CallOutcome::Response(response),
                         Evaluation::ServerError(response) => {
-                            may_have_run = true;
+                            unknown = Some(Failure::Lost);
                             fallback = Some(response);
                         }
                         Evaluation::NotReached => purpose = Purpose::Reroute,
                         Evaluation::NotRun => {}
-                        Evaluation::Lost => may_have_run = true,
+                        Evaluation::Unknown(failure) => unknown = Some(failure),
                         Evaluation::NotSent(not_sent) => {
                             if attempts.is_empty() {
-                                return final_outcome(fallback, may_have_run, not_sent);
+                                return final_outcome(fallback, unknown, not_sent);
                             }
                             reason = not_sent;
                         }
                     }
-                    let may_retry = (self.request.repeatable || !may_have_run) && !self.is_blocked();
+                    let may_retry = (self.request.repeatable || unknown.is_none()) && !self.is_blocked();
                     if attempts.is_empty() {
                         let left = self.attempts_left(purpose, attempts_started);
                         if !may_retry || left == 0 {
-                            return final_outcome(fallback, may_have_run, reason);
+                            return final_outcome(fallback, unknown, reason);
                         }
                         attempts_started += 1;
                         attempts.push(self.clone().run_attempt(purpose, left).boxed_local());
@@ -241,9 +245,17 @@
         self.relayed.is_some()
     }
 
+    /// Records whether a relay may run the call.
+    pub fn set_at_relay(&self, is_at_relay: bool) {
+        self.is_at_relay.set(is_at_relay);
+    }
+
     /// Returns how many targets the call may still be sent to after `started` attempts. One that
     /// reached no target does not count if the path to the targets is lost or being checked.
     fn attempts_left(&self, purpose: Purpose, started: u32) -> u32 {
+        if self.is_at_relay.get() {
+            return 0;
+        }
         let limit = self.relayed.map_or(u32::MAX, |relayed| relayed.attempts);
         let left = self.route.max_attempts.min(limit).saturating_sub(started);
         let in_doubt = |inner: &mut state::Inner| inner.path.is_lost() || inner.path.is_checking();
@@ -262,7 +274,9 @@
     fn deadline_outcome(&self, fallback: Option<TargetResponse>) -> CallOutcome {
         match fallback {
             Some(response) => CallOutcome::Response(response),
-            None if self.tried.borrow().is_empty() => CallOutcome::Failed(Failure::Overloaded),
+            None if self.tried.borrow().is_empty() && !self.is_at_relay.get() => {
+                CallOutcome::Failed(Failure::Overloaded)
+            }
             None => CallOutcome::Failed(Failure::Timeout),
         }
     }
@@ -374,10 +388,15 @@
             AttemptResult::Relayed(RelayOutcome::Answered(response)) => {
                 return Evaluation::Final(response);
             }
+            AttemptResult::Relayed(RelayOutcome::Lost(_)) => {
+                return Evaluation::Unknown(Failure::Lost);
+            }
+            AttemptResult::Relayed(RelayOutcome::Failed(
+                failure @ (Failure::Lost | Failure::Timeout),
+            )) => return Evaluation::Unknown(failure),
             AttemptResult::Relayed(RelayOutcome::Failed(reason)) => {
                 return Evaluation::NotSent(reason);
             }
-            AttemptResult::Relayed(RelayOutcome::Lost(_)) => return Evaluation::Lost,
         };
         let taken = self.state.clock.now().since(sent.started);
         self.record_attempt(&sent, &outcome, taken);
@@ -399,7 +418,7 @@
             AttemptOutcome::Lost(_) => {
                 let fingerprint = crash::fingerprint(&self.service, &self.request);
                 crash::check_target(&self.state, sent.to, fingerprint);
-                Evaluation::Lost
+                Evaluation::Unknown(Failure::Lost)
             }
         }
     }
@@ -573,13 +592,13 @@
 /// one.
 fn final_outcome(
     fallback: Option<TargetResponse>,
-    may_have_run: bool,
+    unknown: Option<Failure>,
     reason: Failure,
 ) -> CallOutcome {
-    match fallback {
-        Some(response) => CallOutcome::Response(response),
-        None if may_have_run => CallOutcome::Failed(Failure::Lost),
-        None => CallOutcome::Failed(reason),
+    match (fallback, unknown) {
+        (Some(response), _) => CallOutcome::Response(response),
+        (None, Some(failure)) => CallOutcome::Failed(failure),
+        (None, None) => CallOutcome::Failed(reason),
     }
 }
 
--- a/wagtailshunt/src/entry/calls/relay.rs
+++ b/wagtailshunt/src/entry/calls/relay.rs
@@ -144,6 +144,7 @@
         tried.push(vm);
         let started = state.clock.now();
         let mut guard = InFlightGuard::start(call, vm);
+        call.set_at_relay(true);
         let exchanged = exchange(state, &call.request, attempts, vm, address).await;
         let (outcome, result) = match exchanged {
             Ok(response) => receive(state, &call.request, vm, response).await,
@@ -159,6 +160,7 @@
         if let Some(result) = result {
             return result;
         }
+        call.set_at_relay(false);
         failed += usize::from(outcome == relay::Outcome::Failed);
     }
     RelayOutcome::Failed(Failure::Unreachable)
