Log what decided a refused call, and the loss of the leader (event 123)

Change: event 110 of a call that ends before a service is chosen has host, path (256 characters at most, without the query) and the version in force. Event 123 comes once when a VM has known no leader for 2 s (a voter: its node follows none; another VM: none announced itself), with voters, connected voters, applied index and version. Event 122 is written again when the same leader is known again. Ruled out: announcements as the source on voters. A voter hears them without following the leader, as its node decides.

--- a/core/src/formation/mod.rs
+++ b/core/src/formation/mod.rs
@@ -6,8 +6,12 @@
 //! an empty disk gets a new id, so that it never votes after losing its log and its earlier
 //! votes.
 
+mod leader_watch;
+
 use std::{collections, net, time};
 
+pub use leader_watch::{LEADER_LOST_AFTER, LeaderWatch};
+
 use crate::{fleet, replication, storage, time as core_time, types};
 
 /// Largest number of voters of a group. More voters make commits slower and tolerate no further
--- a/core/tests/formation.rs
+++ b/core/tests/formation.rs
@@ -188,3 +188,27 @@
     }
     assert_eq!(members.voters.len(), 5);
 }
+
+/// Guards against a loss of the leader that is reported during an election, again at each check, or
+/// never ends.
+#[test]
+fn loss_of_the_leader_is_reported_once() {
+    let mut watch = formation::LeaderWatch::default();
+    let limit = u64::try_from(formation::LEADER_LOST_AFTER.as_millis()).unwrap();
+    assert!(!watch.leader_known());
+    assert!(!watch.leader_missing(at(5_000)));
+    assert!(!watch.leader_missing(at(5_000 + limit)));
+    assert!(watch.leader_missing(at(5_001 + limit)));
+    assert!(!watch.leader_missing(at(60_000)));
+    assert!(watch.leader_known());
+    assert!(!watch.leader_known());
+    // Without other knowledge of the leader, the time counts from its last announcement.
+    assert!(!watch.leader_announced(at(70_000)));
+    assert!(!watch.leader_missing(at(70_000 + limit)));
+    assert!(!watch.leader_announced(at(70_000 + limit)));
+    assert!(!watch.leader_missing(at(70_000 + 2 * limit)));
+    assert!(watch.leader_missing(at(70_001 + 2 * limit)));
+    assert!(watch.leader_announced(at(80_000)));
+    assert!(!watch.leader_known());
+    assert!(!watch.leader_missing(at(90_000)));
+}
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -4,7 +4,7 @@
 //! Routes, services and body limits come from the replicated configuration, the caller's deadline
 //! from a request header.
 
-use std::{net, rc};
+use std::{borrow, net, rc};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -41,6 +41,9 @@
 /// Remaining time assumed for calls that do not state it: longer than the timeout of any route.
 const DEFAULT_TIME_LEFT: std::time::Duration = std::time::Duration::from_secs(3600);
 
+/// Longest host or path in a log line, in characters.
+pub const MAX_LOGGED_TEXT_CHARS: usize = 256;
+
 /// Handles a request of a caller and returns the response.
 pub async fn handle(
     state: rc::Rc<state::State>,
@@ -51,17 +54,22 @@
     let _guard = InProgressGuard(state.clone());
     let arrival = state.clock.now();
     let request_id = req.headers().get(&state.cfg.protocol.request_id).cloned();
+    let host = req.headers().get(header::HOST).cloned();
+    let uri = req.uri().clone();
     let mut response = match serve_call(&state, req, arrival).await {
         Ok(response) => response,
         Err(reason) => {
-            let id = request_id.as_ref().map_or(&b"-"[..], HeaderValue::as_bytes);
+            let version = state.with(|inner| inner.machine.table.version());
             record_finished(
                 &state,
                 arrival,
                 reason.status().as_u16(),
                 &[
-                    ("request", &String::from_utf8_lossy(id)),
+                    ("request", &header_log_text(request_id.as_ref())),
                     ("outcome", &reason),
+                    ("host", &shorten(&header_log_text(host.as_ref()))),
+                    ("path", &shorten(uri.path())),
+                    ("version", &version),
                 ],
             );
             let retry_after =
@@ -80,6 +88,15 @@
     response
 }
 
+/// Returns the value of a header for a log line, or `-` when it is missing.
+fn header_log_text(value: Option<&HeaderValue>) -> borrow::Cow<'_, str> {
+    String::from_utf8_lossy(value.map_or(&b"-"[..], HeaderValue::as_bytes))
+}
+
+fn shorten(text: &str) -> String {
+    text.chars().take(MAX_LOGGED_TEXT_CHARS).collect()
+}
+
 /// Returns whether a pipelined request may start before the earlier ones are answered. Only
 /// repeatable calls may, since the caller sends them again when the connection closes first. During
 /// a planned stop none is started, as the next response closes the connection.
--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -18,7 +18,7 @@
 mod work;
 
 pub use crash::crash_received;
-pub use handler::{handle, may_start_early};
+pub use handler::{MAX_LOGGED_TEXT_CHARS, handle, may_start_early};
 pub use pool::Pool;
 pub use probe::run as run_probes;
 pub use work::ServiceTime;
--- a/wagtailshunt/src/entry/leader_sync.rs
+++ b/wagtailshunt/src/entry/leader_sync.rs
@@ -120,30 +120,79 @@
 
 /// Records the leader unless one of a later term is known; returns whether it is recorded.
 fn accept_leader(state: &rc::Rc<state::State>, leader: types::VmId, term: types::Term) -> bool {
-    let is_new = state.with(|inner| {
+    let now = state.clock.now();
+    let accepted = state.with(|inner| {
         if inner.leader.is_some_and(|(known, _)| known > term) {
             return None;
         }
         let is_new = inner.leader != Some((term, leader));
         inner.leader = Some((term, leader));
-        Some(is_new)
+        let ends_loss = match inner.voting_node(state.vm).map(replication::Node::leader) {
+            Some(Some(_)) => inner.leader_watch.leader_known(),
+            // A voter follows a leader only once its node does.
+            Some(None) => false,
+            None => inner.leader_watch.leader_announced(now),
+        };
+        Some((is_new, ends_loss))
     });
-    let Some(is_new) = is_new else {
+    let Some((is_new, ends_loss)) = accepted else {
         return false;
     };
-    if is_new {
-        let id = event::Id::LeaderKnown;
-        state
-            .events
-            .emit(id, &[("leader", &leader), ("term", &term)]);
-        if leader != state.vm {
-            request_state(state, leader);
-            targets::send_own_announcements(state, leader);
-        }
+    if is_new || ends_loss {
+        report_leader(state, leader, term);
+    }
+    if is_new && leader != state.vm {
+        request_state(state, leader);
+        targets::send_own_announcements(state, leader);
     }
     true
 }
 
+fn report_leader(state: &state::State, leader: types::VmId, term: types::Term) {
+    state.events.emit(
+        event::Id::LeaderKnown,
+        &[("leader", &leader), ("term", &term)],
+    );
+}
+
+/// Reports once when this VM has known no leader for [`formation::LEADER_LOST_AFTER`].
+///
+/// [`formation::LEADER_LOST_AFTER`]: wagtailshunt_core::formation::LEADER_LOST_AFTER
+pub fn watch_leader(state: &state::State) {
+    let now = state.clock.now();
+    let (is_lost, found) = state.with(|inner| {
+        let node = inner.voting_node(state.vm);
+        let known = node.and_then(|node| Some((node.leader()?, node.term())));
+        if known.is_none() {
+            return (inner.leader_watch.leader_missing(now), None);
+        }
+        let ends_loss = inner.leader_watch.leader_known();
+        (false, known.filter(|_| ends_loss))
+    });
+    if let Some((leader, term)) = found {
+        report_leader(state, leader, term);
+    }
+    if is_lost {
+        report_leader_lost(state);
+    }
+}
+
+fn report_leader_lost(state: &state::State) {
+    let voters = state.voters();
+    let is_connected = |vm: &types::VmId| *vm == state.vm || state.peers.is_connected(*vm);
+    let connected: Vec<types::VmId> = voters.iter().copied().filter(is_connected).collect();
+    let (applied, version) = state.with(|inner| (inner.applied, inner.machine.table.version()));
+    state.events.emit(
+        event::Id::LeaderUnknown,
+        &[
+            ("voters", &format!("{voters:?}")),
+            ("connected", &format!("{connected:?}")),
+            ("applied", &applied),
+            ("version", &version),
+        ],
+    );
+}
+
 /// Handles the announcement of a leader; requests its state when this VM is behind.
 pub fn leadership_received(
     state: &rc::Rc<state::State>,
--- a/wagtailshunt/src/entry/members.rs
+++ b/wagtailshunt/src/entry/members.rs
@@ -134,6 +134,7 @@
     bootstrap(state);
     update_membership(state);
     leader_sync::request_missing_state(state);
+    leader_sync::watch_leader(state);
     if slow {
         update_placement_position(state);
         leader_sync::announce_leadership(state);
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -6,8 +6,8 @@
 use futures_channel::oneshot;
 use rand::{SeedableRng, rngs};
 use wagtailshunt_core::{
-    containment, fleet, formation, placement, retry, routing, state_machine, time as core_time,
-    types,
+    containment, fleet, formation, placement, replication, retry, routing, state_machine,
+    time as core_time, types,
 };
 
 use crate::{
@@ -62,6 +62,8 @@
     /// Latest known leader and its term.
     pub(crate) leader: Option<(types::Term, types::VmId)>,
     pub(crate) leading_since: Option<core_time::Instant>,
+    /// Reports when no leader is known.
+    pub(crate) leader_watch: formation::LeaderWatch,
     /// Whether this process has sent the list of initial voters.
     pub(crate) bootstrapped: bool,
     /// Connected or known VMs of this VM's group, which share the load reports of their targets.
@@ -106,6 +108,12 @@
         let replica = self.replica.as_ref();
         replica.is_some_and(|replica| replica.node.members().iter().any(|member| member == vm))
     }
+
+    /// Returns the node of this VM if it is a voter of the group, as far as this VM knows.
+    pub fn voting_node(&self, vm: types::VmId) -> Option<&replication::Node> {
+        let node = &self.replica.as_ref()?.node;
+        node.members().voters.contains(&vm).then_some(node)
+    }
 }
 
 impl State {
@@ -147,6 +155,7 @@
                 roster,
                 leader: None,
                 leading_since: None,
+                leader_watch: formation::LeaderWatch::default(),
                 bootstrapped: false,
                 group: Vec::new(),
                 unforwarded_vms: Vec::new(),
