--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -21,7 +21,7 @@
 
 pub use attempt::{Destination, connect_to_pool};
 pub use crash::crash_received;
-pub use handler::{handle, handle_relayed, may_start_early};
+pub use handler::{MAX_LOGGED_TEXT_CHARS, handle, handle_relayed, may_start_early};
 pub use pool::Pool;
 pub use probe::run as run_probes;
 pub use work::ServiceTime;
