--- a/wagtailshunt/src/entry/calls/target_search.rs
+++ b/wagtailshunt/src/entry/calls/target_search.rs
@@ -6,7 +6,7 @@
 use futures_util::{StreamExt, stream};
 use wagtailshunt_core::{placement, types};
 
-use crate::entry::calls::{call::Call, failure::Failure, probe};
+use crate::entry::calls::{budget, call::Call, failure::Failure, probe};
 
 /// An entry in the queue of a service; dropping it removes the call from the queue.
 struct QueueEntry<'a> {
@@ -102,3 +102,63 @@
     }
     None
 }
+
+impl Call {
+    /// Returns the next step of the search for a target. Probes are charged to the probe budget of
+    /// the service; without a token, the step contains none.
+    fn step(&self, search: &mut placement::Search, is_head: bool) -> placement::Step {
+        let now = self.state.clock.now();
+        let tried = self.tried.borrow();
+        let demand = placement::Demand {
+            service: &self.service,
+            work: self.service_time(),
+            tried: &tried,
+        };
+        self.state.with(|inner| {
+            let limits = &self.state.cfg.limits;
+            let may_probe = budget::probes(limits, inner, &self.service).has_tokens();
+            let step = search.step(now, &mut inner.placement, &demand, is_head, may_probe);
+            if let placement::Step::Probe(targets) = &step {
+                targets.iter().for_each(|_| {
+                    budget::probes(limits, inner, &self.service).try_spend();
+                });
+            }
+            step
+        })
+    }
+
+    /// Runs `f` on the queue of the service.
+    fn with_queue<R>(&self, f: impl FnOnce(&mut placement::Queue) -> R) -> R {
+        self.state
+            .with(|inner| f(inner.queues.entry(self.service.clone()).or_default()))
+    }
+
+    /// Checks the expected time in the queue against the time that the call may wait.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Overloaded`] when the expected wait is longer.
+    fn check_queue_wait(&self) -> Result<(), Failure> {
+        let now = self.state.clock.now();
+        let time_left = self.request.deadline.since(now);
+        let limit = time_left.mul_f64(self.state.cfg.search.wait_share);
+        let wait = self.with_queue(|queue| queue.expected_wait(now, self.route.priority));
+        match wait.is_some_and(|wait| wait > limit) {
+            true => Err(Failure::Overloaded),
+            false => Ok(()),
+        }
+    }
+
+    /// Returns a target that would start the call at once according to a fresh load report.
+    fn immediate_target(&self, search: &placement::Search) -> Option<placement::Choice> {
+        let now = self.state.clock.now();
+        let tried = self.tried.borrow();
+        let demand = placement::Demand {
+            service: &self.service,
+            work: self.service_time(),
+            tried: &tried,
+        };
+        self.state
+            .with(|inner| search.ready_target(now, &mut inner.placement, &demand))
+    }
+}
