A VM that has lost its path counts no crashes of targets

Calls were refused on all VMs as ones that crash targets although no target had crashed: connections of a VM broke when it lost its path, the targets took no new ones, and each counted as crashed by the call that was in flight. Three such calls with the same path and body block the request everywhere (found by asking where else a VM takes the failure of its path for that of a target).

The test calls_that_break_with_the_path_are_no_crashes fails without the change (3 crashes counted, 0 expected). Now a crash counts only if the VM reaches other targets; until then the target is checked again every 500 ms, and a later incarnation shows that it has crashed.

--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -274,16 +274,11 @@
     }
 }
 
-/// Opens a connection to a target and keeps it for a call; returns whether the target accepted it.
-pub async fn connect_to_pool(state: &rc::Rc<state::State>, destination: &Destination) -> bool {
+/// Returns whether a target accepts a connection, which is closed again.
+pub async fn accepts_connection(state: &rc::Rc<state::State>, destination: &Destination) -> bool {
     let connected = connect(state, destination).await;
     // A target that closes a connection at once has accepted it: it has too many.
-    let accepted = matches!(connected, Ok(_) | Err(http::ClientError::NotSent));
-    if let Ok(client) = connected {
-        let key = (destination.target.clone(), destination.born);
-        state.pool.put(state.clock.now(), key, client, None);
-    }
-    accepted
+    matches!(connected, Ok(_) | Err(http::ClientError::NotSent))
 }
 
 /// Builds the request of a call with the time that is left.
--- a/wagtailshunt/src/entry/calls/crash.rs
+++ b/wagtailshunt/src/entry/calls/crash.rs
@@ -3,7 +3,7 @@
 //! Input is an attempt whose connection broke, or a report of another VM. `containment::Tally`
 //! counts the crashes by request and refuses a request that keeps crashing targets.
 
-use std::rc;
+use std::{rc, time};
 
 use wagtailshunt_core::{containment, event, fleet as core_fleet, types};
 use wagtailshunt_wire::{
@@ -13,9 +13,15 @@
 
 use crate::entry::{
     calls::attempt::{self, CallRequest, Destination},
-    state,
+    path, state,
 };
 
+/// Interval at which a target is checked while this VM reaches no target.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Number of checks after which it stays open whether a target has crashed.
+const MAX_CHECKS: usize = 30;
+
 /// Returns the fingerprint of a call: the same service, method, path and body give the same
 /// fingerprint, so that the call is recognised when it is sent again under another id.
 pub fn fingerprint(
@@ -38,7 +44,8 @@
 }
 
 /// Connects to a target whose response was lost. A target that does not accept the connection
-/// counts as crashed by the call.
+/// counts as crashed by the call, provided that this VM reaches others: it may have lost its path.
+/// Until it does, the target is checked again.
 pub fn check_target(
     state: &rc::Rc<state::State>,
     to: Destination,
@@ -46,20 +53,44 @@
 ) {
     let state = state.clone();
     compio::runtime::spawn(async move {
-        if let Ok(client) = attempt::connect(&state, &to).await {
-            let key = (to.target, to.born);
-            state.pool.put(state.clock.now(), key, client, None);
-            return;
+        for _ in 0..MAX_CHECKS {
+            match check_once(&state, &to).await {
+                Some(true) => {
+                    let lost = core_fleet::TargetIncarnation {
+                        target: to.target,
+                        born: to.born,
+                    };
+                    record_crash(&state, fingerprint, &lost, None);
+                    return;
+                }
+                Some(false) => return,
+                None => compio::time::sleep(CHECK_INTERVAL).await,
+            }
         }
-        let lost = core_fleet::TargetIncarnation {
-            target: to.target,
-            born: to.born,
-        };
-        record_crash(&state, fingerprint, &lost, None);
     })
     .detach();
 }
 
+/// Returns whether an incarnation of a target has crashed; `None` while this VM reaches no target.
+async fn check_once(state: &rc::Rc<state::State>, to: &Destination) -> Option<bool> {
+    let known = state.with(|inner| inner.directory.get(&to.target).map(Destination::from));
+    let Some(known) = known else {
+        // The target has left, or was removed since it no longer announces itself.
+        return Some(false);
+    };
+    if known.born != to.born {
+        return Some(known.born > to.born);
+    }
+    if let Ok(client) = attempt::connect(state, &known).await {
+        let key = (known.target, known.born);
+        state.pool.put(state.clock.now(), key, client, None);
+        return Some(false);
+    }
+    path::reaches_others(state, &to.target)
+        .await
+        .then_some(true)
+}
+
 /// Handles the report of a crash by another VM.
 ///
 /// # Errors
--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -19,7 +19,7 @@
 mod target_search;
 mod work;
 
-pub use attempt::{Destination, connect_to_pool};
+pub use attempt::{Destination, accepts_connection};
 pub use crash::crash_received;
 pub use handler::{MAX_LOGGED_TEXT_CHARS, handle, handle_relayed, may_start_early};
 pub use pool::Pool;
--- a/wagtailshunt/src/entry/path.rs
+++ b/wagtailshunt/src/entry/path.rs
@@ -29,16 +29,7 @@
 }
 
 async fn run_check(state: rc::Rc<state::State>) {
-    let (first, more) = state.with(|inner| inner.path.sample_sizes());
-    let sample = sample_targets(&state, first + more);
-    let first_part = &sample[..first.min(sample.len())];
-    let mut tried = first_part.len();
-    let mut reached = count_reached(&state, first_part).await;
-    if reached == 0 {
-        let rest = &sample[tried..];
-        tried += rest.len();
-        reached = count_reached(&state, rest).await;
-    }
+    let (reached, tried) = connect_to_sample(&state, None).await;
     let now = state.clock.now();
     let change = state.with(|inner| inner.path.finish_check(now, reached, tried));
     if let Some(change) = change {
@@ -58,10 +49,37 @@
     state.notify_path_checked();
 }
 
+/// Returns whether this VM reaches any target but one; true if it knows no other.
+pub async fn reaches_others(state: &rc::Rc<state::State>, except: &types::TargetId) -> bool {
+    let (reached, tried) = connect_to_sample(state, Some(except)).await;
+    reached > 0 || tried == 0
+}
+
+/// Connects to a sample of the targets, in two parts; returns how many were reached and tried.
+async fn connect_to_sample(
+    state: &rc::Rc<state::State>,
+    except: Option<&types::TargetId>,
+) -> (usize, usize) {
+    let (first, more) = state.with(|inner| inner.path.sample_sizes());
+    let sample = sample_targets(state, except, first + more);
+    let (first_part, rest) = sample.split_at(first.min(sample.len()));
+    let reached = count_reached(state, first_part).await;
+    if reached > 0 {
+        return (reached, first_part.len());
+    }
+    (count_reached(state, rest).await, sample.len())
+}
+
 /// Returns random targets, of all services in turn: a service with many targets may fail as a whole.
-fn sample_targets(state: &state::State, count: usize) -> Vec<calls::Destination> {
+fn sample_targets(
+    state: &state::State,
+    except: Option<&types::TargetId>,
+    count: usize,
+) -> Vec<calls::Destination> {
     state.with(|inner| {
-        let mut known: Vec<&fleet::TargetEntry> = inner.directory.targets().collect();
+        let known = inner.directory.targets();
+        let known = known.filter(|known| Some(&known.announcement.target) != except);
+        let mut known: Vec<&fleet::TargetEntry> = known.collect();
         known.shuffle(&mut *state.rng.borrow_mut());
         let mut taken: collections::BTreeMap<&types::ServiceName, usize> =
             collections::BTreeMap::new();
@@ -77,12 +95,11 @@
     })
 }
 
-/// Connects to targets concurrently; returns how many accepted. Their connections are kept for
-/// calls.
+/// Connects to targets concurrently; returns how many accepted.
 async fn count_reached(state: &rc::Rc<state::State>, targets: &[calls::Destination]) -> usize {
     let connects: stream::FuturesUnordered<_> = targets
         .iter()
-        .map(|to| calls::connect_to_pool(state, to))
+        .map(|to| calls::accepts_connection(state, to))
         .collect();
     connects
         .filter(|reached| std::future::ready(*reached))
