A gone voter leaves although leaders change

A voter that was gone for good stayed in the group as long as leaders changed more often than every 3 s.

Cause: next_membership_change took the later of the member's last reply and the leader's election as last contact, so each leader counted the absence anew.

Evidence, the new core test before the change, gone voter, a new leader each 2 s:

gone_voter_leaves_although_leaders_change: assertion `left == right` failed: after 60 s with a new leader each 2 s left: None right: Some(Remove(VmId(4)))

Every VM now records each 100 ms which VMs are connected to it. The last contact of a member is the later of that and of its last reply, so a new leader knows of the absence before its election. An id that never was connected counts from when this VM first knew of it, mostly the start of its process. A leader removes no member in its first 1.5 s, whether the member is absent or replaced: a VM that was paused or has just started has had time to connect by then.

The tests of next_membership_change pass the last contact in; no test covers the record of connections in members.rs alone.

--- a/core/src/formation/mod.rs
+++ b/core/src/formation/mod.rs
@@ -167,7 +167,8 @@
 pub struct MemberStatus {
     /// Whether a connection to the member is open.
     pub connected: bool,
-    /// When the member last replied to the leader; `None` when it has not yet.
+    /// When the member was last connected to this VM or replied to it, also before this VM was
+    /// elected. `None` when nothing is known of it; its absence then counts from the election.
     pub last_contact: Option<core_time::Instant>,
     /// Whether the member has caught up with the log, so that a learner can be promoted.
     pub caught_up: bool,
@@ -177,7 +178,8 @@
 /// eligible VMs that are connected, or `None` when there is none.
 ///
 /// Only the leader of the group calls this; `since` is when it was elected. Absent voters are
-/// removed as long as `fewest_voters` are left.
+/// removed as long as `fewest_voters` are left. The absence of a member may have begun before the
+/// election, so that a member that is gone leaves also where leaders change often.
 pub fn next_membership_change(
     now: core_time::Instant,
     since: core_time::Instant,
@@ -186,18 +188,17 @@
     roster: &Roster,
     status: impl Fn(types::VmId) -> MemberStatus,
 ) -> Option<replication::MembershipChange> {
+    let may_remove = now.since(since) >= REMOVE_AFTER_ELECTION;
     for vm in members.iter() {
         // No known VM has this id: another VM announced itself at its address, so its disk or
         // process no longer exists.
         let replaced = roster.get(vm).is_none() && members.iter().count() > 1;
         let absent = |status: MemberStatus| {
-            let last_contact = status.last_contact.unwrap_or(since).max(since);
+            let last_contact = status.last_contact.unwrap_or(since);
             !status.connected && now.since(last_contact) >= REMOVE_ABSENT_AFTER
         };
         let removable = members.voters.len() > fewest_voters || members.learners.contains(&vm);
-        if replaced && !status(vm).connected && now.since(since) >= REMOVE_REPLACED_AFTER
-            || removable && absent(status(vm))
-        {
+        if may_remove && (replaced && !status(vm).connected || removable && absent(status(vm))) {
             return Some(replication::MembershipChange::Remove(vm));
         }
     }
@@ -218,6 +219,6 @@
         .map(|vm| replication::MembershipChange::AddLearner(vm.id))
 }
 
-/// Time after its election that a leader waits before it removes a member that is not in the
-/// roster, because the member may not have connected yet.
-const REMOVE_REPLACED_AFTER: time::Duration = time::Duration::from_millis(1500);
+/// Time after its election that a leader waits before it removes a member, because the member may
+/// not have connected yet to a VM that was paused or has just started.
+const REMOVE_AFTER_ELECTION: time::Duration = time::Duration::from_millis(1500);
--- a/core/tests/formation.rs
+++ b/core/tests/formation.rs
@@ -189,3 +189,65 @@
     }
     assert_eq!(members.voters.len(), 5);
 }
+
+/// Guards against a voter that is gone for good and never leaves because each leader counts its
+/// absence anew.
+#[test]
+fn gone_voter_leaves_although_leaders_change() {
+    let election_interval = time::Duration::from_secs(2);
+    let roster = roster(&(1..=4).map(|i| vm(i, i as u8, "a", 1)).collect::<Vec<_>>());
+    let members = storage::Membership::of_voters((1..=4).map(types::VmId));
+    let gone = types::VmId(4);
+    let gone_at = at(1_000);
+    let mut elected = at(0);
+    let mut now = gone_at;
+    let removal = replication::MembershipChange::Remove(gone);
+    let change = loop {
+        now = now + time::Duration::from_millis(100);
+        if now.since(elected) >= election_interval {
+            elected = now;
+        }
+        let status = |vm: types::VmId| formation::MemberStatus {
+            connected: vm != gone,
+            last_contact: Some(if vm == gone { gone_at } else { now }),
+            caught_up: true,
+        };
+        let change = formation::next_membership_change(now, elected, &members, 3, &roster, status);
+        if change.is_some() || now > at(60_000) {
+            break change;
+        }
+    };
+    assert_eq!(
+        change,
+        Some(removal),
+        "after 60 s with a new leader each 2 s"
+    );
+    let longest =
+        formation::REMOVE_ABSENT_AFTER + election_interval + time::Duration::from_millis(1_500);
+    assert!(now.since(gone_at) >= formation::REMOVE_ABSENT_AFTER);
+    assert!(now.since(gone_at) <= longest, "{:?}", now.since(gone_at));
+}
+
+/// Guards against a new leader that removes members which have not connected to it yet: a voter and
+/// a learner without contact for long, and a voter that is not in the roster.
+#[test]
+fn leader_removes_no_one_soon_after_its_election() {
+    let roster = roster(&(1..=5).map(|i| vm(i, i as u8, "a", 1)).collect::<Vec<_>>());
+    let elected = at(60_000);
+    for gone in [4, 5, 6].map(types::VmId) {
+        let mut members = storage::Membership::of_voters([1, 2, 3, 4, 6].map(types::VmId));
+        members.learners.insert(types::VmId(5));
+        let status = |vm: types::VmId| formation::MemberStatus {
+            connected: vm != gone,
+            last_contact: Some(at(1_000)),
+            caught_up: false,
+        };
+        let change_after = |ms: u64| {
+            let now = elected + time::Duration::from_millis(ms);
+            formation::next_membership_change(now, elected, &members, 3, &roster, status)
+        };
+        assert_eq!(change_after(500), None);
+        let removal = replication::MembershipChange::Remove(gone);
+        assert_eq!(change_after(1_500), Some(removal));
+    }
+}
--- a/wagtailshunt/src/entry/members.rs
+++ b/wagtailshunt/src/entry/members.rs
@@ -3,7 +3,7 @@
 //! The known VMs come from the roster. `formation` decides the initial voters and each later
 //! membership change; the leader proposes the changes.
 
-use std::rc;
+use std::{collections, rc};
 
 use wagtailshunt_core::{event, formation, placement, replication, types};
 use wagtailshunt_wire::generated::fleet::{self, fleet_message::Body as Fleet};
@@ -62,6 +62,29 @@
     state.unsaved.roster.set(true);
 }
 
+/// Records which VMs are connected, so that a leader knows for how long a member has been absent
+/// before its election.
+fn update_last_connected(state: &state::State) {
+    let now = state.clock.now();
+    let connected = state.peers.connected();
+    state.with(|inner| {
+        let replica = inner.replica.as_ref();
+        let members = replica.map(|replica| replica.node.members());
+        let members = members.into_iter().flat_map(|members| members.iter());
+        let known: collections::BTreeSet<types::VmId> = members
+            .chain(inner.roster.vms().map(|vm| vm.id))
+            .filter(|vm| *vm != state.vm)
+            .collect();
+        inner.last_connected.retain(|vm, _| known.contains(vm));
+        for vm in &known {
+            inner.last_connected.entry(*vm).or_insert(now);
+        }
+        for vm in connected.iter().filter(|vm| known.contains(*vm)) {
+            inner.last_connected.insert(*vm, now);
+        }
+    });
+}
+
 /// Proposes the next membership change when this VM leads, so that all VMs with disks become
 /// voters.
 pub fn update_membership(state: &rc::Rc<state::State>) {
@@ -73,7 +96,9 @@
             let peer = replica.node.peer(vm);
             formation::MemberStatus {
                 connected: vm == state.vm || state.peers.is_connected(vm),
-                last_contact: peer.and_then(|peer| peer.last_contact),
+                last_contact: peer
+                    .and_then(|peer| peer.last_contact)
+                    .max(inner.last_connected.get(&vm).copied()),
                 caught_up: peer.is_some_and(|peer| peer.caught_up),
             }
         };
@@ -132,6 +157,7 @@
 /// Runs the regular tasks; `slow` adds those that run once a second.
 pub fn tick(state: &rc::Rc<state::State>, slow: bool) {
     bootstrap(state);
+    update_last_connected(state);
     update_membership(state);
     leader_sync::request_missing_state(state);
     if slow {
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -68,6 +68,9 @@
     /// VMs that relay calls while it does not.
     pub(crate) relays: relay::Relays,
     pub(crate) roster: formation::Roster,
+    /// When each other VM of the roster and each member was last connected to this VM; for one that
+    /// never was, when this VM first knew of it.
+    pub(crate) last_connected: collections::BTreeMap<types::VmId, core_time::Instant>,
     /// Latest known leader and its term.
     pub(crate) leader: Option<(types::Term, types::VmId)>,
     pub(crate) leading_since: Option<core_time::Instant>,
@@ -157,6 +160,7 @@
                 path: reach::Path::default(),
                 relays: relay::Relays::default(),
                 roster,
+                last_connected: collections::BTreeMap::new(),
                 leader: None,
                 leading_since: None,
                 bootstrapped: false,
