A removed member that comes back accepts what the leader sends

A VM that was away for more than 3 s and whose place among the voters another VM had taken came back with its disk, got the configuration of that moment, and from then on served this configuration until the leader changed. Calls on routes that were added later got 404 there.

Cause: its own log still counted the VM as a member. command_received and leadership_received left members to their own log, but the leader, which counted the VM as no member, sent it no entries of the log.

Who is a member is decided by the leader, which sends commands only to VMs that are none. They are committed, so any VM applies those of the known leader that follow its applied index, and requests the state when one is missing. An announcement makes a member request the state only if it lacks commands of the announcement before, so that one that is a moment behind requests nothing.

--- a/wagtailshunt/src/entry/leader_sync.rs
+++ b/wagtailshunt/src/entry/leader_sync.rs
@@ -3,6 +3,9 @@
 //! Such a VM applies the commands that the leader sends, in the order of their index. When one is
 //! missing, it requests the whole state. Members apply the same commands from their own log.
 //!
+//! The leader decides who is a member. A VM that was removed while it was away still finds itself in
+//! the members of its own log, so every VM accepts what the leader sends: it is committed.
+//!
 //! Targets that join or end are sent to all VMs once. A VM that was not connected then finds the
 //! difference by the digest in the leader's regular message, and requests the buckets of the
 //! directory that differ.
@@ -154,7 +157,13 @@
         return;
     }
     let is_behind = state.with(|inner| {
-        let lacks_commands = !inner.is_member(state.vm) && inner.applied.0 < leading.applied;
+        // A member may get the last commands a moment after the announcement.
+        let due = match inner.is_member(state.vm) {
+            true => inner.announced_applied,
+            false => types::LogIndex(leading.applied),
+        };
+        inner.announced_applied = types::LogIndex(leading.applied);
+        let lacks_commands = inner.applied < due;
         let digest = leading.directory_digest;
         lacks_commands || digest != 0 && digest != inner.directory.digests().total()
     });
@@ -310,12 +319,11 @@
     state.update_readiness();
 }
 
-/// Handles a command that the leader has applied. Members ignore it, as they apply their own log.
+/// Handles a command that the leader has applied. The leader sends none to members.
 pub fn command_received(state: &rc::Rc<state::State>, from: types::VmId, command: &fleet::Command) {
-    let (applied, leader, is_member) =
-        state.with(|inner| (inner.applied, inner.leader, inner.is_member(state.vm)));
+    let (applied, leader) = state.with(|inner| (inner.applied, inner.leader));
     let is_from_leader = leader.is_some_and(|(_, leader)| leader == from);
-    if is_member || !is_from_leader || command.index <= applied.0 {
+    if !is_from_leader || command.index <= applied.0 {
         return;
     }
     if command.previous != applied.0 {
--- a/wagtailshunt/src/entry/replica.rs
+++ b/wagtailshunt/src/entry/replica.rs
@@ -329,12 +329,17 @@
     maybe_snapshot(state, index);
 }
 
+/// Takes a snapshot at an index of the log if one is due and the state is that of this index. The
+/// state is ahead of the log after it was received from the leader.
 fn maybe_snapshot(state: &state::State, index: types::LogIndex) {
     let now = state.clock.now();
     state.with(|inner| {
         let Some(replica) = &mut inner.replica else {
             return;
         };
+        if inner.applied != index {
+            return;
+        }
         if index.0 < replica.next_snapshot_index && replica.bytes_since_snapshot < SNAPSHOT_INTERVAL_BYTES {
             return;
         }
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -74,6 +74,8 @@
     /// Latest known leader and its term.
     pub(crate) leader: Option<(types::Term, types::VmId)>,
     pub(crate) leading_since: Option<core_time::Instant>,
+    /// Applied index of the last announcement of a leader.
+    pub(crate) announced_applied: types::LogIndex,
     /// Whether this process has sent the list of initial voters.
     pub(crate) bootstrapped: bool,
     /// Connected or known VMs of this VM's group, which share the load reports of their targets.
@@ -163,6 +165,7 @@
                 last_connected: collections::BTreeMap::new(),
                 leader: None,
                 leading_since: None,
+                announced_applied: types::LogIndex(0),
                 bootstrapped: false,
                 group: Vec::new(),
                 unforwarded_vms: Vec::new(),
