--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -68,11 +68,16 @@
     /// VMs that relay calls while it does not.
     pub(crate) relays: relay::Relays,
     pub(crate) roster: formation::Roster,
+    /// When each other VM of the roster and each member was last connected to this VM; for one that
+    /// never was, when this VM first knew of it.
+    pub(crate) last_connected: collections::BTreeMap<types::VmId, core_time::Instant>,
     /// Latest known leader and its term.
     pub(crate) leader: Option<(types::Term, types::VmId)>,
     pub(crate) leading_since: Option<core_time::Instant>,
     /// Reports when no leader is known.
     pub(crate) leader_watch: formation::LeaderWatch,
+    /// Applied index of the last announcement of a leader.
+    pub(crate) announced_applied: types::LogIndex,
     /// Whether this process has sent the list of initial voters.
     pub(crate) bootstrapped: bool,
     /// Connected or known VMs of this VM's group, which share the load reports of their targets.
@@ -165,9 +170,11 @@
                 path: reach::Path::default(),
                 relays: relay::Relays::default(),
                 roster,
+                last_connected: collections::BTreeMap::new(),
                 leader: None,
                 leading_since: None,
                 leader_watch: formation::LeaderWatch::default(),
+                announced_applied: types::LogIndex(0),
                 bootstrapped: false,
                 group: Vec::new(),
                 unforwarded_vms: Vec::new(),
