--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -135,6 +135,9 @@
         "answered" => "the response of a target was forwarded",
         "overloaded" => "not run: no target had capacity within the time that the call could wait",
         "no-target" => "not run: the VM knows no target of the service",
+        "unreachable" => {
+            "not run: the VM had lost its path to the targets, and no other VM could relay the call"
+        }
         "refused-by-targets" => {
             "not run: every target that was tried provably did not run the call"
         }
