A call that reached no target is refused, not timed out, at its deadline

Cause: any target that was tried counted as one that may run the call. Now the call counts its sendings that aren't proved not to have run (nothing written, or refused by the target). A path check goes on to further targets after 100 ms, and a call waits for it, or goes to a relay, only with enough time left to run.

--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -3,7 +3,7 @@
 //! The call and the chosen target come from `call`. The outcome states whether the target ran the
 //! call, which decides whether another attempt is allowed.
 
-use std::{net, rc, time};
+use std::{cell, net, rc, time};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -45,6 +45,20 @@
     pub deadline: core_time::Instant,
     /// The caller's own deadline.
     pub caller_deadline: core_time::Instant,
+    /// Number of sendings of the call that are not proved not to have run.
+    pub unproved: cell::Cell<u32>,
+}
+
+impl CallRequest {
+    /// Records that the call is about to be sent to a target.
+    fn record_sent(&self) {
+        self.unproved.set(self.unproved.get() + 1);
+    }
+
+    /// Records the proof that a sending did not run.
+    fn record_not_run(&self) {
+        self.unproved.set(self.unproved.get() - 1);
+    }
 }
 
 /// A target as the destination of an attempt.
@@ -154,6 +168,7 @@
     record_load_header(state, &destination.target, &head.headers);
     let protocol = &state.cfg.protocol;
     if head.status == StatusCode::MISDIRECTED_REQUEST {
+        call_request.record_not_run();
         flight.finish(placement::Outcome::Failed);
         remove_misdirected(state, &destination);
         return AttemptOutcome::NotRun(
@@ -161,6 +176,7 @@
         );
     }
     if head.headers.contains_key(&protocol.not_run) {
+        call_request.record_not_run();
         flight.finish(placement::Outcome::Shed);
         drain_and_pool(state, destination, client, &head.headers, body);
         return AttemptOutcome::NotRun(format!(
@@ -230,24 +246,34 @@
         true => time::Duration::MAX,
         false => MAX_IDLE_NOT_REPEATABLE,
     };
-    if let Some(mut client) = state.pool.take(state.clock.now(), &key, max_idle) {
-        match client
-            .send(build_target_request(state, call_request, destination))
-            .await
-        {
-            Ok(response) => return Ok((client, response)),
+    if let Some(client) = state.pool.take(state.clock.now(), &key, max_idle) {
+        match send(state, call_request, destination, client).await {
             // The target has closed the idle connection; no byte of the request was written.
-            Err((err, _)) if err.proves_not_run() => {}
-            Err((err, _)) => return Err(err),
+            Err(err) if err.proves_not_run() => {}
+            exchanged => return exchanged,
         }
     }
-    let mut client = connect(state, destination).await?;
-    match client
-        .send(build_target_request(state, call_request, destination))
-        .await
-    {
+    let client = connect(state, destination).await?;
+    send(state, call_request, destination, client).await
+}
+
+/// Sends the request on a connection and waits for the head of the response.
+async fn send(
+    state: &state::State,
+    call_request: &CallRequest,
+    destination: &Destination,
+    mut client: http::Client,
+) -> Result<(http::Client, hyper::Response<Incoming>), http::ClientError> {
+    call_request.record_sent();
+    let req = build_target_request(state, call_request, destination);
+    match client.send(req).await {
         Ok(response) => Ok((client, response)),
-        Err((err, _)) => Err(err),
+        Err((err, _)) => {
+            if err.proves_not_run() {
+                call_request.record_not_run();
+            }
+            Err(err)
+        }
     }
 }
 
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -29,6 +29,9 @@
 /// Largest slowness factor at which a target still counts as running at its normal speed.
 const MAX_NORMAL_SLOWNESS: f64 = 1.2;
 
+/// Multiple of the mean service time that must be left to run a call through another VM.
+const RUN_MARGIN: f64 = 1.3;
+
 /// `Retry-After` of a refused call as a share of the longest delay that callers honour. It is drawn
 /// at random, so that callers refused together do not return together.
 const RETRY_AFTER_SHARE: std::ops::Range<f64> = 0.4..1.0;
@@ -274,7 +277,7 @@
     fn deadline_outcome(&self, fallback: Option<TargetResponse>) -> CallOutcome {
         match fallback {
             Some(response) => CallOutcome::Response(response),
-            None if self.tried.borrow().is_empty() && !self.is_at_relay.get() => {
+            None if self.request.unproved.get() == 0 && !self.is_at_relay.get() => {
                 CallOutcome::Failed(Failure::Overloaded)
             }
             None => CallOutcome::Failed(Failure::Timeout),
@@ -289,7 +292,7 @@
         attempts_left: u32,
     ) -> AttemptResult {
         if purpose == Purpose::Reroute {
-            self.state.path_checked().await;
+            self.wait_for_path_check().await;
         }
         let choice = match target_search::find_target(&self, self.search()).await {
             Ok(choice) => choice,
@@ -327,8 +330,20 @@
         AttemptResult::Sent(Box::new((sent, outcome)))
     }
 
+    /// Waits for the running check of the path as long as enough time is left to run the call.
+    async fn wait_for_path_check(&self) {
+        let time_left = self.request.deadline.since(self.state.clock.now());
+        let limit = time_left.saturating_sub(self.service_time().mul_f64(RUN_MARGIN));
+        // Without a result, the attempt goes by what is known.
+        let _ = compio::time::timeout(limit, self.state.path_checked()).await;
+    }
+
     /// Sends the call to another VM. An attempt after one that reached no target is no retry.
     async fn run_relayed(&self, purpose: Purpose, attempts_left: u32) -> AttemptResult {
+        let run_time = self.service_time().mul_f64(RUN_MARGIN);
+        if self.state.clock.now() + run_time > self.request.deadline {
+            return AttemptResult::NotSent(Failure::Overloaded);
+        }
         let is_retry = matches!(purpose, Purpose::Retry | Purpose::Hedge);
         if is_retry && let Some(reason) = self.check_extra_attempt(purpose, time::Duration::ZERO) {
             return AttemptResult::NotSent(reason);
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -4,7 +4,7 @@
 //! Routes, services and body limits come from the replicated configuration, the caller's deadline
 //! from a request header.
 
-use std::{borrow, net, rc};
+use std::{borrow, cell, net, rc};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -217,6 +217,7 @@
         repeatable: named_route.1.repeatable,
         deadline,
         caller_deadline,
+        unproved: cell::Cell::new(0),
     };
     let service = pick_service(state, &named_route);
     let call = Call::new(
--- a/wagtailshunt/src/entry/path.rs
+++ b/wagtailshunt/src/entry/path.rs
@@ -1,7 +1,7 @@
 //! Checks whether this VM reaches any target: collects evidence from connections, and connects to a
 //! sample of the targets when `core::reach` asks for it.
 
-use std::{collections, rc};
+use std::{collections, rc, time};
 
 use futures_util::{StreamExt, stream};
 use rand::seq::SliceRandom;
@@ -9,6 +9,10 @@
 
 use crate::entry::{calls, state};
 
+/// Time after which a check goes on to further targets. A target accepts within a few round trips
+/// between failure domains.
+const FIRST_SAMPLE_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 /// Records what a connection to a target has shown, and starts a check of the path if one is due.
 pub fn record(state: &rc::Rc<state::State>, target: &types::TargetId, evidence: reach::Evidence) {
     state.with(|inner| inner.path.record(target, evidence));
@@ -63,11 +67,11 @@
     let (first, more) = state.with(|inner| inner.path.sample_sizes());
     let sample = sample_targets(state, except, first + more);
     let (first_part, rest) = sample.split_at(first.min(sample.len()));
-    let reached = count_reached(state, first_part).await;
-    if reached > 0 {
-        return (reached, first_part.len());
+    let first_reached = count_reached(state, first_part);
+    match compio::time::timeout(FIRST_SAMPLE_TIMEOUT, first_reached).await {
+        Ok(reached) if reached > 0 => (reached, first_part.len()),
+        _ => (count_reached(state, rest).await, sample.len()),
     }
-    (count_reached(state, rest).await, sample.len())
 }
 
 /// Returns random targets, of all services in turn: a service with many targets may fail as a whole.
