--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -299,7 +299,8 @@
             Err(_) if self.uses_relay() => return self.run_relayed(purpose, attempts_left).await,
             Err(reason) => return AttemptResult::NotSent(reason),
         };
-        if let Some(reason) = self.check_extra_attempt(purpose, choice.expected_latency) {
+        let to = &choice.target;
+        if let Some(reason) = self.check_extra_attempt(purpose, choice.expected_latency, to) {
             return AttemptResult::NotSent(reason);
         }
         let destination = self.state.with(|inner| {
@@ -345,7 +346,9 @@
             return AttemptResult::NotSent(Failure::Overloaded);
         }
         let is_retry = matches!(purpose, Purpose::Retry | Purpose::Hedge);
-        if is_retry && let Some(reason) = self.check_extra_attempt(purpose, time::Duration::ZERO) {
+        if is_retry
+            && let Some(reason) = self.check_extra_attempt(purpose, time::Duration::ZERO, &"relay")
+        {
             return AttemptResult::NotSent(reason);
         }
         AttemptResult::Relayed(relay::run(self, attempts_left).await)
@@ -364,6 +367,7 @@
         &self,
         purpose: Purpose,
         expected_latency: time::Duration,
+        to: &dyn std::fmt::Display,
     ) -> Option<Failure> {
         if purpose == Purpose::First {
             return None;
@@ -388,6 +392,7 @@
                 event::Id::CallHedged,
                 &[
                     ("request", &self.request_id_text()),
+                    ("target", to),
                     ("waited_ms", &now.since(self.arrival).as_millis()),
                 ],
             );
