Review case 3: a stop cuts off calls that were accepted late

Cause: a stopping VM keeps idle connections for 3.2 s and ends 5.7 s after SIGTERM, so a call of 2.5 s or more that comes last is cut off. Change: a script and a claim.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and checks of the review's cases. Arguments: the case, the record and a folder.
 
 mod late_refusal;
+mod late_stop;
 mod names;
 mod random;
 mod record;
@@ -39,6 +40,7 @@
     let folder = Path::new(folder);
     let verdict = match case.as_str() {
         "late-refusal" => late_refusal::run(trouble, folder, &record),
+        "late-stop" => late_stop::run(trouble, folder, &record),
         _ => Verdict::NotRun(format!("unknown case {case}")),
     };
     let (lines, code) = match verdict {
