--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and checks of the review's cases. Arguments: the case, the record and a folder.
 
+mod large_upload;
 mod late_refusal;
 mod late_stop;
 mod names;
@@ -40,6 +41,7 @@
     let folder = Path::new(folder);
     let verdict = match case.as_str() {
         "late-refusal" => late_refusal::run(trouble, folder, &record),
+        "large-upload" => large_upload::run(trouble, folder, &record),
         "late-stop" => late_stop::run(trouble, folder, &record),
         _ => Verdict::NotRun(format!("unknown case {case}")),
     };
