Review case 5: a long answer that stops is never ended

Cause: an answer of more than 256 KiB is forwarded without the deadline. Change: a script and a claim.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,6 +6,7 @@
 mod names;
 mod random;
 mod record;
+mod silent_answer;
 mod system;
 mod upstream;
 mod wire;
@@ -42,6 +43,7 @@
     let verdict = match case.as_str() {
         "late-refusal" => late_refusal::run(trouble, folder, &record),
         "large-upload" => large_upload::run(trouble, folder, &record),
+        "silent-answer" => silent_answer::run(trouble, folder, &record),
         "late-stop" => late_stop::run(trouble, folder, &record),
         _ => Verdict::NotRun(format!("unknown case {case}")),
     };
