--- a/review/standins/src/large_upload.rs
+++ b/review/standins/src/large_upload.rs
@@ -55,7 +55,8 @@
         for vm in 0..VMS {
             // Without trouble, the same requests come one after the other.
             let at_once = if trouble { CALLERS } else { 1 };
-            let ended = round_of_uploads(&system, record, &served, (round, vm), at_once, &mut peaks);
+            let ended =
+                round_of_uploads(&system, record, &served, (round, vm), at_once, &mut peaks);
             ends[vm] += u32::from(ended);
             if ended && !system.wait_ready() {
                 return Verdict::NotRun(format!("VM {vm} is not ready again"));
@@ -66,7 +67,8 @@
     let megabytes = |bytes: u64| bytes / 1_000_000;
     let peaks: Vec<u64> = peaks.iter().copied().map(megabytes).collect();
     let served = served.load(Ordering::Relaxed);
-    let summary = format!("ends over the memory limit: {ends:?}, peak MB: {peaks:?}, served: {served}");
+    let summary =
+        format!("ends over the memory limit: {ends:?}, peak MB: {peaks:?}, served: {served}");
     match ends.iter().all(|ends| *ends >= 3) {
         true => Verdict::Broken(vec![format!("Fault: {summary}")]),
         false => Verdict::Held(summary),
@@ -104,7 +106,8 @@
                 let memory = system.memory(vm);
                 peaks[vm] = memory.max(peaks[vm]);
                 if memory > MEMORY_LIMIT {
-                    let line = format!("platform: VM {vm} takes {memory} bytes, over its limit; killed");
+                    let line =
+                        format!("platform: VM {vm} takes {memory} bytes, over its limit; killed");
                     record.line(&line);
                     *ended = system.kill_and_restart(vm).is_ok();
                     return;
@@ -129,7 +132,9 @@
         names::get("header.request"),
         names::get("header.time_left"),
     );
-    let Ok(mut open) = Connection::open(address, Duration::from_secs(10)) else { return 0 };
+    let Ok(mut open) = Connection::open(address, Duration::from_secs(10)) else {
+        return 0;
+    };
     if open.write(head.as_bytes()).is_err() {
         return 0;
     }
--- a/review/standins/src/late_refusal.rs
+++ b/review/standins/src/late_refusal.rs
@@ -43,7 +43,11 @@
     let faulty = (UPSTREAMS as f64 * FAULTY_UPSTREAMS) as usize;
     let upstreams: Vec<_> = (0..UPSTREAMS)
         .map(|number| {
-            let late_copies = if trouble && number < faulty { LATE_COPIES } else { 0.0 };
+            let late_copies = if trouble && number < faulty {
+                LATE_COPIES
+            } else {
+                0.0
+            };
             let behaviour = Behaviour {
                 shed: SHED,
                 late_copies,
@@ -104,11 +108,7 @@
 }
 
 /// Sends a request that must not repeat, on the open connection or a new one; returns the status.
-fn book(
-    address: std::net::SocketAddr,
-    connection: &mut Option<Connection>,
-    id: &str,
-) -> u16 {
+fn book(address: std::net::SocketAddr, connection: &mut Option<Connection>, id: &str) -> u16 {
     let first = format!("POST /book/{id} HTTP/1.1");
     let headers = [
         ("Host", "hire.example"),
--- a/review/standins/src/late_stop.rs
+++ b/review/standins/src/late_stop.rs
@@ -84,10 +84,16 @@
                 thread::sleep(due.saturating_sub(signalled.elapsed()));
                 let id = format!("{:016x}", 0x1000 + caller);
                 let at = signalled.elapsed();
-                record.line(&format!("caller {caller}: {id} sent {} ms after SIGTERM", at.as_millis()));
+                record.line(&format!(
+                    "caller {caller}: {id} sent {} ms after SIGTERM",
+                    at.as_millis()
+                ));
                 let status = request(&mut connection, "long", &id);
                 let ended = signalled.elapsed();
-                let line = format!("caller {caller}: {id} ends with {status} after {} ms", ended.as_millis());
+                let line = format!(
+                    "caller {caller}: {id} ends with {status} after {} ms",
+                    ended.as_millis()
+                );
                 record.line(&line);
                 answers.lock().unwrap().push((id, status, ended));
             });
@@ -98,12 +104,20 @@
     let mut broken = Vec::new();
     for (id, status, ended) in answers.iter() {
         let within = *ended < GRACE + Duration::from_secs(1);
-        if *status == 0 && within && let Some(at) = runs.get(id) {
+        if *status == 0
+            && within
+            && let Some(at) = runs.get(id)
+        {
             let ms = ended.as_millis();
-            broken.push(format!("LOST: {id} ran at {at:?}, its connection ended {ms} ms after SIGTERM"));
+            broken.push(format!(
+                "LOST: {id} ran at {at:?}, its connection ended {ms} ms after SIGTERM"
+            ));
         }
     }
-    let served = answers.iter().filter(|(_, status, _)| *status == 200).count();
+    let served = answers
+        .iter()
+        .filter(|(_, status, _)| *status == 200)
+        .count();
     match broken.is_empty() {
         true => Verdict::Held(format!("{served} of {CALLERS} requests answered 200")),
         false => Verdict::Broken(broken),
@@ -119,7 +133,10 @@
         (names::get("header.request"), id),
         (names::get("header.time_left"), time_left.as_str()),
     ];
-    if connection.write(&wire::encode(&first, &headers, b"")).is_err() {
+    if connection
+        .write(&wire::encode(&first, &headers, b""))
+        .is_err()
+    {
         return 0;
     }
     connection.read().map_or(0, |answer| answer.status())
--- a/review/standins/src/names.rs
+++ b/review/standins/src/names.rs
@@ -14,8 +14,7 @@
 
 /// Replaces `{name}` in a template by values.
 pub fn fill(template: &str, values: &[(&str, &str)]) -> String {
-    let fill_one = |text: String, (name, value): &(&str, &str)| {
-        text.replace(&format!("{{{name}}}"), value)
-    };
+    let fill_one =
+        |text: String, (name, value): &(&str, &str)| text.replace(&format!("{{{name}}}"), value);
     values.iter().fold(template.to_owned(), fill_one)
 }
--- a/review/standins/src/silent_answer.rs
+++ b/review/standins/src/silent_answer.rs
@@ -45,7 +45,11 @@
     let shared = Shared::new(record.clone(), u64::from(std::process::id()));
     let control: Vec<_> = (0..system.count()).map(|i| system.operators(i)).collect();
     for number in 0..UPSTREAMS {
-        let hangs = if trouble && number < HANGING_UPSTREAMS { HANGS } else { 0.0 };
+        let hangs = if trouble && number < HANGING_UPSTREAMS {
+            HANGS
+        } else {
+            0.0
+        };
         let behaviour = Behaviour {
             work: Duration::from_millis(50),
             answer_bytes: ANSWER_BYTES,
@@ -71,7 +75,10 @@
                     let sent = Instant::now();
                     let status = look_up(address, &mut connection, &id);
                     let taken = sent.elapsed();
-                    let line = format!("caller {caller}: {id} status {status} after {} ms", taken.as_millis());
+                    let line = format!(
+                        "caller {caller}: {id} status {status} after {} ms",
+                        taken.as_millis()
+                    );
                     record.line(&line);
                     times.lock().unwrap().push((taken, status));
                     thread::sleep(PAUSE.mul_f64(0.5 + shared.random.share()));
@@ -84,7 +91,10 @@
     }
     let times = times.lock().unwrap();
     let long = times.iter().filter(|(taken, _)| *taken > TIMEOUT).count();
-    let late = times.iter().filter(|(taken, _)| *taken > TIMEOUT + ALLOWED).count();
+    let late = times
+        .iter()
+        .filter(|(taken, _)| *taken > TIMEOUT + ALLOWED)
+        .count();
     let whole = times.iter().filter(|(_, status)| *status == 200).count();
     let summary = format!(
         "{} requests, {whole} answered 200, {long} unanswered at the timeout, {late} of them 0.5 s later",
--- a/review/standins/src/system.rs
+++ b/review/standins/src/system.rs
@@ -58,7 +58,10 @@
         );
         let settings = folder.join("node.conf");
         fs::write(&settings, text)?;
-        let log = fs::OpenOptions::new().create(true).append(true).open(folder.join("log"))?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(folder.join("log"))?;
         Command::new(PROGRAM)
             .env_clear()
             .env("PATH", std::env::var_os("PATH").unwrap_or_default())
@@ -189,7 +192,9 @@
         let hosts = (1..=count).map(|i| Ipv4Addr::new(127, network[0], network[1], i));
         let hosts: Vec<Ipv4Addr> = hosts.collect();
         let is_free = |host: &Ipv4Addr| {
-            PORTS.iter().all(|port| TcpListener::bind((*host, *port)).is_ok())
+            PORTS
+                .iter()
+                .all(|port| TcpListener::bind((*host, *port)).is_ok())
         };
         if hosts.iter().all(is_free) {
             return hosts;
--- a/review/standins/src/upstream.rs
+++ b/review/standins/src/upstream.rs
@@ -95,7 +95,10 @@
         control: Vec<SocketAddr>,
     ) -> Arc<Upstream> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis();
         let upstream = Arc::new(Upstream {
             id: format!("i-{number}"),
             born,
@@ -136,7 +139,10 @@
             let acknowledged = (0..control.len()).any(|_| {
                 let address = control[to % control.len()];
                 let host = address.to_string();
-                let headers = [("Host", host.as_str()), ("Content-Type", "application/json")];
+                let headers = [
+                    ("Host", host.as_str()),
+                    ("Content-Type", "application/json"),
+                ];
                 let second = Duration::from_secs(1);
                 let answer = wire::call(address, &first, &headers, body.as_bytes(), second);
                 let done = answer.is_ok_and(|answer| answer.status() / 100 == 2);
@@ -144,7 +150,9 @@
                 done
             });
             if !acknowledged {
-                self.shared.record.line(&format!("{}: heartbeat not acknowledged", self.id));
+                self.shared
+                    .record
+                    .line(&format!("{}: heartbeat not acknowledged", self.id));
             }
             thread::sleep(HEARTBEAT);
         }
@@ -158,21 +166,31 @@
             if let Some(id) = request.header(names::get("header.request"))
                 && let Some((of, copy)) = late_copy.take()
             {
-                let line = format!("{}: late second copy of the answer to {of}, before that to {id}", self.id);
+                let line = format!(
+                    "{}: late second copy of the answer to {of}, before that to {id}",
+                    self.id
+                );
                 self.shared.record.line(&line);
                 if connection.write(&copy).is_err() {
                     return;
                 }
             }
-            let Some((id, answer)) = self.answer(&request) else { return };
+            let Some((id, answer)) = self.answer(&request) else {
+                return;
+            };
             let has_id = request.header(names::get("header.request")).is_some();
             if has_id && self.shared.random.chance(self.behaviour.hangs) {
                 let _ = connection.write(&answer[..answer.len() / 4 * 3]);
-                let line = format!("{}: hangs after three quarters of the answer to {id}", self.id);
+                let line = format!(
+                    "{}: hangs after three quarters of the answer to {id}",
+                    self.id
+                );
                 self.shared.record.line(&line);
                 // The connection stays open without a further byte until the other side closes it.
                 let _ = connection.read();
-                self.shared.record.line(&format!("{}: connection of {id} closed", self.id));
+                self.shared
+                    .record
+                    .line(&format!("{}: connection of {id} closed", self.id));
                 return;
             }
             if connection.write(&answer).is_err() {
@@ -188,7 +206,10 @@
     fn answer(&self, request: &Message) -> Option<(String, Vec<u8>)> {
         let load = || {
             let load = self.load.lock().unwrap();
-            format!("{},{},{},100", load.running, load.waiting, self.behaviour.slots)
+            format!(
+                "{},{},{},100",
+                load.running, load.waiting, self.behaviour.slots
+            )
         };
         let load_name = names::get("header.load");
         if request.path() == "/healthz" {
@@ -197,7 +218,10 @@
                 (load_name, &load()),
                 ("Keep-Alive", "timeout=10"),
             ];
-            return Some((String::new(), wire::encode("HTTP/1.1 200 OK", &headers, b"")));
+            return Some((
+                String::new(),
+                wire::encode("HTTP/1.1 200 OK", &headers, b""),
+            ));
         }
         let id = request.header(names::get("header.request"))?.to_owned();
         let echo = (names::get("header.request"), id.as_str());
@@ -208,8 +232,15 @@
             return Some((id.clone(), wire::encode(first, &[echo, not_run], b"")));
         }
         if self.shared.random.chance(self.behaviour.shed) || !self.enter() {
-            self.shared.record.line(&format!("{}: refuses {id}, not run", self.id));
-            let headers = [echo, not_run, (load_name, &load()), ("Keep-Alive", "timeout=10")];
+            self.shared
+                .record
+                .line(&format!("{}: refuses {id}, not run", self.id));
+            let headers = [
+                echo,
+                not_run,
+                (load_name, &load()),
+                ("Keep-Alive", "timeout=10"),
+            ];
             let first = "HTTP/1.1 503 Service Unavailable";
             return Some((id.clone(), wire::encode(first, &headers, b"full")));
         }
--- a/review/standins/src/wire.rs
+++ b/review/standins/src/wire.rs
@@ -15,7 +15,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let mut found = self.headers.iter().filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        let mut found = self
+            .headers
+            .iter()
+            .filter(|(key, _)| key.eq_ignore_ascii_case(name));
         found.next().map(|(_, value)| value.as_str())
     }
 
