--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review/release/review-standins large-upload review/4/record.txt "$folder"
+target/review/release/review-standins late-stop review/4/record.txt "$folder"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
