A response counts for a call only after its id was compared

Cause: the attempt acted on status 421 and on the header that says "not run" before it compared the id of the response with that of the call. A target that repeats a refusal late, on the connection that carries the next call, made that call count as not run.

Change: OwnResponse::attribute compares the id, and status, marker, load and the failure of a relay are read only from its result. A response of another call leaves open whether this one ran, and its connection is closed, also that of a relay. A call without an id is answered 400, as no response could be attributed to it.

Ruled out: sendings that hyper reports as not sent, and a retry after a lost response. A VM sends a call to a target once at most, so the id also tells sendings apart.

--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -16,7 +16,7 @@
 use wagtailshunt_core::{fleet, placement, reach, time as core_time, types};
 
 use crate::{
-    entry::{path, settings, state, targets},
+    entry::{calls::response::OwnResponse, path, state, targets},
     http,
 };
 
@@ -164,10 +164,16 @@
         }
     };
     path::record(state, &destination.target, reach::Evidence::Answered);
-    let (mut head, body) = response.into_parts();
-    record_load_header(state, &destination.target, &head.headers);
     let protocol = &state.cfg.protocol;
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
+    let response = match OwnResponse::attribute(protocol, call_request, response) {
+        Ok(response) => response,
+        Err(reason) => {
+            flight.finish(placement::Outcome::Failed);
+            return AttemptOutcome::Lost(reason.to_owned());
+        }
+    };
+    record_load_header(state, &destination.target, &response.head.headers);
+    if response.head.status == StatusCode::MISDIRECTED_REQUEST {
         call_request.record_not_run();
         flight.finish(placement::Outcome::Failed);
         remove_misdirected(state, &destination);
@@ -175,19 +181,18 @@
             "another target answers at its address (status 421)".to_owned(),
         );
     }
-    if head.headers.contains_key(&protocol.not_run) {
+    if response.proves_not_run(protocol) {
         call_request.record_not_run();
         flight.finish(placement::Outcome::Shed);
-        drain_and_pool(state, destination, client, &head.headers, body);
-        return AttemptOutcome::NotRun(format!(
-            "target refused with status {}",
-            head.status.as_u16()
-        ));
+        let status = response.head.status.as_u16();
+        drain_and_pool(state, destination, client, response);
+        return AttemptOutcome::NotRun(format!("target refused with status {status}"));
     }
-    if let Err(reason) = check_response(protocol, &head, call_request) {
+    if let Err(reason) = response.check_digest(protocol) {
         flight.finish(placement::Outcome::Failed);
         return AttemptOutcome::Lost(reason.to_owned());
     }
+    let OwnResponse { mut head, body } = response;
     let keep_alive = keep_alive_timeout(&head.headers);
     let closes = closes_connection(&head.headers);
     let body = match buffer_body(body).await {
@@ -207,24 +212,6 @@
     AttemptOutcome::Answered(TargetResponse { head, body })
 }
 
-/// Checks that a response belongs to the call and, if it is a success, has a digest; returns the
-/// reason otherwise.
-pub fn check_response(
-    protocol: &settings::Protocol,
-    head: &response::Parts,
-    call_request: &CallRequest,
-) -> Result<(), &'static str> {
-    if head.headers.get(&protocol.request_id) != Some(&call_request.request_id) {
-        return Err("response carries the id of another call");
-    }
-    let digest = protocol.digest.as_ref();
-    let has_digest = digest.is_none_or(|name| head.headers.contains_key(name));
-    match head.status.is_success() && !has_digest {
-        true => Err("successful response without a digest"),
-        false => Ok(()),
-    }
-}
-
 /// Returns how the status of a response counts for the health of its target.
 fn outcome_of_status(status: StatusCode) -> placement::Outcome {
     match status {
@@ -363,16 +350,15 @@
     state: &rc::Rc<state::State>,
     destination: Destination,
     client: http::Client,
-    headers: &HeaderMap,
-    body: Incoming,
+    response: OwnResponse,
 ) {
-    if closes_connection(headers) {
+    if closes_connection(&response.head.headers) {
         return;
     }
-    let keep_alive = keep_alive_timeout(headers);
+    let keep_alive = keep_alive_timeout(&response.head.headers);
     let state = state.clone();
     compio::runtime::spawn(async move {
-        if Limited::new(body, MAX_BUFFERED_BYTES)
+        if Limited::new(response.body, MAX_BUFFERED_BYTES)
             .collect()
             .await
             .is_ok()
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -183,6 +183,9 @@
     arrival: core_time::Instant,
 ) -> Result<Response<http::Body>, Failure> {
     http::check_head(&req).map_err(|_| Failure::Malformed)?;
+    // Without an id, no response could be attributed to the call.
+    let request_id = req.headers().get(&state.cfg.protocol.request_id).cloned();
+    let request_id = request_id.ok_or(Failure::Malformed)?;
     if let Some(relayed) = relayed {
         if state.is_path_lost() {
             return Err(Failure::Unreachable);
@@ -207,9 +210,8 @@
     let mut headers = head.headers;
     http::strip_connection_fields(&mut headers);
     headers.remove(header::EXPECT);
-    let request_id = headers.get(&state.cfg.protocol.request_id).cloned();
     let call_request = CallRequest {
-        request_id: request_id.unwrap_or_else(|| HeaderValue::from_static("")),
+        request_id,
         method: head.method,
         uri: origin_form(&head.uri),
         headers,
--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -16,6 +16,7 @@
 mod pool;
 mod probe;
 mod relay;
+mod response;
 mod target_search;
 mod work;
 
--- a/wagtailshunt/src/entry/calls/relay.rs
+++ b/wagtailshunt/src/entry/calls/relay.rs
@@ -20,6 +20,7 @@
             attempt::{self, CallRequest, TargetResponse},
             call::Call,
             failure::Failure,
+            response::OwnResponse,
         },
         state,
     },
@@ -231,9 +232,14 @@
     vm: types::VmId,
     (client, response): (http::Client, Response<Incoming>),
 ) -> (relay::Outcome, Option<RelayOutcome>) {
-    let (mut head, body) = response.into_parts();
+    let protocol = &state.cfg.protocol;
+    let response = match OwnResponse::attribute(protocol, call_request, response) {
+        Ok(response) => response,
+        Err(reason) => return (relay::Outcome::Failed, Some(lost(reason))),
+    };
+    let digest = response.check_digest(protocol);
+    let OwnResponse { mut head, body } = response;
     let failure = http::header_text(&head.headers, &FAILURE_HEADER).map(Failure::from_text);
-    let checked = attempt::check_response(&state.cfg.protocol, &head, call_request);
     let keep_alive = attempt::keep_alive_timeout(&head.headers);
     let closes = attempt::closes_connection(&head.headers);
     let body = match attempt::buffer_body(body).await {
@@ -254,22 +260,26 @@
             (relay::Outcome::Handled, Some(failed))
         }
         Some(None) => {
-            let lost = RelayOutcome::Lost("relay answered with an unknown failure".to_owned());
-            (relay::Outcome::Handled, Some(lost))
+            let result = lost("relay answered with an unknown failure");
+            (relay::Outcome::Handled, Some(result))
         }
         None => {
-            let result = match checked {
+            let result = match digest {
                 Ok(()) => {
                     http::strip_connection_fields(&mut head.headers);
                     RelayOutcome::Answered(TargetResponse { head, body })
                 }
-                Err(reason) => RelayOutcome::Lost(reason.to_owned()),
+                Err(reason) => lost(reason),
             };
             (relay::Outcome::Handled, Some(result))
         }
     }
 }
 
+fn lost(reason: &str) -> RelayOutcome {
+    RelayOutcome::Lost(reason.to_owned())
+}
+
 fn return_to_pool(
     state: &rc::Rc<state::State>,
     vm: types::VmId,
