Gateway: without a call id in its responses, a target gets a connection for each call

Found while looking for the cause of the late refusals on related paths. Targets of the gateway daemon need not return the id of a call; their responses were attributed by their place on the connection alone. A refusal that such a target repeats late counted as the response to the next call: a keyed call was answered "not run" though it ran.

Change: a connection is kept only after a response that carries the call id. The lab's target returns ids, refuses calls on request and repeats its refusals late, so that the test can show both.

--- a/lab/src/target/config.rs
+++ b/lab/src/target/config.rs
@@ -114,6 +114,8 @@
     pub warm_up_factor: f64,
     /// Bytes of padding in each response.
     pub padding_bytes: usize,
+    /// Whether responses carry the id of their call.
+    pub returns_call_id: bool,
     /// Announcements to gateways; with `None` the target does not register itself.
     pub announce: Option<AnnounceConfig>,
 }
@@ -134,6 +136,7 @@
             warm_up: time::Duration::ZERO,
             warm_up_factor: 1.0,
             padding_bytes: 0,
+            returns_call_id: true,
             announce: None,
         }
     }
--- a/lab/src/target/faults.rs
+++ b/lab/src/target/faults.rs
@@ -18,6 +18,10 @@
     pub truncate: bool,
     /// Sends these bytes after each response.
     pub trailing_bytes: Vec<u8>,
+    /// Number of calls that are still refused, as if the queue was full.
+    pub refusals: usize,
+    /// Sends a second copy of each refusal before the next response on its connection.
+    pub repeat_refusals: bool,
     /// Reports this load instead of the real one.
     pub report: Option<balance::LoadReport>,
 }
--- a/lab/src/target/mod.rs
+++ b/lab/src/target/mod.rs
@@ -7,12 +7,12 @@
 mod announce;
 mod config;
 mod faults;
+mod faulty_stream;
 mod ledger;
 mod respond;
 mod serve;
 mod slots;
 mod state;
-mod trailing_bytes;
 
 pub use announce::Announcement;
 pub use config::{AnnounceConfig, Config, ServiceTime};
--- a/lab/src/target/respond.rs
+++ b/lab/src/target/respond.rs
@@ -15,6 +15,7 @@
 const NOT_RUN_HEADER: &str = "wagtailshunt-not-run";
 const TIMEOUT_HEADER: &str = "wagtailshunt-timeout-ms";
 const KEY_HEADER: &str = "idempotency-key";
+const CALL_HEADER: &str = "wagtailshunt-call";
 
 /// Body of a response. It describes the request, so that a test can detect a response to another
 /// request.
@@ -56,8 +57,14 @@
             "failed",
         ));
     }
-    let outcome = run(&shared, request).await;
+    let call = request.headers().get(CALL_HEADER).cloned();
+    let mut outcome = run(&shared, request).await;
     block_if_frozen(&shared, connection).await;
+    if let Outcome::Response(response) = &mut outcome
+        && let Some(call) = call.filter(|_| shared.config.returns_call_id)
+    {
+        response.headers_mut().insert(CALL_HEADER, call);
+    }
     outcome
 }
 
@@ -80,6 +87,10 @@
         ));
     };
     let body = body.to_bytes();
+    if shared.take_refusal() {
+        shared.update_counters(|counters| counters.shed += 1);
+        return Outcome::Response(not_run_response(shared));
+    }
     let Some(_slot) = take_slot(shared, &head.headers).await else {
         shared.update_counters(|counters| counters.shed += 1);
         return Outcome::Response(not_run_response(shared));
--- a/lab/src/target/serve.rs
+++ b/lab/src/target/serve.rs
@@ -9,7 +9,7 @@
 use wagtailshunt_core::types;
 
 use super::respond::{self, Outcome};
-use super::{Config, Counters, Faults, Ledger, State, announce, state, trailing_bytes};
+use super::{Config, Counters, Faults, Ledger, State, announce, faulty_stream, state};
 
 const MAX_BIND_ATTEMPTS: u32 = 200;
 const BIND_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(5);
@@ -223,7 +223,7 @@
     // With Nagle's algorithm, a small response would wait for the previous segment to be
     // acknowledged.
     let _ = stream.set_nodelay(true);
-    let stream = trailing_bytes::TrailingBytesStream::new(stream, shared.clone());
+    let stream = faulty_stream::FaultyStream::new(stream, shared.clone());
     let service = service::service_fn(move |request| {
         let (shared, end_signal) = (shared.clone(), end_signal.clone());
         async move {
--- a/lab/src/target/state.rs
+++ b/lab/src/target/state.rs
@@ -40,6 +40,8 @@
     pub cancelled: u64,
     /// Calls shed with the not-run marker.
     pub shed: u64,
+    /// Second copies of refusals that were sent.
+    pub late_copies: u64,
     /// Calls that got status 500 at once.
     pub failed: u64,
     /// Calls that arrived on a frozen connection.
@@ -100,6 +102,14 @@
         self.counters.set(counters);
     }
 
+    /// Returns whether the next call is refused, and counts it.
+    pub fn take_refusal(&self) -> bool {
+        let refusals = &mut self.faults.borrow_mut().refusals;
+        let refuses = *refusals > 0;
+        *refusals = refusals.saturating_sub(1);
+        refuses
+    }
+
     pub fn state(&self) -> State {
         if self.draining.get() {
             State::Draining
--- a/wagtailshunt/src/gateway/attempt.rs
+++ b/wagtailshunt/src/gateway/attempt.rs
@@ -438,7 +438,9 @@
     let received_head = connection::Head {
         echoed_call: echoed,
         length,
-        keep_alive: is_keep_alive(head),
+        // A late copy of a response without a call id would count as the response to the next call
+        // on the connection.
+        keep_alive: is_keep_alive(head) && echoed.is_some(),
     };
     let Some(busy) = in_flight.busy.as_mut() else {
         return Ok(());
