A VM without a disk gets missed commands, or the state in parts

Cause: the leader answered a VM that lacked commands with the whole state in one frame of at most 1 MiB. Above about 1,900 routes encoding failed, which closed the connection; the VM connected and asked again, without end.

Change: the leader sends the missed commands from its log if they take up to 256 KiB. Otherwise the VM gets the encoded state in parts of 64 KiB that it requests one by one, from any VM if the first does not answer; commands that arrive meanwhile are kept. A state is encoded once for all. A frame that is too long is dropped and no longer ends the connection. Events 135 and 136.

--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -120,4 +120,6 @@
     DiskFull = 132, Warn, "disk full or writable again";
     TargetsLearned = 133, Info, "targets added from a list";
     PathChanged = 134, Warn, "path to the targets lost or regained";
+    StateSent = 135, Info, "state or missing commands sent to a VM";
+    StateReceived = 136, Info, "state received from a VM";
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod balance;
+pub mod catch_up;
 pub mod connection;
 pub mod containment;
 pub mod deadline;
--- a/core/src/replication/node.rs
+++ b/core/src/replication/node.rs
@@ -314,6 +314,31 @@
         self.log.last_index()
     }
 
+    /// Returns the commands after index `after` up to `through`, or `None` if some of them are not in
+    /// memory or they take more than `max_bytes` in total.
+    pub fn commands_between(
+        &self,
+        after: types::LogIndex,
+        through: types::LogIndex,
+        max_bytes: usize,
+    ) -> Option<Vec<(types::LogIndex, Bytes)>> {
+        if after < self.log.base_index() || through > self.commit {
+            return None;
+        }
+        let mut bytes = 0;
+        let mut commands = Vec::new();
+        for index in (after.0 + 1..=through.0).map(types::LogIndex) {
+            if let storage::Payload::Command(command) = &self.log.get(index)?.payload {
+                bytes += command.len();
+                if bytes > max_bytes {
+                    return None;
+                }
+                commands.push((index, command.clone()));
+            }
+        }
+        Some(commands)
+    }
+
     /// Returns the size in bytes of the log entries in memory. Taking a snapshot reduces it.
     pub fn log_bytes(&self) -> usize {
         self.log.bytes()
--- a/core/tests/replication.rs
+++ b/core/tests/replication.rs
@@ -166,6 +166,34 @@
     }
 }
 
+/// Guards against a VM outside the group that gets some of the commands that it has missed, but not
+/// all of them, or ones that are not committed.
+#[test]
+fn missed_commands_are_complete_or_not_given() {
+    let mut group = Group::new(3);
+    let leader = group.leader();
+    let first = group.propose(leader, "one").unwrap();
+    let second = group.propose(leader, "three").unwrap();
+    group.run(ms(500));
+    let uncommitted = group.propose(leader, "five").unwrap();
+    let node = group.node(leader);
+    let all = node.commands_between(LogIndex(0), second, 100).unwrap();
+    let texts: Vec<&[u8]> = all.iter().map(|(_, command)| &command[..]).collect();
+    assert_eq!(texts, [&b"one"[..], b"three"]);
+    let rest = node.commands_between(first, second, 100).unwrap();
+    assert_eq!(rest, [(second, Bytes::from_static(b"three"))]);
+    assert_eq!(node.commands_between(LogIndex(0), second, 7), None);
+    assert_eq!(node.commands_between(first, uncommitted, 100), None);
+    let now = group.now;
+    group.node(leader).snapshot_taken(now, second, Bytes::new());
+    assert_eq!(
+        group
+            .node(leader)
+            .commands_between(LogIndex(0), second, 100),
+        None
+    );
+}
+
 /// Guards against a commit that counts an entry which a crash of a follower would lose, and a
 /// leader that loses its quorum because heartbeats wait for a slow disk.
 #[test]
--- a/wagtailshunt/src/entry/members.rs
+++ b/wagtailshunt/src/entry/members.rs
@@ -159,7 +159,7 @@
     bootstrap(state);
     update_last_connected(state);
     update_membership(state);
-    leader_sync::request_missing_state(state);
+    leader_sync::repeat_overdue_request(state);
     leader_sync::watch_leader(state);
     if slow {
         update_placement_position(state);
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -229,6 +229,9 @@
         Fleet::Leading(leading) => leader_sync::leadership_received(state, from, &leading),
         Fleet::Subscribe(subscribe) => leader_sync::state_requested(state, from, &subscribe),
         Fleet::State(received) => leader_sync::state_received(state, from, received)?,
+        Fleet::StatePart(part) => {
+            leader_sync::state_part_received(state, from, wire::fleet::decode_state_part(part));
+        }
         Fleet::Command(command) => leader_sync::command_received(state, from, &command),
         Fleet::Report(report) => {
             targets::announcement_received(state, from, wire::fleet::decode_announcement(report)?);
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -6,7 +6,7 @@
 use futures_channel::oneshot;
 use rand::{SeedableRng, rngs};
 use wagtailshunt_core::{
-    containment, fleet, formation, placement, reach, relay, replication, retry, routing,
+    catch_up, containment, fleet, formation, placement, reach, relay, replication, retry, routing,
     state_machine, time as core_time, types,
 };
 
@@ -86,8 +86,10 @@
     pub(crate) unforwarded_vms: Vec<formation::Vm>,
     /// Targets whose renewed announcements were not sent to the leader yet.
     pub(crate) unsent_renewals: collections::BTreeSet<types::TargetId>,
-    /// When the state was last requested from a VM.
-    pub(crate) state_requested_at: Option<core_time::Instant>,
+    /// State that this VM is receiving.
+    pub(crate) catch_up: catch_up::CatchUp,
+    /// States that this VM is sending in parts.
+    pub(crate) encoded_states: catch_up::EncodedStates,
     /// Targets that announce themselves at this VM, with the time of the last announcement.
     pub(crate) announced_here: collections::BTreeMap<types::TargetId, core_time::Instant>,
     /// Loads reported to this VM since the last message to the other VMs of its failure domain.
@@ -179,7 +181,8 @@
                 group: Vec::new(),
                 unforwarded_vms: Vec::new(),
                 unsent_renewals: collections::BTreeSet::new(),
-                state_requested_at: None,
+                catch_up: catch_up::CatchUp::default(),
+                encoded_states: catch_up::EncodedStates::default(),
                 announced_here: collections::BTreeMap::new(),
                 unsent_loads: collections::BTreeMap::new(),
                 retry_budgets: collections::BTreeMap::new(),
--- a/wagtailshunt/src/transport/connection.rs
+++ b/wagtailshunt/src/transport/connection.rs
@@ -218,15 +218,12 @@
             Ok(None) => return Error::Dropped,
             Err(_) => None,
         };
-        let result = match first {
+        match first {
             Some(first) => encode_batch(identity, &mut codec, &mut buf, first, &mut queue),
             None => {
                 let heartbeat = Body::Heartbeat(envelope::Heartbeat {});
-                codec.encode(&identity.envelope(0, heartbeat), &mut buf)
+                encode(identity, &mut codec, &mut buf, (0, heartbeat));
             }
-        };
-        if let Err(err) = result {
-            return err.into();
         }
         let mut stream = stream;
         let BufResult(result, mut written) = stream.write_all(std::mem::take(&mut buf)).await;
@@ -245,14 +242,26 @@
     buf: &mut BytesMut,
     first: Outgoing,
     queue: &mut SendQueue,
-) -> Result<(), codec::Error> {
+) {
     let mut next = Some(first);
-    while let Some((request, body)) = next.take() {
+    while let Some(outgoing) = next.take() {
         queue.queued.set(queue.queued.get() - 1);
-        codec.encode(&identity.envelope(request, body), buf)?;
+        encode(identity, codec, buf, outgoing);
         if buf.len() < WRITE_BATCH_BYTES {
             next = queue.rx.try_recv().ok();
         }
     }
-    Ok(())
+}
+
+/// Encodes a frame. One that is too long is dropped, since the same message on a new connection
+/// would end that one as well.
+fn encode(
+    identity: &Identity,
+    codec: &mut codec::EnvelopeCodec,
+    buf: &mut BytesMut,
+    (request, body): Outgoing,
+) {
+    if let Err(err) = codec.encode(&identity.envelope(request, body), buf) {
+        log::error!("frame to a peer dropped: {err}");
+    }
 }
--- a/wire/src/fleet.rs
+++ b/wire/src/fleet.rs
@@ -3,7 +3,9 @@
 
 use std::{net, time};
 
-use wagtailshunt_core::{containment, fleet, formation, placement, time as core_time, types};
+use wagtailshunt_core::{
+    catch_up, containment, fleet, formation, placement, time as core_time, types,
+};
 
 use crate::generated::fleet as wire;
 
@@ -66,6 +68,30 @@
     }
 }
 
+/// Converts a part of an encoded state to its wire form.
+pub fn encode_state_part(part: catch_up::Part) -> wire::StatePart {
+    wire::StatePart {
+        applied: part.state.index.0,
+        total: part.state.total,
+        checksum: part.state.checksum,
+        offset: part.offset,
+        data: part.data,
+    }
+}
+
+/// Converts a part of an encoded state from its wire form.
+pub fn decode_state_part(part: wire::StatePart) -> catch_up::Part {
+    catch_up::Part {
+        state: catch_up::StateId {
+            index: types::LogIndex(part.applied),
+            total: part.total,
+            checksum: part.checksum,
+        },
+        offset: part.offset,
+        data: part.data,
+    }
+}
+
 /// Converts the loss of a target while `request` ran on it to its wire form.
 pub fn encode_crash(
     request: containment::Fingerprint,
