A stopping process refuses calls that it may not answer before its end

Cause: a stopping VM serves open connections for 3.2 s and ends after 5.7 s. A call accepted last has 2.5 s left, whatever its timeout.

Evidence: the connections end at stop_timeout, before the timeout of the route and while the targets work.

Change: core::drain accepts a call during a stop if its deadline lies within the stop, or, in the first 2.75 s, if three times its usual time is left. Others get 503 at once, outcome "stopping", Retry-After 10 ms, as another VM can serve them now.

Ruled out: a shorter listen_after_stop, which moves the window and does not close it.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod containment;
 pub mod deadline;
 pub mod directory;
+pub mod drain;
 pub mod event;
 pub mod fleet;
 pub mod formation;
--- a/lab/src/cluster/mod.rs
+++ b/lab/src/cluster/mod.rs
@@ -46,6 +46,8 @@
     pub failure_domains: u32,
     /// Time in a planned stop between failing readiness and refusing connections.
     pub readiness_lead: time::Duration,
+    /// Time after it in which calls in flight may end.
+    pub drain_limit: time::Duration,
 }
 
 impl Default for Config {
@@ -56,6 +58,7 @@
             gateways: 1,
             failure_domains: 3,
             readiness_lead: time::Duration::ZERO,
+            drain_limit: time::Duration::from_secs(5),
         }
     }
 }
@@ -165,7 +168,7 @@
             keys: keys(),
             readiness_lead_ms: u64::try_from(self.cfg.readiness_lead.as_millis())
                 .unwrap_or(u64::MAX),
-            drain_limit_ms: 5_000,
+            drain_limit_ms: u64::try_from(self.cfg.drain_limit.as_millis()).unwrap_or(u64::MAX),
             ..settings::Gateway::default()
         }
     }
--- a/lab/tests/whole_path.rs
+++ b/lab/tests/whole_path.rs
@@ -5,12 +5,13 @@
 
 use std::time;
 
+use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use support::{
     Folder, block_on, outcome, put_record, request, send, start_cluster, start_target, try_send,
     wait_for_answer, wait_for_targets,
 };
-use wagtailshunt_lab::{cluster, target};
+use wagtailshunt_lab::{cluster, load::client, target};
 
 /// Guards against a failure anywhere between announcement, record, claim and response, and against
 /// a second run of a call with the same idempotency key.
@@ -74,6 +75,43 @@
     });
 }
 
+/// Guards against a call that a gateway accepts late in a planned stop, runs, and cuts off at the
+/// end.
+#[test]
+fn a_call_that_may_outlast_a_planned_stop_is_refused() {
+    let folder = Folder::new("late-drain");
+    block_on(async {
+        let cfg = cluster::Config {
+            data: folder.0.clone(),
+            readiness_lead: time::Duration::from_millis(300),
+            drain_limit: time::Duration::from_secs(1),
+            ..cluster::Config::default()
+        };
+        let cluster = cluster::Cluster::start(cfg).await.expect("cluster starts");
+        let target = start_target(&cluster, "slow", |_| {}).await;
+        put_record(&cluster).await;
+        wait_for_answer(&cluster, 0).await;
+        target.faults(|faults| faults.added_service_time = time::Duration::from_millis(1500));
+        let gateway = cluster.gateways[0].clone().expect("gateway runs");
+        let started = target.counters().started;
+        let late_call = async {
+            compio::time::sleep(time::Duration::from_millis(200)).await;
+            // A connection that is just open may still bring its first request after the lead time.
+            let mut conn = client::Connection::open(gateway.listen()).await.unwrap();
+            compio::time::sleep(time::Duration::from_millis(250)).await;
+            let body = client::body(Bytes::new());
+            conn.call(request(Method::GET, None).body(body).unwrap())
+                .await
+        };
+        let (response, drained) = futures_util::future::join(late_call, gateway.stop()).await;
+        assert!(drained, "the call was in flight at the end");
+        let response = response.expect("response");
+        assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(outcome(&response), "not-run");
+        assert_eq!(target.counters().started, started);
+    });
+}
+
 /// Guards against calls to a target that has announced its drain.
 #[test]
 fn a_draining_target_gets_no_new_call() {
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -32,6 +32,13 @@
 /// Multiple of the mean service time that must be left to run a call through another VM.
 const RUN_MARGIN: f64 = 1.3;
 
+/// Multiple of the mean service time that must be left before the end of a planned stop for a call
+/// that has a later deadline.
+const STOP_MARGIN: f64 = 3.0;
+
+/// `Retry-After` of a call that is refused because this VM stops: another one can serve it now.
+const STOPPING_RETRY_AFTER: time::Duration = time::Duration::from_millis(10);
+
 /// `Retry-After` of a refused call as a share of the longest delay that callers honour. It is drawn
 /// at random, so that callers refused together do not return together.
 const RETRY_AFTER_SHARE: std::ops::Range<f64> = 0.4..1.0;
@@ -173,6 +180,13 @@
         if self.is_blocked() {
             return CallOutcome::Failed(Failure::CrashesTargets);
         }
+        if self.may_outlast_stop() {
+            return CallOutcome::Failed(match self.is_relayed() {
+                // The sender chooses another relay.
+                true => Failure::Unreachable,
+                false => Failure::Stopping,
+            });
+        }
         let attempts = Attempts::new();
         let mut attempts_started = 1;
         let left = self.attempts_left(Purpose::First, 0);
@@ -243,6 +257,14 @@
         });
     }
 
+    /// Returns whether this VM is being stopped and might end before the call has its response.
+    fn may_outlast_stop(&self) -> bool {
+        let now = self.state.clock.now();
+        let expected_end = now + self.service_time().mul_f64(STOP_MARGIN);
+        let stop = self.state.current_stop();
+        stop.is_some_and(|stop| !stop.accepts(now, self.request.deadline, expected_end))
+    }
+
     /// Returns whether another VM has sent the call here.
     pub fn is_relayed(&self) -> bool {
         self.relayed.is_some()
@@ -542,8 +564,11 @@
         }
     }
 
-    /// Returns the delay for `Retry-After` of a refused call.
-    pub fn retry_after(&self) -> time::Duration {
+    /// Returns the delay for `Retry-After` of a call that is refused for this reason.
+    pub fn retry_after(&self, reason: Failure) -> time::Duration {
+        if reason == Failure::Stopping {
+            return STOPPING_RETRY_AFTER;
+        }
         let share = self.state.rng.borrow_mut().random_range(RETRY_AFTER_SHARE);
         let time_left = self.request.caller_deadline.since(self.state.clock.now());
         time_left.mul_f64(share * MAX_RETRY_AFTER_SHARE)
--- a/wagtailshunt/src/entry/calls/failure.rs
+++ b/wagtailshunt/src/entry/calls/failure.rs
@@ -34,6 +34,9 @@
     /// The service has no target to which the call was not sent already.
     #[display("no-target")]
     NoTarget,
+    /// This VM is being stopped, and the call may not have its response before the end.
+    #[display("stopping")]
+    Stopping,
     /// This VM has lost its path to the targets, and no other VM could relay the call.
     #[display("unreachable")]
     Unreachable,
@@ -49,7 +52,7 @@
 }
 
 impl Failure {
-    const ALL: [Failure; 12] = [
+    const ALL: [Failure; 13] = [
         Failure::Malformed,
         Failure::NoRoute,
         Failure::NoConfiguration,
@@ -58,6 +61,7 @@
         Failure::Overloaded,
         Failure::CrashesTargets,
         Failure::NoTarget,
+        Failure::Stopping,
         Failure::Unreachable,
         Failure::RefusedByTargets,
         Failure::Lost,
@@ -80,6 +84,7 @@
             Failure::NoConfiguration
             | Failure::Overloaded
             | Failure::NoTarget
+            | Failure::Stopping
             | Failure::Unreachable
             | Failure::CrashesTargets
             | Failure::RefusedByTargets => StatusCode::SERVICE_UNAVAILABLE,
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -257,7 +257,7 @@
         CallOutcome::Failed(reason) => {
             let not_run = reason.status() == hyper::StatusCode::SERVICE_UNAVAILABLE;
             let may_retry = not_run && reason != Failure::CrashesTargets;
-            let retry_after = may_retry.then(|| call.retry_after());
+            let retry_after = may_retry.then(|| call.retry_after(reason));
             let response = failed_response(reason, retry_after, call.is_relayed());
             (response, reason.to_string())
         }
--- a/wagtailshunt/src/entry/settings.rs
+++ b/wagtailshunt/src/entry/settings.rs
@@ -81,6 +81,9 @@
     /// Time from SIGTERM until the listener for callers closes. The platform takes a VM out of
     /// rotation after two failed readiness checks a second apart, and one may just have succeeded.
     pub listen_after_stop: time::Duration,
+    /// Time from SIGTERM for which calls are accepted that may outlast the stop, if they are expected
+    /// to end in time. Later ones are refused unless their deadline is within the stop.
+    pub uncertain_calls_after_stop: time::Duration,
     /// Longest time from SIGTERM to the end of the process.
     pub stop_timeout: time::Duration,
     /// Retries that 1,000 calls of a service add to its retry budget.
@@ -118,6 +121,7 @@
         Limits {
             announce_interval: time::Duration::from_millis(1500),
             listen_after_stop: time::Duration::from_millis(3200),
+            uncertain_calls_after_stop: time::Duration::from_millis(2750),
             stop_timeout: time::Duration::from_millis(5700),
             retries_per_1000_calls: 150,
             retry_burst: 50,
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -6,8 +6,8 @@
 use futures_channel::oneshot;
 use rand::{SeedableRng, rngs};
 use wagtailshunt_core::{
-    catch_up, containment, fleet, formation, placement, reach, relay, replication, retry, routing,
-    state_machine, time as core_time, types,
+    catch_up, containment, drain, fleet, formation, placement, reach, relay, replication, retry,
+    routing, state_machine, time as core_time, types,
 };
 
 use crate::{
@@ -46,8 +46,8 @@
     awaiting_configuration: cell::RefCell<Vec<oneshot::Sender<()>>>,
     /// Calls that wait for the end of the running check of the path.
     awaiting_path_check: cell::RefCell<Vec<oneshot::Sender<()>>>,
-    /// Whether a graceful stop has started.
-    stopping: cell::Cell<bool>,
+    /// The graceful stop in progress.
+    stop: cell::Cell<Option<drain::Stop>>,
     /// Whether the tasks of the process must end.
     stopped: cell::Cell<bool>,
     /// Whether the process ends because of an error.
@@ -198,7 +198,7 @@
             ready: cell::Cell::new(false),
             awaiting_configuration: cell::RefCell::default(),
             awaiting_path_check: cell::RefCell::default(),
-            stopping: cell::Cell::new(false),
+            stop: cell::Cell::new(None),
             stopped: cell::Cell::new(false),
             failed: cell::Cell::new(false),
             cfg,
@@ -287,7 +287,7 @@
 
     /// Returns whether the process is ready for new connections of callers.
     pub fn is_ready(&self) -> bool {
-        self.ready.get() && !self.stopping.get()
+        self.ready.get() && !self.stopping()
     }
 
     /// Returns whether all durable state has been written to the disk.
@@ -350,12 +350,20 @@
 
     /// Marks the start of a graceful stop.
     pub fn begin_stop(&self) {
-        self.stopping.set(true);
+        let (now, limits) = (self.clock.now(), &self.cfg.limits);
+        let certain_from = now + limits.uncertain_calls_after_stop;
+        let stop = drain::Stop::new(certain_from, now + limits.stop_timeout);
+        self.stop.set(Some(stop));
+    }
+
+    /// Returns the graceful stop in progress.
+    pub(crate) fn current_stop(&self) -> Option<drain::Stop> {
+        self.stop.get()
     }
 
     /// Returns whether a graceful stop has started.
     pub fn stopping(&self) -> bool {
-        self.stopping.get()
+        self.stop.get().is_some()
     }
 
     /// Stops all tasks and closes connections to other processes.
--- a/wagtailshunt/src/gateway/call.rs
+++ b/wagtailshunt/src/gateway/call.rs
@@ -120,6 +120,9 @@
     }
     let (call, body) = route(state, req, peer)?;
     let earlier = outcome::EarlierAttempts::from_headers(call.keyed, call.declared_attempt);
+    if state.may_outlast_stop(call.deadline) {
+        return Err(Refusal::not_run(outcome::Reason::Stopping).with_earlier(earlier));
+    }
     let admission = admit(state, &call)
         .await
         .map_err(|refusal| refusal.with_earlier(earlier))?;
--- a/wagtailshunt/src/gateway/state.rs
+++ b/wagtailshunt/src/gateway/state.rs
@@ -7,7 +7,8 @@
 
 use futures_channel::oneshot;
 use wagtailshunt_core::{
-    admission, containment, directory, event, lease, ledger, records, time as core_time, types,
+    admission, containment, deadline, directory, drain, event, lease, ledger, records,
+    time as core_time, types,
 };
 
 use crate::{
@@ -41,7 +42,8 @@
     pub holder: lease::Holder,
     pub services: collections::BTreeMap<types::ServiceName, rc::Rc<service::Service>>,
     pub admission: admission::Admission,
-    pub draining: bool,
+    /// The planned stop in progress.
+    pub stop: Option<drain::Stop>,
     serving: bool,
     last_call_id: u64,
     queued_calls: collections::BTreeMap<admission::CallId, oneshot::Sender<AdmissionResult>>,
@@ -65,7 +67,7 @@
             holder: lease::Holder::new(lease::Config::default(), cfg.vm, incarnation),
             services: collections::BTreeMap::new(),
             admission: admission::Admission::new(admission::Config::default()),
-            draining: false,
+            stop: None,
             serving: false,
             last_call_id: 0,
             queued_calls: collections::BTreeMap::new(),
@@ -107,7 +109,20 @@
 
     /// Makes the readiness check fail before a graceful shutdown.
     pub fn start_draining(&self) {
-        self.with(|inner| inner.draining = true);
+        let lead = time::Duration::from_millis(self.cfg.readiness_lead_ms);
+        let limit = time::Duration::from_millis(self.cfg.drain_limit_ms);
+        let certain_from = self.now() + lead;
+        let stop = drain::Stop::new(certain_from, certain_from + limit);
+        self.with(|inner| inner.stop = Some(stop));
+    }
+
+    /// Returns whether this gateway is being stopped and might end before a call with this deadline
+    /// has its response.
+    pub fn may_outlast_stop(&self, deadline: deadline::Deadline) -> bool {
+        let now = self.now();
+        let stop = self.with(|inner| inner.stop);
+        // In the lead time, calls are expected to end well before the drain limit.
+        stop.is_some_and(|stop| !stop.accepts(now, deadline.0, now))
     }
 
     /// Releases the lease and notifies the leader.
@@ -273,7 +288,7 @@
 impl Inner {
     /// Returns whether a graceful shutdown or a record drains this VM.
     pub fn is_draining(&self, vm: types::VmId) -> bool {
-        self.draining || self.table.drains_vm(vm)
+        self.stop.is_some() || self.table.drains_vm(vm)
     }
 
     fn refresh_service(
