--- a/core/src/placement/contention.rs
+++ b/core/src/placement/contention.rs
@@ -59,8 +59,10 @@
 
     /// Returns the concurrency at which a target with `slots` slots has its highest throughput.
     pub fn best_concurrency(&self, slots: u32) -> u32 {
+        let known = u32::try_from(self.levels.len()).unwrap_or(u32::MAX);
         let mut highest = (1.0, 1);
-        for running in 2..=slots {
+        // Without a known slowdown the throughput rises up to the last slot.
+        for running in (2..=slots.min(known)).chain(std::iter::once(slots)) {
             let throughput = f64::from(running) / self.slowdown(running);
             if throughput > highest.0 * MIN_THROUGHPUT_GAIN {
                 highest = (throughput, running);
--- a/core/src/placement/estimate.rs
+++ b/core/src/placement/estimate.rs
@@ -6,6 +6,17 @@
 /// does not occupy a slot.
 const OCCUPANCY_TOLERANCE: f64 = 0.5;
 
+/// Largest number of calls or slots of a target that are told apart. Targets report any number.
+const MAX_CALLS: u32 = 1024;
+
+/// Largest slowness of a target that is told apart, in percent.
+const MAX_SLOWNESS_PERCENT: u32 = 100_000;
+
+/// Returns the number of slots to calculate with for a target that announces `slots`.
+pub(super) fn bounded_slots(slots: u32) -> u32 {
+    slots.min(MAX_CALLS)
+}
+
 /// Load that a target reports of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadReport {
@@ -19,6 +30,20 @@
     pub slowness_percent: Option<u32>,
 }
 
+impl LoadReport {
+    /// Returns the report with numbers that are safe to calculate with.
+    pub(super) fn bounded(self) -> LoadReport {
+        LoadReport {
+            running: self.running.min(MAX_CALLS),
+            waiting: self.waiting.min(MAX_CALLS),
+            slots: bounded_slots(self.slots),
+            slowness_percent: self
+                .slowness_percent
+                .map(|percent| percent.min(MAX_SLOWNESS_PERCENT)),
+        }
+    }
+}
+
 /// Estimated state of a target at one moment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -286,7 +286,8 @@
         let Some(known) = service.targets.get_mut(target) else {
             return;
         };
-        if !known.reported(at, load) {
+        let load = load.bounded();
+        if !known.reported(at, &load) {
             return;
         }
         let means = &mut service.means;
--- a/core/src/placement/target.rs
+++ b/core/src/placement/target.rs
@@ -3,7 +3,7 @@
 
 use std::time;
 
-use super::{Config, Estimate, LoadReport, Outcome, ServiceMeans};
+use super::{Config, Estimate, LoadReport, Outcome, ServiceMeans, estimate};
 use crate::{fleet, time as core_time, types};
 
 /// The last load report of a target.
@@ -45,7 +45,7 @@
             in_flight: 0,
             reports_load: true,
             slow_until: None,
-            slots: announcement.slots,
+            slots: estimate::bounded_slots(announcement.slots),
             warmup_ends_at: now + announcement.warmup_left,
             last_report: None,
             consecutive_failures: 0,
@@ -54,7 +54,7 @@
     }
 
     pub fn update(&mut self, now: core_time::Instant, announcement: &fleet::Announcement) {
-        self.slots = announcement.slots;
+        self.slots = estimate::bounded_slots(announcement.slots);
         self.warmup_ends_at = now + announcement.warmup_left;
     }
 
--- a/wagtailshunt/src/entry/calls/work.rs
+++ b/wagtailshunt/src/entry/calls/work.rs
@@ -8,6 +8,9 @@
 /// Initial estimate as a share of the latency objective, used until there are samples.
 const INITIAL_OBJECTIVE_SHARE: f64 = 0.4;
 
+/// Longest service time of the initial estimate. Operators set any objective.
+const MAX_INITIAL_SECONDS: f64 = 600.0;
+
 /// Running mean of response times, each divided by the slowdown of its target.
 #[derive(Clone, Copy, Debug)]
 pub struct ServiceTime {
@@ -18,7 +21,7 @@
     /// Creates an estimate from the latency objective of the route.
     pub fn from_objective(objective: time::Duration) -> ServiceTime {
         ServiceTime {
-            seconds: objective.as_secs_f64() * INITIAL_OBJECTIVE_SHARE,
+            seconds: (objective.as_secs_f64() * INITIAL_OBJECTIVE_SHARE).min(MAX_INITIAL_SECONDS),
         }
     }
 
