One odd entry no longer drops the list of targets that it is in

A VM that received a list of targets with one entry that it could not decode, from a VM of another build, say, dropped the whole list, and each time anew: it followed none of the leader's targets.

Cause: the first error ended the handling of the message. The same held for lists of VMs.

Evidence: entry_that_cannot_be_decoded_leaves_the_others_of_its_list failed, the other targets of the list were not known after 10 s.

Change: entries are decoded one by one; one that cannot be decoded is logged and skipped.

--- a/wagtailshunt/src/entry/leader_sync.rs
+++ b/wagtailshunt/src/entry/leader_sync.rs
@@ -455,19 +455,11 @@
 }
 
 /// Handles a received state: installs it and its targets if it is from the leader or if this VM has
-/// none.
-///
-/// # Errors
-///
-/// Returns an error when a contained target cannot be decoded.
-pub fn state_received(
-    state: &rc::Rc<state::State>,
-    from: types::VmId,
-    received: fleet::State,
-) -> Result<(), wire::fleet::Error> {
+/// none. A target that cannot be decoded is skipped.
+pub fn state_received(state: &rc::Rc<state::State>, from: types::VmId, received: fleet::State) {
     let (leader, has_none) = state.with(|inner| (inner.leader, inner.applied.0 == 0));
     if leader.is_none_or(|(_, leader)| leader != from) && !has_none {
-        return Ok(());
+        return;
     }
     let index = types::LogIndex(received.applied);
     if state.with(|inner| index > inner.applied) {
@@ -481,13 +473,16 @@
     let mut listed = collections::BTreeSet::new();
     let mut announcements = Vec::new();
     for report in received.reports {
-        let announcement = wire::fleet::decode_announcement(report)?;
-        listed.insert(core_fleet::incarnation_of(&announcement));
-        announcements.push(announcement);
+        match wire::fleet::decode_announcement(report) {
+            Ok(announcement) => {
+                listed.insert(core_fleet::incarnation_of(&announcement));
+                announcements.push(announcement);
+            }
+            Err(err) => log::warn!("target in the state of VM {from} skipped: {err}"),
+        }
     }
     targets::register_all(state, announcements, "received");
     targets::remove_unlisted(state, &received.complete_buckets, &listed);
-    Ok(())
 }
 
 /// Handles a part of a state: requests the next one, or installs the state. It contains only
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -222,13 +222,15 @@
         }
         Fleet::Roster(roster) => {
             for vm in roster.vms {
-                learn_vm(state, vm, formation::Source::Forwarded)?;
+                if let Err(err) = learn_vm(state, vm, formation::Source::Forwarded) {
+                    log::warn!("VM in the roster of VM {from} skipped: {err}");
+                }
             }
         }
         Fleet::Founding(founding) => members::bootstrap_received(state, from, &founding.voters),
         Fleet::Leading(leading) => leader_sync::leadership_received(state, from, &leading),
         Fleet::Subscribe(subscribe) => leader_sync::state_requested(state, from, &subscribe),
-        Fleet::State(received) => leader_sync::state_received(state, from, received)?,
+        Fleet::State(received) => leader_sync::state_received(state, from, received),
         Fleet::StatePart(part) => {
             leader_sync::state_part_received(state, from, wire::fleet::decode_state_part(part));
         }
