State transfer in a module of its own; a late first part is used

Found in the read-through: a part was taken only from the VM that was asked last. When many VMs start at once and each reply takes longer than the 0.3 s after which the next VM is asked, none would count. A late first part is used now while no other transfer is in progress, and the transfer goes on at its sender.

--- a/core/src/catch_up/mod.rs
+++ b/core/src/catch_up/mod.rs
@@ -137,8 +137,9 @@
         }
     }
 
-    /// Adds a part of a state. Parts that do not continue the state in progress start over or are
-    /// ignored.
+    /// Adds a part of a state. A part that does not continue the state in progress starts over if it
+    /// is from the VM that was asked last; a late reply of another one only counts while none is in
+    /// progress.
     pub fn part_received(
         &mut self,
         now: core_time::Instant,
@@ -146,8 +147,12 @@
         from: types::VmId,
         part: Part,
     ) -> Progress {
-        let is_requested = self.request.is_some_and(|request| request.to == from);
-        if !is_requested || part.state.index <= applied {
+        let Some(request) = self.request else {
+            return Progress::Ignored;
+        };
+        let continues = |incoming: &Incoming| incoming.state == part.state;
+        let is_wanted = request.to == from || self.incoming.as_ref().is_none_or(continues);
+        if !is_wanted || part.state.index <= applied {
             return Progress::Ignored;
         }
         if part.state.total > MAX_STATE_BYTES {
--- a/core/tests/catch_up.rs
+++ b/core/tests/catch_up.rs
@@ -70,6 +70,24 @@
     assert_eq!(progress, Progress::Complete(LogIndex(7), state.data));
 }
 
+/// Guards against a VM that never gets the state because each reply comes after it has asked the next
+/// VM, as when many VMs start at once.
+#[test]
+fn reply_that_comes_late_is_used() {
+    let state = encoded(7, 0);
+    let mut catch_up = CatchUp::default();
+    catch_up.requested(at(0), SENDER);
+    catch_up.requested(at(300), OTHER);
+    let first = catch_up.part_received(at(400), LogIndex(0), SENDER, state.part(0));
+    assert_eq!(first, Progress::Next);
+    // The transfer goes on at the VM that has replied, not at the one that was asked last.
+    catch_up.requested(at(400), SENDER);
+    let other = catch_up.part_received(at(500), LogIndex(0), OTHER, encoded(8, 1).part(0));
+    assert_eq!(other, Progress::Ignored);
+    let (_, progress) = receive(&mut catch_up, SENDER, &state, 9);
+    assert_eq!(progress, Progress::Complete(LogIndex(7), state.data));
+}
+
 /// Guards against a mixture of two states, of different indexes or encodings.
 #[test]
 fn parts_of_two_states_are_not_joined() {
--- a/wagtailshunt/src/entry/members.rs
+++ b/wagtailshunt/src/entry/members.rs
@@ -8,7 +8,7 @@
 use wagtailshunt_core::{event, formation, placement, replication, types};
 use wagtailshunt_wire::generated::fleet::{self, fleet_message::Body as Fleet};
 
-use crate::entry::{leader_sync, peers, replica, state, targets};
+use crate::entry::{leader_sync, peers, replica, state, state_transfer, targets};
 
 /// Chooses the initial voters and sends them their list, if this VM is the first seed and the
 /// system starts for the first time.
@@ -159,7 +159,7 @@
     bootstrap(state);
     update_last_connected(state);
     update_membership(state);
-    leader_sync::repeat_overdue_request(state);
+    state_transfer::repeat_overdue_request(state);
     leader_sync::watch_leader(state);
     if slow {
         update_placement_position(state);
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod replica;
 mod settings;
 mod state;
+mod state_transfer;
 mod store;
 pub mod targets;
 
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::{
-    entry::{calls, leader_sync, members, replica, state, targets},
+    entry::{calls, leader_sync, members, replica, state, state_transfer, targets},
     transport,
 };
 
@@ -229,10 +229,10 @@
         }
         Fleet::Founding(founding) => members::bootstrap_received(state, from, &founding.voters),
         Fleet::Leading(leading) => leader_sync::leadership_received(state, from, &leading),
-        Fleet::Subscribe(subscribe) => leader_sync::state_requested(state, from, &subscribe),
-        Fleet::State(received) => leader_sync::state_received(state, from, received),
+        Fleet::Subscribe(subscribe) => state_transfer::state_requested(state, from, &subscribe),
+        Fleet::State(received) => state_transfer::state_received(state, from, received),
         Fleet::StatePart(part) => {
-            leader_sync::state_part_received(state, from, wire::fleet::decode_state_part(part));
+            state_transfer::state_part_received(state, from, wire::fleet::decode_state_part(part));
         }
         Fleet::Command(command) => leader_sync::command_received(state, from, &command),
         Fleet::Report(report) => {
