--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -138,6 +138,7 @@
         "unreachable" => {
             "not run: the VM had lost its path to the targets, and no other VM could relay the call"
         }
+        "stopping" => "not run: the VM was being stopped and might have ended before the response",
         "refused-by-targets" => {
             "not run: every target that was tried provably did not run the call"
         }
@@ -150,7 +151,9 @@
         "timeout" => "it may have run: a target was running it when its timeout expired",
         "body-too-large" => "not run: its body is larger than the limits allow",
         "body-incomplete" => "not run: its body was not received completely",
-        "malformed" => "not run: its request line or headers cannot be forwarded",
+        "malformed" => {
+            "not run: its request line or headers cannot be forwarded, or it has no call id"
+        }
         _ => return None,
     })
 }
