--- a/core/src/routing/change.rs
+++ b/core/src/routing/change.rs
@@ -4,16 +4,19 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CallerLimits, Route, Service, ValidationError, Version};
+use super::{CallerLimits, Route, Service, ValidationError, Version, Workspace};
 use crate::ledger::Digest;
 
-/// Routes, services and limits of a configuration, or of an update to one.
+/// Routes, services, workspaces and limits of a configuration, or of an update to one.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ConfigItems {
     /// Routes by name.
     pub routes: collections::BTreeMap<String, Route>,
     /// Services by name.
     pub services: collections::BTreeMap<String, Service>,
+    /// Workspaces by name; without any, calls need no key.
+    #[serde(default)]
+    pub workspaces: collections::BTreeMap<String, Workspace>,
     /// Limits on callers; `None` in an update keeps the current limits.
     pub limits: Option<CallerLimits>,
 }
@@ -31,6 +34,9 @@
         delete_routes: collections::BTreeSet<String>,
         /// Names of services to remove; names that do not exist are ignored.
         delete_services: collections::BTreeSet<String>,
+        /// Names of workspaces to remove; names that do not exist are ignored.
+        #[serde(default)]
+        delete_workspaces: collections::BTreeSet<String>,
     },
 }
 
--- a/core/src/routing/index.rs
+++ b/core/src/routing/index.rs
@@ -1,20 +1,25 @@
-//! Lookup of the route of a call by its host and path.
+//! Lookup of the route of a call by its host and path, and of its workspace by the API key.
 
 use std::{collections, rc};
 
-use super::{ConfigItems, Route};
+use super::{ApiKey, ConfigItems, Route, Workspace};
 
 /// Name and route, shared with the calls in progress on that route.
 pub type NamedRoute = rc::Rc<(String, Route)>;
 
-/// Routes by lower-case host name, longest path prefix first.
+/// Name and workspace, shared with its calls in progress.
+pub type NamedWorkspace = rc::Rc<(String, Workspace)>;
+
+/// Routes by lower-case host name, longest path prefix first, and workspaces by key.
 #[derive(Clone, Debug, Default)]
 pub struct Index {
+    workspaces: collections::HashMap<ApiKey, NamedWorkspace>,
+    has_workspaces: bool,
     hosts: collections::BTreeMap<String, Vec<NamedRoute>>,
 }
 
 impl Index {
-    /// Builds the index from the routes of a configuration.
+    /// Builds the index from the routes and workspaces of a configuration.
     pub fn new(items: &ConfigItems) -> Index {
         let mut hosts: collections::BTreeMap<String, Vec<NamedRoute>> =
             collections::BTreeMap::new();
@@ -28,7 +33,28 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|named| std::cmp::Reverse(named.1.path_prefix.len()));
         }
-        Index { hosts }
+        let mut workspaces = collections::HashMap::new();
+        for (name, workspace) in &items.workspaces {
+            let named = rc::Rc::new((name.clone(), workspace.clone()));
+            for key in &workspace.keys {
+                workspaces.insert(key.clone(), named.clone());
+            }
+        }
+        Index {
+            hosts,
+            workspaces,
+            has_workspaces: !items.workspaces.is_empty(),
+        }
+    }
+
+    /// Returns whether calls need a key, except on public routes.
+    pub fn has_workspaces(&self) -> bool {
+        self.has_workspaces
+    }
+
+    /// Returns the workspace that holds a key.
+    pub fn workspace(&self, key: &ApiKey) -> Option<&NamedWorkspace> {
+        self.workspaces.get(key)
     }
 
     /// Returns the route of the host with the longest prefix of `path`.
--- a/core/src/routing/mod.rs
+++ b/core/src/routing/mod.rs
@@ -1,15 +1,16 @@
-//! Routing configuration: routes, services and limits under one version that operators change.
+//! Routing configuration: routes, services, workspaces and limits under one version that operators change.
 //!
 //! [`Table`] decides whether a [`Change`] from the replicated log is accepted. It is a
 //! deterministic state machine with compare-and-set on the version: a change must name the current
 //! version as its base, so that only one of several concurrent changes succeeds. The digests of
 //! accepted changes identify resent ones. [`Index`] finds the route of a call by host and path
-//! prefix.
+//! prefix, and its workspace by API key.
 
 mod change;
 mod index;
 mod table;
 mod validate;
+mod workspace;
 
 use std::time;
 
@@ -17,9 +18,10 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::change::{Change, ChangeKind, ChangeResult, ConfigItems};
-pub use self::index::Index;
+pub use self::index::{Index, NamedWorkspace};
 pub use self::table::Table;
 pub use self::validate::ValidationError;
+pub use self::workspace::{Allowance, ApiKey, Workspace};
 use crate::types;
 
 /// Version of a configuration, chosen by the operator; 0 means that there is no configuration yet.
@@ -68,6 +70,9 @@
     pub priority: u32,
     /// Maximum number of attempts per call, each at another target.
     pub max_attempts: u32,
+    /// Whether calls need no API key although the configuration has workspaces.
+    #[serde(default)]
+    pub public: bool,
     /// Services and the weights by which calls are split between them.
     pub shares: Vec<Share>,
     /// The item's text as submitted, returned to operators unchanged.
@@ -81,10 +86,22 @@
     pub health_path: String,
     /// Maximum number of connections that a target accepts from all VMs together.
     pub max_connections: u32,
+    /// Limit on the calls of targets that are cold; `None` if cold targets bear any load.
+    #[serde(default)]
+    pub warmup: Option<Warmup>,
     /// The item's text as submitted, returned to operators unchanged.
     pub document: String,
 }
 
+/// What the targets of a service bear while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Warmup {
+    /// Time for which a target is cold after its start.
+    pub duration: time::Duration,
+    /// Calls per second that a cold target bears, from all VMs together.
+    pub calls_per_second: f64,
+}
+
 /// Limits on callers' connections and requests.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CallerLimits {
--- a/core/src/routing/table.rs
+++ b/core/src/routing/table.rs
@@ -97,14 +97,19 @@
                 upsert,
                 delete_routes,
                 delete_services,
+                delete_workspaces,
             } => {
                 let mut items = self.items.clone();
                 items.routes.retain(|name, _| !delete_routes.contains(name));
                 items
                     .services
                     .retain(|name, _| !delete_services.contains(name));
+                items
+                    .workspaces
+                    .retain(|name, _| !delete_workspaces.contains(name));
                 items.routes.extend(upsert.routes.clone());
                 items.services.extend(upsert.services.clone());
+                items.workspaces.extend(upsert.workspaces.clone());
                 items.limits = upsert.limits.clone().or(items.limits);
                 items
             }
--- a/core/src/routing/validate.rs
+++ b/core/src/routing/validate.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Display;
 
-use super::{ConfigItems, Route};
+use super::{Allowance, ApiKey, ConfigItems, Route};
 
 /// A reason why a configuration is invalid.
 #[derive(Clone, Debug, Display, PartialEq)]
@@ -44,6 +44,26 @@
         /// Name of the route.
         route: String,
     },
+    /// Two workspaces hold the same key.
+    #[display("workspaces {first} and {second} have a key in common")]
+    SharedKey {
+        /// Name of the workspace that sorts first.
+        first: String,
+        /// Name of the other workspace.
+        second: String,
+    },
+    /// The rate or burst of a workspace is negative, infinite or not a number.
+    #[display("workspace {workspace}: rate and burst must be finite and not negative")]
+    Allowance {
+        /// Name of the workspace.
+        workspace: String,
+    },
+    /// The rate of calls to cold targets is negative, infinite or not a number.
+    #[display("service {service}: rate of cold targets must be finite and not negative")]
+    Warmup {
+        /// Name of the service.
+        service: String,
+    },
     /// Two routes have the same host and path prefix.
     #[display("routes {first} and {second} have the same host and prefix")]
     SamePlace {
@@ -69,9 +89,47 @@
             });
         }
     }
+    check_workspaces(items, &mut errors);
+    for (name, service) in &items.services {
+        let warmup = service.warmup.as_ref();
+        if warmup.is_some_and(|warmup| !is_amount(warmup.calls_per_second)) {
+            errors.push(ValidationError::Warmup {
+                service: name.clone(),
+            });
+        }
+    }
     errors
 }
 
+fn is_amount(value: f64) -> bool {
+    value.is_finite() && value >= 0.0
+}
+
+fn check_workspaces(items: &ConfigItems, errors: &mut Vec<ValidationError>) {
+    let mut holders: collections::HashMap<&ApiKey, &String> = collections::HashMap::new();
+    for (name, workspace) in &items.workspaces {
+        for key in &workspace.keys {
+            if let Some(first) = holders.insert(key, name)
+                && first != name
+            {
+                errors.push(ValidationError::SharedKey {
+                    first: first.clone(),
+                    second: name.clone(),
+                });
+            }
+        }
+        let allowance = workspace.allowance.as_ref();
+        let invalid = |allowance: &Allowance| {
+            !is_amount(allowance.calls_per_second) || !is_amount(allowance.burst)
+        };
+        if allowance.is_some_and(invalid) {
+            errors.push(ValidationError::Allowance {
+                workspace: name.clone(),
+            });
+        }
+    }
+}
+
 fn check_route(name: &str, route: &Route, items: &ConfigItems, errors: &mut Vec<ValidationError>) {
     let name = || name.to_owned();
     for share in &route.shares {
@@ -82,9 +140,8 @@
             });
         }
     }
-    let valid = |weight: f64| weight.is_finite() && weight >= 0.0;
     let total: f64 = route.shares.iter().map(|share| share.weight).sum();
-    if !route.shares.iter().all(|share| valid(share.weight)) || total <= 0.0 {
+    if !route.shares.iter().all(|share| is_amount(share.weight)) || total <= 0.0 {
         errors.push(ValidationError::Weights { route: name() });
     }
     if route.timeout.is_zero() {
--- a/core/tests/routing.rs
+++ b/core/tests/routing.rs
@@ -13,6 +13,7 @@
         objective: time::Duration::from_millis(300),
         priority: 2,
         max_attempts: 2,
+        public: false,
         shares: vec![routing::Share {
             service: types::ServiceName::from(service),
             weight: 1.0,
@@ -26,6 +27,7 @@
     let service = routing::Service {
         health_path: "/healthz".to_owned(),
         max_connections: 300,
+        warmup: None,
         document: String::new(),
     };
     items.services.insert("board".to_owned(), service);
@@ -134,6 +136,7 @@
             },
             delete_routes: ["gone".to_owned()].into(),
             delete_services: Default::default(),
+            delete_workspaces: Default::default(),
         },
     };
     assert_eq!(table.apply(&update), routing::ChangeResult::Accepted);
--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -13,7 +13,7 @@
     header::{self, HeaderValue},
     http::response,
 };
-use wagtailshunt_core::{fleet, placement, reach, time as core_time, types};
+use wagtailshunt_core::{fleet, placement, reach, routing, time as core_time, types};
 
 use crate::{
     entry::{calls::response::OwnResponse, path, state, targets},
@@ -37,7 +37,10 @@
     pub request_id: HeaderValue,
     pub method: Method,
     pub uri: Uri,
+    /// Headers that are forwarded; without those that identify the workspace.
     pub headers: HeaderMap,
+    /// Workspace of the caller, if the configuration has workspaces and the route is not public.
+    pub workspace: Option<CallWorkspace>,
     pub body: Bytes,
     /// Whether the call may run more than once.
     pub repeatable: bool,
@@ -49,6 +52,14 @@
     pub unproved: cell::Cell<u32>,
 }
 
+/// The workspace of a call.
+#[derive(Clone)]
+pub struct CallWorkspace {
+    pub workspace: routing::NamedWorkspace,
+    /// Key of the caller; sent to a relay, never to a target.
+    pub key: HeaderValue,
+}
+
 impl CallRequest {
     /// Records that the call is about to be sent to a target.
     fn record_sent(&self) {
@@ -327,6 +338,18 @@
             destination.target
         ),
     }
+    if let Some(CallWorkspace { workspace, .. }) = &call_request.workspace {
+        match HeaderValue::from_str(&workspace.0) {
+            Ok(name) => {
+                let header = state.cfg.protocol.workspace.clone();
+                req.headers_mut().insert(header, name);
+            }
+            Err(err) => log::warn!(
+                "name of workspace {} is not a valid header value: {err}; sending the call without it",
+                workspace.0
+            ),
+        }
+    }
     req
 }
 
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -51,6 +51,8 @@
     pub state: rc::Rc<state::State>,
     pub route_name: String,
     pub route: routing::Route,
+    /// Priority of the workspace, or of the route without one; 0 is the highest.
+    pub priority: u32,
     /// Service that the call was assigned to by the weights of the route.
     pub service: types::ServiceName,
     pub request: CallRequest,
@@ -135,8 +137,11 @@
         relayed: Option<RelayedCall>,
         arrival: core_time::Instant,
     ) -> rc::Rc<Call> {
+        let workspace = request.workspace.as_ref();
+        let workspace_priority = workspace.and_then(|call| call.workspace.1.priority);
         rc::Rc::new(Call {
             state,
+            priority: workspace_priority.unwrap_or(named_route.1.priority),
             route_name: named_route.0.clone(),
             route: named_route.1.clone(),
             service,
--- a/wagtailshunt/src/entry/calls/failure.rs
+++ b/wagtailshunt/src/entry/calls/failure.rs
@@ -19,6 +19,21 @@
     /// This process has no configuration yet.
     #[display("no-configuration")]
     NoConfiguration,
+    /// The route needs a key, and the call has none or one that no workspace holds.
+    #[display("unknown-key")]
+    UnknownKey,
+    /// This VM cannot be sure that its keys are still in force.
+    #[display("keys-unconfirmed")]
+    KeysUnconfirmed,
+    /// The workspace has used up its allowance.
+    #[display("over-allowance")]
+    OverAllowance,
+    /// This VM cannot learn in time whether the workspace has allowance left.
+    #[display("allowance-unknown")]
+    AllowanceUnknown,
+    /// There is no memory for the body or the response of the call.
+    #[display("no-memory")]
+    NoMemory,
     /// The body exceeds the configured limit.
     #[display("body-too-large")]
     BodyTooLarge,
@@ -52,10 +67,15 @@
 }
 
 impl Failure {
-    const ALL: [Failure; 13] = [
+    const ALL: [Failure; 18] = [
         Failure::Malformed,
         Failure::NoRoute,
         Failure::NoConfiguration,
+        Failure::UnknownKey,
+        Failure::KeysUnconfirmed,
+        Failure::OverAllowance,
+        Failure::AllowanceUnknown,
+        Failure::NoMemory,
         Failure::BodyTooLarge,
         Failure::BodyIncomplete,
         Failure::Overloaded,
@@ -79,9 +99,14 @@
         match self {
             Failure::Malformed => StatusCode::BAD_REQUEST,
             Failure::NoRoute => StatusCode::NOT_FOUND,
+            Failure::UnknownKey => StatusCode::UNAUTHORIZED,
+            Failure::OverAllowance => StatusCode::TOO_MANY_REQUESTS,
             Failure::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Failure::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
             Failure::NoConfiguration
+            | Failure::KeysUnconfirmed
+            | Failure::AllowanceUnknown
+            | Failure::NoMemory
             | Failure::Overloaded
             | Failure::NoTarget
             | Failure::Stopping
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -18,7 +18,7 @@
 use crate::{
     entry::{
         calls::{
-            attempt::CallRequest,
+            attempt::{CallRequest, CallWorkspace},
             call::{self, Call, CallOutcome},
             failure::Failure,
             relay::{self, RelayedCall},
@@ -201,6 +201,7 @@
         }
         named_route => named_route?,
     };
+    let (workspace, has_workspaces) = workspace(state, &req, &named_route.1)?;
     let limits = state.with(|inner| inner.machine.table.items().limits.clone());
     let limits = limits.unwrap_or_default();
     let caller_deadline = arrival + caller_time_left(state, &req);
@@ -210,11 +211,16 @@
     let mut headers = head.headers;
     http::strip_connection_fields(&mut headers);
     headers.remove(header::EXPECT);
+    if has_workspaces {
+        headers.remove(&state.cfg.protocol.key);
+        headers.remove(&state.cfg.protocol.workspace);
+    }
     let call_request = CallRequest {
         request_id,
         method: head.method,
         uri: origin_form(&head.uri),
         headers,
+        workspace,
         body,
         repeatable: named_route.1.repeatable,
         deadline,
@@ -294,6 +300,31 @@
     found.cloned().ok_or(Failure::NoRoute)
 }
 
+/// Returns the workspace of a call, `None` on public routes, and whether the configuration has workspaces.
+///
+/// # Errors
+///
+/// [`Failure::UnknownKey`] when the route needs a key and no workspace holds that of the call.
+fn workspace(
+    state: &state::State,
+    req: &Request<http::Body>,
+    route: &routing::Route,
+) -> Result<(Option<CallWorkspace>, bool), Failure> {
+    let routes = state.with(|inner| inner.routes.clone());
+    if !routes.has_workspaces() || route.public {
+        return Ok((None, routes.has_workspaces()));
+    }
+    let mut values = req.headers().get_all(&state.cfg.protocol.key).iter();
+    let (Some(key), None) = (values.next(), values.next()) else {
+        return Err(Failure::UnknownKey);
+    };
+    let text = key.to_str().map_err(|_| Failure::UnknownKey)?;
+    let workspace = routes.workspace(&routing::ApiKey::from(text.trim().to_owned()));
+    let workspace = workspace.cloned().ok_or(Failure::UnknownKey)?;
+    let key = key.clone();
+    Ok((Some(CallWorkspace { workspace, key }), true))
+}
+
 /// Returns the caller's remaining time, or [`DEFAULT_TIME_LEFT`] when the header is missing or
 /// invalid.
 fn caller_time_left(state: &state::State, req: &Request<http::Body>) -> std::time::Duration {
--- a/wagtailshunt/src/entry/calls/relay.rs
+++ b/wagtailshunt/src/entry/calls/relay.rs
@@ -222,6 +222,9 @@
     let headers = req.headers_mut();
     headers.insert(ATTEMPTS_HEADER, HeaderValue::from(attempts));
     headers.insert(VERSION_HEADER, HeaderValue::from(version.0));
+    if let Some(workspace) = &call_request.workspace {
+        headers.insert(state.cfg.protocol.key.clone(), workspace.key.clone());
+    }
     req
 }
 
--- a/wagtailshunt/src/entry/calls/target_search.rs
+++ b/wagtailshunt/src/entry/calls/target_search.rs
@@ -19,7 +19,7 @@
     fn join(call: &'a Call, search: &placement::Search) -> QueueEntry<'a> {
         let now = call.state.clock.now();
         let slack = search.slack(now, call.service_time());
-        let priority = call.route.priority;
+        let priority = call.priority;
         let ticket = call.with_queue(|queue| queue.push(now, priority, slack));
         QueueEntry {
             call,
@@ -142,7 +142,7 @@
         let now = self.state.clock.now();
         let time_left = self.request.deadline.since(now);
         let limit = time_left.mul_f64(self.state.cfg.search.wait_share);
-        let wait = self.with_queue(|queue| queue.expected_wait(now, self.route.priority));
+        let wait = self.with_queue(|queue| queue.expected_wait(now, self.priority));
         match wait.is_some_and(|wait| wait > limit) {
             true => Err(Failure::Overloaded),
             false => Ok(()),
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -26,7 +26,7 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use wagtailshunt_core::{event, types};
 
-pub use settings::{Limits, Protocol, Settings};
+pub use settings::{AllowanceBound, Limits, Protocol, Settings};
 pub use state::State;
 
 use crate::{clock, daemon, disk, events, http, transport};
--- a/wagtailshunt/src/entry/settings.rs
+++ b/wagtailshunt/src/entry/settings.rs
@@ -99,6 +99,41 @@
     pub disk_bytes: Option<u64>,
     /// VMs with disks whose loss at the same time the deployment tolerates.
     pub tolerated_losses: usize,
+    /// Memory at which the platform ends the process, if known.
+    pub memory_bytes: Option<u64>,
+    /// File descriptors that the process may open, if known.
+    pub max_open_files: Option<u64>,
+    /// Longest time for which a VM may accept a key after its removal was acknowledged; `None` if a
+    /// VM that is cut off may go on with the keys that it knows.
+    pub key_revocation: Option<time::Duration>,
+    /// Bound on the calls of workspaces over all VMs.
+    pub allowance: AllowanceBound,
+    /// Factor on the configured rate of calls to a cold target up to which the bound still holds.
+    pub warmup_overage: f64,
+    /// Calls to a cold target in any second that the bound allows beyond the rate.
+    pub warmup_slack: f64,
+}
+
+/// Bound on the calls of a workspace: in no sliding window may more run than (rate x window + burst) x
+/// (1 + overage) + slack.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AllowanceBound {
+    /// Length of the window.
+    pub window: time::Duration,
+    /// Tolerated share beyond the allowance.
+    pub overage: f64,
+    /// Calls that are tolerated in addition.
+    pub slack: f64,
+}
+
+impl Default for AllowanceBound {
+    fn default() -> Self {
+        AllowanceBound {
+            window: time::Duration::from_secs(5),
+            overage: 0.1,
+            slack: 20.0,
+        }
+    }
 }
 
 impl Limits {
@@ -129,6 +164,12 @@
             probes_per_second: FULL_PROBE_RATE,
             disk_bytes: None,
             tolerated_losses: 1,
+            memory_bytes: None,
+            max_open_files: None,
+            key_revocation: None,
+            allowance: AllowanceBound::default(),
+            warmup_overage: 1.5,
+            warmup_slack: 8.0,
         }
     }
 }
@@ -148,6 +189,13 @@
     pub expected_target: HeaderName,
     /// Id of the target in a response of its health endpoint.
     pub target_id: HeaderName,
+    /// Remaining time for which a target is cold, in milliseconds, in a response of its health
+    /// endpoint.
+    pub warmup_left_ms: HeaderName,
+    /// API key of the caller.
+    pub key: HeaderName,
+    /// Name of the caller's workspace, for the target.
+    pub workspace: HeaderName,
     /// Present in each response of a target, with a digest of the body; `None` when targets send
     /// none.
     pub digest: Option<HeaderName>,
