Strict revocation: VMs accept keys only under a lease confirmed by a quorum

Cause: a VM that was cut off, frozen, suspended or restarted from its stored configuration went on accepting keys that a later configuration had removed.

Renewals are confirmed by the leader's heartbeats (read_index_with_heartbeat), urgent requests by a round at once. An unknown key gets 401 only from a recently confirmed configuration. The debug output of a workspace no longer has its keys.

--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -122,4 +122,7 @@
     PathChanged = 134, Warn, "path to the targets lost or regained";
     StateSent = 135, Info, "state or missing commands sent to a VM";
     StateReceived = 136, Info, "state received from a VM";
+    KeyLeaseGained = 140, Info, "lease on keys acquired";
+    KeyLeaseLost = 141, Warn, "lease on keys expired; calls with keys wait or are refused";
+    KeysUnconfirmed = 142, Warn, "no lease on keys; calls with keys are refused";
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod event;
 pub mod fleet;
 pub mod formation;
+pub mod key_lease;
 pub mod lease;
 pub mod ledger;
 pub mod measure;
--- a/core/src/replication/leader.rs
+++ b/core/src/replication/leader.rs
@@ -124,7 +124,12 @@
         let State::Leader(leader) = &mut self.state else {
             return;
         };
-        leader.begin_round(now);
+        let round = leader.begin_round(now);
+        // Before the first commit of its term, a leader's commit index may be behind that of
+        // earlier leaders.
+        if self.commit >= leader.term_start {
+            leader.reads.join_round(round, leader.term_start);
+        }
         let peers: Vec<_> = leader.peers.keys().copied().collect();
         for vm in peers {
             self.heartbeat(now, vm);
--- a/core/src/replication/read.rs
+++ b/core/src/replication/read.rs
@@ -12,6 +12,10 @@
 pub(super) struct PendingReads {
     /// Token and commit index at arrival of each read that waits for the next round.
     waiting: Vec<(u64, types::LogIndex)>,
+    /// The same of each read that waits for the next heartbeat.
+    at_heartbeat: Vec<(u64, types::LogIndex)>,
+    /// Latest round that was started for reads.
+    begun_round: u64,
     /// Round that a quorum must reply to, token and read index of each read whose round has
     /// started.
     sent: collections::VecDeque<(u64, u64, types::LogIndex)>,
@@ -25,8 +29,14 @@
     }
 
     fn is_round_pending(&self) -> bool {
-        let last = self.sent.back();
-        last.is_some_and(|(round, _, _)| *round > self.confirmed_round)
+        self.begun_round > self.confirmed_round
+    }
+
+    /// Makes a round that is about to start confirm the reads that wait for a heartbeat.
+    pub(super) fn join_round(&mut self, round: u64, term_start: types::LogIndex) {
+        for (token, index) in self.at_heartbeat.drain(..) {
+            self.sent.push_back((round, token, index.max(term_start)));
+        }
     }
 }
 
@@ -50,6 +60,21 @@
         Ok(())
     }
 
+    /// Requests a read like [`Node::read_index`], but starts no round for it: the next heartbeat
+    /// confirms it, at most one heartbeat interval later. It costs no message.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ProposeError::NotLeader`] when this node does not lead.
+    pub fn read_index_with_heartbeat(&mut self, token: u64) -> Result<(), ProposeError> {
+        let commit = self.commit;
+        let State::Leader(leader) = &mut self.state else {
+            return Err(self.not_leader());
+        };
+        leader.reads.at_heartbeat.push((token, commit));
+        Ok(())
+    }
+
     /// Starts a round for the waiting reads unless a round for earlier reads is in progress.
     fn begin_reads(&mut self, now: time::Instant) {
         let State::Leader(leader) = &mut self.state else {
@@ -62,6 +87,7 @@
             return;
         }
         let round = leader.round + 1;
+        leader.reads.begun_round = round;
         for (token, index) in leader.reads.waiting.drain(..) {
             let index = index.max(leader.term_start);
             leader.reads.sent.push_back((round, token, index));
@@ -87,7 +113,9 @@
 
     /// Fails all reads of a node that no longer leads.
     pub(super) fn fail_reads(&mut self, leader: Leader) {
-        let waiting = leader.reads.waiting.into_iter().map(|(token, _)| token);
+        let waiting = leader.reads.waiting.into_iter();
+        let waiting = waiting.chain(leader.reads.at_heartbeat);
+        let waiting = waiting.map(|(token, _)| token);
         let sent = leader.reads.sent.into_iter().map(|(_, token, _)| token);
         for token in sent.chain(waiting) {
             self.outbox.push(Output::ReadFailed { token });
--- a/core/src/routing/index.rs
+++ b/core/src/routing/index.rs
@@ -15,6 +15,7 @@
 pub struct Index {
     workspaces: collections::HashMap<ApiKey, NamedWorkspace>,
     has_workspaces: bool,
+    has_public_routes: bool,
     hosts: collections::BTreeMap<String, Vec<NamedRoute>>,
 }
 
@@ -44,9 +45,15 @@
             hosts,
             workspaces,
             has_workspaces: !items.workspaces.is_empty(),
+            has_public_routes: items.routes.values().any(|route| route.public),
         }
     }
 
+    /// Returns whether all calls need a key.
+    pub fn needs_key_everywhere(&self) -> bool {
+        self.has_workspaces && !self.has_public_routes
+    }
+
     /// Returns whether calls need a key, except on public routes.
     pub fn has_workspaces(&self) -> bool {
         self.has_workspaces
--- a/core/src/routing/workspace.rs
+++ b/core/src/routing/workspace.rs
@@ -32,8 +32,8 @@
     pub burst: f64,
 }
 
-/// A customer of the deployment.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+/// A customer of the deployment. Its debug output shows neither the keys nor the text with them.
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
 pub struct Workspace {
     /// Keys that identify its calls.
     pub keys: Vec<ApiKey>,
@@ -44,3 +44,13 @@
     /// The item's text as submitted, returned to operators unchanged.
     pub document: String,
 }
+
+impl fmt::Debug for Workspace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Workspace")
+            .field("keys", &self.keys.len())
+            .field("priority", &self.priority)
+            .field("allowance", &self.allowance)
+            .finish_non_exhaustive()
+    }
+}
--- a/core/src/time/mod.rs
+++ b/core/src/time/mod.rs
@@ -34,6 +34,20 @@
     }
 }
 
+/// Time of a clock that also runs while the machine is suspended, in microseconds since the start of
+/// the machine. Not comparable with an [`Instant`], whose clock stops meanwhile.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, From, Into)]
+pub struct BootInstant(pub u64);
+
+impl BootInstant {
+    /// Returns the time elapsed since `earlier`, or `None` if `earlier` is later. A clock that has
+    /// gone back, as after a restored image of a machine, measures nothing.
+    pub fn checked_since(self, earlier: BootInstant) -> Option<Duration> {
+        let elapsed = self.0.checked_sub(earlier.0)?;
+        Some(Duration::from_micros(elapsed))
+    }
+}
+
 /// Wall-clock time in milliseconds since the Unix epoch.
 #[derive(
     Clone,
--- a/core/tests/replication.rs
+++ b/core/tests/replication.rs
@@ -364,16 +364,22 @@
         group.other_outputs.iter().any(found)
     };
     assert!(ready(&group, 7));
+    // The next heartbeat confirms a read that does not start a round.
+    group.node(leader).read_index_with_heartbeat(9).unwrap();
+    group.settle();
+    assert!(!ready(&group, 9));
+    group.run(Config::default().heartbeat);
+    assert!(ready(&group, 9));
     group.isolated.insert(leader);
     let now = group.now;
     group.node(leader).read_index(now, 8).unwrap();
+    group.node(leader).read_index_with_heartbeat(10).unwrap();
     group.run(ms(5000));
-    assert!(!ready(&group, 8));
-    assert!(
-        group
-            .other_outputs
-            .contains(&(leader, Output::ReadFailed { token: 8 }))
-    );
+    for token in [8, 10] {
+        assert!(!ready(&group, token));
+        let failed = (leader, Output::ReadFailed { token });
+        assert!(group.other_outputs.contains(&failed));
+    }
 }
 
 /// Guards against a planned transfer that interrupts commits for an election timeout, and a
--- a/wagtailshunt/src/clock/mod.rs
+++ b/wagtailshunt/src/clock/mod.rs
@@ -1,4 +1,4 @@
-//! Monotonic and wall-clock time, and sleeping.
+//! Monotonic, boot and wall-clock time, and sleeping.
 //!
 //! The clock of compio cannot be paused, so the core takes the time as an argument. Only this module
 //! reads the clock for it.
@@ -7,7 +7,7 @@
 
 use wagtailshunt_core::time as core_time;
 
-/// Reads monotonic and wall-clock time.
+/// Reads monotonic, boot and wall-clock time.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: time::Instant,
@@ -27,6 +27,17 @@
         core_time::Instant(core_time::micros(self.origin.elapsed()))
     }
 
+    /// Returns the time since the start of the machine, including time spent suspended.
+    ///
+    /// Leases that must end on time are measured by it: the monotonic clock stops during a
+    /// suspension.
+    pub fn boot(&self) -> core_time::BootInstant {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let micros = u64::try_from(time.tv_nsec / 1000).unwrap_or_default();
+        core_time::BootInstant(seconds.saturating_mul(1_000_000).saturating_add(micros))
+    }
+
     /// Returns the wall-clock time; zero if the system clock is before 1970.
     pub fn wall(&self) -> core_time::UnixMillis {
         let elapsed = time::SystemTime::now()
--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -16,7 +16,10 @@
 use wagtailshunt_core::{fleet, placement, reach, routing, time as core_time, types};
 
 use crate::{
-    entry::{calls::response::OwnResponse, path, state, targets},
+    entry::{
+        calls::{failure::Failure, key_check, response::OwnResponse},
+        path, state, targets,
+    },
     http,
 };
 
@@ -105,6 +108,8 @@
     Answered(TargetResponse),
     /// No byte of the call reached the target; with the reason for the log.
     NotSent(String),
+    /// The call was not sent, and must not be sent to another target either.
+    Refused(Failure),
     /// The target did not run the call; with the reason for the log.
     NotRun(String),
     /// The target may have run the call, but there is no valid response; with the reason for the
@@ -112,6 +117,21 @@
     Lost(String),
 }
 
+/// Why there is no response to a request on a connection.
+#[derive(Debug, derive_more::From)]
+pub enum SendError {
+    /// The connection failed.
+    Client(http::ClientError),
+    /// The call must not be sent.
+    Refused(Failure),
+}
+
+impl SendError {
+    fn proves_not_sent_on_this_connection(&self) -> bool {
+        matches!(self, SendError::Client(err) if err.proves_not_run())
+    }
+}
+
 /// Counts an attempt as in flight at its target until it finishes or the guard is dropped.
 struct InFlightGuard {
     state: rc::Rc<state::State>,
@@ -162,7 +182,11 @@
     let mut flight = InFlightGuard::start(state, &destination.target);
     let (client, response) = match exchange(state, call_request, &destination).await {
         Ok(exchanged) => exchanged,
-        Err(err) => {
+        Err(SendError::Refused(reason)) => {
+            flight.finish(placement::Outcome::Cancelled);
+            return AttemptOutcome::Refused(reason);
+        }
+        Err(SendError::Client(err)) => {
             flight.finish(placement::Outcome::Failed);
             return match err.proves_not_run() {
                 true => AttemptOutcome::NotSent(err.to_string()),
@@ -238,7 +262,7 @@
     state: &rc::Rc<state::State>,
     call_request: &CallRequest,
     destination: &Destination,
-) -> Result<(http::Client, hyper::Response<Incoming>), http::ClientError> {
+) -> Result<(http::Client, hyper::Response<Incoming>), SendError> {
     let key = (destination.target.clone(), destination.born);
     let max_idle = match call_request.repeatable {
         true => time::Duration::MAX,
@@ -247,7 +271,7 @@
     if let Some(client) = state.pool.take(state.clock.now(), &key, max_idle) {
         match send(state, call_request, destination, client).await {
             // The target has closed the idle connection; no byte of the request was written.
-            Err(err) if err.proves_not_run() => {}
+            Err(err) if err.proves_not_sent_on_this_connection() => {}
             exchanged => return exchanged,
         }
     }
@@ -261,7 +285,8 @@
     call_request: &CallRequest,
     destination: &Destination,
     mut client: http::Client,
-) -> Result<(http::Client, hyper::Response<Incoming>), http::ClientError> {
+) -> Result<(http::Client, hyper::Response<Incoming>), SendError> {
+    key_check::check_before_send(state, call_request)?;
     call_request.record_sent();
     let req = build_target_request(state, call_request, destination);
     match client.send(req).await {
@@ -270,7 +295,7 @@
             if err.proves_not_run() {
                 call_request.record_not_run();
             }
-            Err(err)
+            Err(err.into())
         }
     }
 }
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -462,6 +462,7 @@
             }
             AttemptOutcome::NotSent(_) => Evaluation::NotReached,
             AttemptOutcome::NotRun(_) => Evaluation::NotRun,
+            AttemptOutcome::Refused(reason) => Evaluation::NotSent(reason),
             AttemptOutcome::Lost(_) => {
                 let fingerprint = crash::fingerprint(&self.service, &self.request);
                 crash::check_target(&self.state, sent.to, fingerprint);
@@ -499,6 +500,7 @@
             AttemptOutcome::NotSent(reason) | AttemptOutcome::NotRun(reason) => {
                 ("not-run", reason.clone())
             }
+            AttemptOutcome::Refused(reason) => ("not-run", reason.to_string()),
             AttemptOutcome::Lost(reason) => ("lost", reason.clone()),
         };
         let attempts = self.state.metrics.attempts.with_label_values(&[result]);
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -18,9 +18,10 @@
 use crate::{
     entry::{
         calls::{
-            attempt::{CallRequest, CallWorkspace},
+            attempt::CallRequest,
             call::{self, Call, CallOutcome},
             failure::Failure,
+            key_check,
             relay::{self, RelayedCall},
         },
         state,
@@ -32,8 +33,9 @@
 /// a starting process usually has one.
 const CONFIGURATION_RETRY_AFTER: std::time::Duration = std::time::Duration::from_millis(500);
 
-/// Longest time that a call waits for the first configuration. A process that has just started
-/// receives it from the first VM that it connects to, and a refusal would cost the caller a retry.
+/// Longest time that a call waits for the first configuration, or for a lease on its keys. A process
+/// that has just started receives them from the first VM that it connects to and from the leader,
+/// and a refusal would cost the caller a retry.
 const MAX_CONFIGURATION_WAIT: std::time::Duration = std::time::Duration::from_millis(400);
 
 /// Largest share of its remaining time that such a call waits, so that enough is left to run it.
@@ -111,8 +113,11 @@
                     ("version", &version),
                 ],
             );
-            let retry_after =
-                (reason == Failure::NoConfiguration).then_some(CONFIGURATION_RETRY_AFTER);
+            let retry_after = match reason {
+                Failure::NoConfiguration => Some(CONFIGURATION_RETRY_AFTER),
+                Failure::KeysUnconfirmed => Some(key_check::RETRY_AFTER),
+                _ => None,
+            };
             failed_response(reason, retry_after, relayed.is_some())
         }
     };
@@ -194,14 +199,18 @@
     }
     let named_route = match route(state, &req) {
         Err(Failure::NoConfiguration) => {
-            let wait = MAX_CONFIGURATION_WAIT
-                .min(caller_time_left(state, &req).mul_f64(CONFIGURATION_WAIT_SHARE));
-            state.wait_until_configured(wait).await;
+            state.wait_until_configured(max_wait(state, &req)).await;
             route(state, &req)?
         }
         named_route => named_route?,
     };
-    let (workspace, has_workspaces) = workspace(state, &req, &named_route.1)?;
+    let lease_wait = match relayed {
+        // The sender can choose another relay.
+        Some(_) => max_wait(state, &req).min(relay::VERSION_WAIT),
+        None => max_wait(state, &req),
+    };
+    let (workspace, has_workspaces) =
+        key_check::workspace(state, &req, &named_route.1, lease_wait).await?;
     let limits = state.with(|inner| inner.machine.table.items().limits.clone());
     let limits = limits.unwrap_or_default();
     let caller_deadline = arrival + caller_time_left(state, &req);
@@ -300,31 +309,6 @@
     found.cloned().ok_or(Failure::NoRoute)
 }
 
-/// Returns the workspace of a call, `None` on public routes, and whether the configuration has workspaces.
-///
-/// # Errors
-///
-/// [`Failure::UnknownKey`] when the route needs a key and no workspace holds that of the call.
-fn workspace(
-    state: &state::State,
-    req: &Request<http::Body>,
-    route: &routing::Route,
-) -> Result<(Option<CallWorkspace>, bool), Failure> {
-    let routes = state.with(|inner| inner.routes.clone());
-    if !routes.has_workspaces() || route.public {
-        return Ok((None, routes.has_workspaces()));
-    }
-    let mut values = req.headers().get_all(&state.cfg.protocol.key).iter();
-    let (Some(key), None) = (values.next(), values.next()) else {
-        return Err(Failure::UnknownKey);
-    };
-    let text = key.to_str().map_err(|_| Failure::UnknownKey)?;
-    let workspace = routes.workspace(&routing::ApiKey::from(text.trim().to_owned()));
-    let workspace = workspace.cloned().ok_or(Failure::UnknownKey)?;
-    let key = key.clone();
-    Ok((Some(CallWorkspace { workspace, key }), true))
-}
-
 /// Returns the caller's remaining time, or [`DEFAULT_TIME_LEFT`] when the header is missing or
 /// invalid.
 fn caller_time_left(state: &state::State, req: &Request<http::Body>) -> std::time::Duration {
@@ -333,6 +317,12 @@
     ms.map_or(DEFAULT_TIME_LEFT, std::time::Duration::from_millis)
 }
 
+/// Returns how long a call may wait for what this process lacks just after its start.
+fn max_wait(state: &state::State, req: &Request<http::Body>) -> std::time::Duration {
+    let share = caller_time_left(state, req).mul_f64(CONFIGURATION_WAIT_SHARE);
+    MAX_CONFIGURATION_WAIT.min(share)
+}
+
 async fn read_body(
     state: &state::State,
     body: http::Body,
--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -4,7 +4,7 @@
 //! `target_search` finds a target with capacity, and `attempt` sends the call to it. `pool` keeps
 //! idle connections, `probe` requests the load of targets, `crash` detects targets that crash
 //! during a call, `budget` limits retries and probes, `work` estimates the service time of a route,
-//! and `failure` builds error responses. `relay` sends calls to another VM while this one has lost its
+//! and `failure` builds error responses. `key_check` checks the API key of a call. `relay` sends calls to another VM while this one has lost its
 //! path to the targets.
 
 mod attempt;
@@ -13,6 +13,7 @@
 mod crash;
 mod failure;
 mod handler;
+mod key_check;
 mod pool;
 mod probe;
 mod relay;
--- a/wagtailshunt/src/entry/calls/relay.rs
+++ b/wagtailshunt/src/entry/calls/relay.rs
@@ -17,9 +17,10 @@
 use crate::{
     entry::{
         calls::{
-            attempt::{self, CallRequest, TargetResponse},
+            attempt::{self, CallRequest, SendError, TargetResponse},
             call::Call,
             failure::Failure,
+            key_check,
             response::OwnResponse,
         },
         state,
@@ -149,8 +150,12 @@
         let exchanged = exchange(state, &call.request, attempts, vm, address).await;
         let (outcome, result) = match exchanged {
             Ok(response) => receive(state, &call.request, vm, response).await,
-            Err(err) if err.proves_not_run() => (relay::Outcome::Failed, None),
-            Err(err) => {
+            Err(SendError::Refused(reason)) => {
+                call.set_at_relay(false);
+                return RelayOutcome::Failed(reason);
+            }
+            Err(SendError::Client(err)) if err.proves_not_run() => (relay::Outcome::Failed, None),
+            Err(SendError::Client(err)) => {
                 let lost = RelayOutcome::Lost(err.to_string());
                 (relay::Outcome::Failed, Some(lost))
             }
@@ -188,27 +193,29 @@
     attempts: u32,
     vm: types::VmId,
     address: std::net::SocketAddr,
-) -> Result<(http::Client, Response<Incoming>), http::ClientError> {
+) -> Result<(http::Client, Response<Incoming>), SendError> {
     let request = || build_request(state, call_request, attempts);
     let max_idle = match call_request.repeatable {
         true => time::Duration::MAX,
         false => MAX_IDLE_NOT_REPEATABLE,
     };
     if let Some(mut client) = state.relay_pool.take(state.clock.now(), &vm, max_idle) {
+        key_check::check_before_send(state, call_request)?;
         match client.send(request()).await {
             Ok(response) => return Ok((client, response)),
             // The VM has closed the idle connection; no byte of the request was written.
             Err((err, _)) if err.proves_not_run() => {}
-            Err((err, _)) => return Err(err),
+            Err((err, _)) => return Err(err.into()),
         }
     }
     let mut client = http::Client::connect(address, CONNECT_TIMEOUT, || {}).await?;
     if !client.ready().await {
-        return Err(http::ClientError::NotSent);
+        return Err(http::ClientError::NotSent.into());
     }
+    key_check::check_before_send(state, call_request)?;
     match client.send(request()).await {
         Ok(response) => Ok((client, response)),
-        Err((err, _)) => Err(err),
+        Err((err, _)) => Err(err.into()),
     }
 }
 
@@ -256,8 +263,10 @@
     }
     match failure {
         Some(Some(Failure::Unreachable)) => (relay::Outcome::Declined, None),
-        // The relay has an older configuration, for a moment.
-        Some(Some(Failure::NoConfiguration)) => (relay::Outcome::Cancelled, None),
+        // The relay has an older configuration or no lease on its keys, for a moment.
+        Some(Some(Failure::NoConfiguration | Failure::KeysUnconfirmed)) => {
+            (relay::Outcome::Cancelled, None)
+        }
         Some(Some(failure)) => {
             let failed = RelayOutcome::Failed(failure);
             (relay::Outcome::Handled, Some(failed))
--- a/wagtailshunt/src/entry/leader_sync.rs
+++ b/wagtailshunt/src/entry/leader_sync.rs
@@ -17,7 +17,7 @@
 use wagtailshunt_core::{event, replication, routing, state_machine, types};
 use wagtailshunt_wire::generated::fleet::{self, fleet_message::Body as Fleet};
 
-use crate::entry::{replica, state, state_transfer, targets};
+use crate::entry::{key_lease, replica, state, state_transfer, targets};
 
 /// Time after its election from which a leader knows all targets. Each announces itself at some VM
 /// within its interval, and the VMs forward this to the leader every second.
@@ -27,6 +27,9 @@
 /// a configuration requests the state of any VM, so that it can serve before there is a leader.
 pub fn peer_connected(state: &rc::Rc<state::State>, to: types::VmId) {
     state_transfer::request_first_state(state, to);
+    if state.reachable_leader() == Some(to) {
+        key_lease::leader_changed(state);
+    }
     if let Some(leading) = leading_message(state) {
         state.peers.send_fleet(to, leading);
     }
@@ -116,6 +119,9 @@
         state_transfer::request_state(state, leader);
         targets::send_own_announcements(state, leader);
     }
+    if is_new {
+        key_lease::leader_changed(state);
+    }
     true
 }
 
@@ -227,6 +233,7 @@
         inner.routes = rc::Rc::new(routing::Index::new(inner.machine.table.items()));
     });
     configuration_applied(state, index, version);
+    key_lease::applied(state);
 }
 
 /// Reports an applied configuration and schedules it to be stored.
@@ -306,6 +313,7 @@
         }
         _ => {}
     }
+    key_lease::applied(state);
     Some(reply)
 }
 
--- a/wagtailshunt/src/entry/metrics.rs
+++ b/wagtailshunt/src/entry/metrics.rs
@@ -17,6 +17,10 @@
     pub relayed: IntCounterVec,
     /// 1 while this VM has lost its path to the targets.
     pub path_lost: IntGauge,
+    /// 1 while this VM holds a lease on the keys; 0 where none is needed.
+    pub key_lease_held: IntGauge,
+    /// Calls refused for lack of a lease on the keys.
+    pub keys_unconfirmed: IntCounter,
     /// Connections opened to targets.
     pub connections: IntCounter,
     /// Probes sent to targets.
@@ -64,6 +68,16 @@
                 "result",
             ),
             path_lost: metrics::gauge(&registry, "path_lost", "1 while no target is reached."),
+            key_lease_held: metrics::gauge(
+                &registry,
+                "key_lease_held",
+                "1 while a lease on the keys is held; 0 where none is needed.",
+            ),
+            keys_unconfirmed: metrics::counter(
+                &registry,
+                "keys_unconfirmed_total",
+                "Calls refused for lack of a lease on the keys.",
+            ),
             connections: metrics::counter(
                 &registry,
                 "connections_total",
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod calls;
 mod disk_space;
+mod key_lease;
 mod leader_sync;
 mod members;
 mod metrics;
@@ -303,6 +304,7 @@
         ticks += 1;
         replica::tick(&state);
         members::tick(&state, ticks % TICKS_PER_SLOW_TICK == 0);
+        key_lease::update(&state);
         store::save_roster(&state);
         store::save_configuration(&state);
         path::check(&state);
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::{
-    entry::{calls, leader_sync, members, replica, state, state_transfer, targets},
+    entry::{calls, key_lease, leader_sync, members, replica, state, state_transfer, targets},
     transport,
 };
 
@@ -252,6 +252,14 @@
         Fleet::Departed(fleet::Departed {}) => state.complete_request(request),
         Fleet::Crash(crash) => calls::crash_received(state, from, crash)?,
         Fleet::Loads(loads) => targets::loads_received(state, loads),
+        Fleet::KeyLeaseRequest(request) => {
+            let request = wire::fleet::decode_key_lease_request(&request);
+            key_lease::request_received(state, from, &request);
+        }
+        Fleet::KeyLeaseReply(reply) => {
+            let reply = wire::fleet::decode_key_lease_reply(&reply);
+            key_lease::reply_received(state, from, &reply);
+        }
     }
     Ok(())
 }
--- a/wagtailshunt/src/entry/replica.rs
+++ b/wagtailshunt/src/entry/replica.rs
@@ -398,13 +398,29 @@
 /// Returns an error when this VM does not lead or cannot confirm in time that it does.
 pub async fn read(state: &rc::Rc<state::State>) -> Result<(), CommandError> {
     let now = state.clock.now();
+    read_with(state, |node, token| node.read_index(now, token)).await
+}
+
+/// Waits like [`read`], for the next heartbeat instead of a round of its own.
+///
+/// # Errors
+///
+/// The same as those of [`read`].
+pub async fn read_with_heartbeat(state: &rc::Rc<state::State>) -> Result<(), CommandError> {
+    read_with(state, replication::Node::read_index_with_heartbeat).await
+}
+
+async fn read_with(
+    state: &rc::Rc<state::State>,
+    request: impl FnOnce(&mut replication::Node, u64) -> Result<(), replication::ProposeError>,
+) -> Result<(), CommandError> {
     let (tx, rx) = oneshot::channel();
     state.with(|inner| {
         let replica = inner.replica.as_mut();
         let replica = replica.ok_or(replication::ProposeError::NotLeader { leader: None })?;
         replica.last_read_token += 1;
         let token = replica.last_read_token;
-        replica.node.read_index(now, token)?;
+        request(&mut replica.node, token)?;
         replica.pending_reads.insert(token, tx);
         Ok::<_, replication::ProposeError>(())
     })?;
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock,
-    entry::{calls, metrics, peers, replica, settings, store},
+    entry::{calls, key_lease, metrics, peers, replica, settings, store},
     events, transport,
 };
 
@@ -30,6 +30,7 @@
     /// Idle connections to VMs that relay calls.
     pub(crate) relay_pool: calls::Pool<types::VmId>,
     pub(crate) metrics: metrics::Metrics,
+    pub(crate) key_lease: key_lease::KeyLease,
     /// Peer addresses of the seed VMs; they change with the settings file.
     pub(crate) seeds: cell::RefCell<Vec<net::SocketAddr>>,
     /// Files whose content in memory is newer than on the disk.
@@ -159,6 +160,7 @@
             pool: calls::Pool::default(),
             relay_pool: calls::Pool::default(),
             metrics: metrics::Metrics::new(),
+            key_lease: key_lease::KeyLease::new(vm, cfg.limits.key_revocation),
             seeds: cell::RefCell::new(cfg.seed_addresses.clone()),
             unsaved: store::Unsaved::default(),
             rng: cell::RefCell::new(rngs::SmallRng::seed_from_u64(incarnation.0)),
@@ -334,17 +336,24 @@
         rx
     }
 
-    /// Updates the readiness: the process is ready once it has a configuration.
+    /// Updates the readiness: the process is ready once it has a configuration, unless all its calls
+    /// need a key and it refuses those.
     pub fn update_readiness(&self) {
-        let known = self.with(|inner| inner.machine.table.version().0 > 0);
-        if known != self.ready.get() {
-            self.ready.set(known);
+        let (known, needs_key) = self.with(|inner| {
+            let known = inner.machine.table.version().0 > 0;
+            (known, inner.routes.needs_key_everywhere())
+        });
+        if known {
             for tx in self.awaiting_configuration.take() {
                 // The call may have timed out.
                 let _ = tx.send(());
             }
+        }
+        let ready = known && !(needs_key && self.key_lease.is_refusing());
+        if ready != self.ready.get() {
+            self.ready.set(ready);
             let id = wagtailshunt_core::event::Id::ReadinessChanged;
-            self.events.emit(id, &[("ready", &known)]);
+            self.events.emit(id, &[("ready", &ready)]);
         }
     }
 
--- a/wire/src/fleet.rs
+++ b/wire/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::{net, time};
 
 use wagtailshunt_core::{
-    catch_up, containment, fleet, formation, placement, time as core_time, types,
+    catch_up, containment, fleet, formation, key_lease, placement, time as core_time, types,
 };
 
 use crate::generated::fleet as wire;
@@ -186,3 +186,39 @@
     let age = time::Duration::from_millis(u64::from(load.age_ms));
     (types::TargetId(load.target), report, age)
 }
+
+/// Converts the request for a lease on keys to its wire form.
+pub fn encode_key_lease_request(request: &key_lease::Request) -> wire::KeyLeaseRequest {
+    wire::KeyLeaseRequest {
+        number: request.number,
+        asker: request.asker.0,
+        urgent: request.urgent,
+    }
+}
+
+/// Converts the request for a lease on keys from its wire form.
+pub fn decode_key_lease_request(request: &wire::KeyLeaseRequest) -> key_lease::Request {
+    key_lease::Request {
+        number: request.number,
+        asker: types::VmId(request.asker),
+        urgent: request.urgent,
+    }
+}
+
+/// Converts the reply to a request for a lease on keys to its wire form.
+pub fn encode_key_lease_reply(reply: &key_lease::Reply) -> wire::KeyLeaseReply {
+    wire::KeyLeaseReply {
+        number: reply.number,
+        asker: reply.asker.0,
+        applied: reply.applied.0,
+    }
+}
+
+/// Converts the reply to a request for a lease on keys from its wire form.
+pub fn decode_key_lease_reply(reply: &wire::KeyLeaseReply) -> key_lease::Reply {
+    key_lease::Reply {
+        number: reply.number,
+        asker: types::VmId(reply.asker),
+        applied: types::LogIndex(reply.applied),
+    }
+}
