--- a/core/tests/key_lease.rs
+++ b/core/tests/key_lease.rs
@@ -76,24 +76,13 @@
 
 fn holder(off: Off, process: u64) -> Holder {
     let revocation = Duration::from_millis(REVOCATION_MS);
-    let terms = match off {
-        Off::Expiry => Terms {
-            validity: revocation * 1000,
-        },
-        Off::Margin => Terms {
-            validity: revocation,
-        },
-        _ => Terms::new(revocation),
+    let validity = match off {
+        Off::Expiry => revocation * 1000,
+        Off::Margin => revocation,
+        _ => Terms::new(revocation).validity,
     };
-    Holder::new(
-        VM,
-        terms,
-        if off == Off::Numbers {
-            0
-        } else {
-            process << 32
-        },
-    )
+    let first_number = u64::from(off != Off::Numbers) * (process << 32);
+    Holder::new(VM, Terms { validity }, first_number)
 }
 
 impl World {
@@ -131,11 +120,7 @@
     }
 
     fn clock(&self) -> BootInstant {
-        let stopped = if self.off == Off::BootClock {
-            self.suspended_ms
-        } else {
-            0
-        };
+        let stopped = u64::from(self.off == Off::BootClock) * self.suspended_ms;
         BootInstant((self.now_ms - stopped) * self.clock_rate)
     }
 
