Allowances of workspaces over all VMs: tokens from the leader

Cause: a workspace's rate and burst apply to all VMs together, and no VM counted the calls of the others.

Change: core::allowance keeps a token bucket for each workspace on the leader and the tokens, waiting calls, refusals and reserve on each VM. The leader grants only while its lease holds (Node::lease_begin). Calls over the allowance get 429 before the body is read; without an answer of the leader a VM uses its part of a reserve, then answers 503.

--- /dev/null
+++ b/core/src/allowance/leader.rs
@@ -0,0 +1,171 @@
+//! Leader side: one token bucket for each workspace with an allowance.
+
+use std::{collections, time};
+
+use super::{Bound, Numbers, WorkspaceId};
+use crate::{routing, time as core_time};
+
+/// Longest time for which the leader asks a VM not to come back although the next token may be there
+/// earlier. Refused VMs get successive times, so that they don't all ask for the same token.
+const MAX_SPACING: time::Duration = time::Duration::from_millis(500);
+
+/// Shortest such time. It bounds the questions about a workspace far over its rate to 20 a second and
+/// VM.
+const MIN_SPACING: time::Duration = time::Duration::from_millis(50);
+
+/// Share of a full bucket that is kept for calls that wait.
+const SHARE_FOR_NEED: f64 = 0.5;
+
+/// What a VM asks for one workspace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// Calls that wait for a token.
+    pub needed: u32,
+    /// Tokens for calls that are expected within their validity.
+    pub ahead: u32,
+}
+
+/// What the leader grants for one workspace.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// Number of tokens granted.
+    pub granted: u32,
+    /// Time until the VM should ask again, if it got fewer tokens than calls wait; `None` if it got
+    /// enough or the leader doesn't know the workspace.
+    pub wait: Option<time::Duration>,
+    /// Whether the bucket is still filling after a leader change, so that a lack of tokens doesn't mean
+    /// that the workspace is over its allowance.
+    pub filling: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    numbers: Numbers,
+    level: f64,
+    updated: core_time::Instant,
+    /// When the next VM that is refused should ask again.
+    next_slot: core_time::Instant,
+}
+
+impl Bucket {
+    fn new(numbers: Numbers, now: core_time::Instant) -> Bucket {
+        Bucket {
+            numbers,
+            level: 0.0,
+            updated: now,
+            next_slot: now,
+        }
+    }
+
+    fn refill(&mut self, now: core_time::Instant) {
+        let added = self.numbers.rate * now.since(self.updated).as_secs_f64();
+        self.level = (self.level + added).min(self.numbers.capacity);
+        self.updated = self.updated.max(now);
+    }
+
+    /// Returns when a VM that lacks a token should ask again.
+    fn refuse(&mut self, now: core_time::Instant, filling: bool) -> time::Duration {
+        let until_next = duration((1.0 - self.level) / self.numbers.rate);
+        // While the bucket fills, the calls may well be within the allowance.
+        let spacing = if filling {
+            time::Duration::ZERO
+        } else {
+            MIN_SPACING
+        };
+        let slot = self.next_slot.max(now + spacing).min(now + MAX_SPACING);
+        let slot = slot.max(now + until_next);
+        self.next_slot = slot + duration(1.0 / self.numbers.rate);
+        slot.since(now)
+    }
+}
+
+/// Converts seconds, which may be infinite, to a duration of at most an hour.
+fn duration(seconds: f64) -> time::Duration {
+    time::Duration::from_secs_f64(seconds.clamp(0.0, 3600.0))
+}
+
+/// Grants tokens while its VM leads.
+#[derive(Debug)]
+pub struct Grantor {
+    bound: Bound,
+    buckets: collections::HashMap<WorkspaceId, Bucket>,
+    /// When this VM began to lead.
+    started: Option<core_time::Instant>,
+}
+
+impl Grantor {
+    /// Creates a grantor that doesn't lead and knows no workspace.
+    pub fn new(bound: Bound) -> Grantor {
+        Grantor {
+            bound,
+            buckets: collections::HashMap::new(),
+            started: None,
+        }
+    }
+
+    /// Takes over the workspaces of a configuration. Buckets of workspaces that were there before keep
+    /// their tokens up to the new capacity; others start empty.
+    pub fn configure<'a>(
+        &mut self,
+        now: core_time::Instant,
+        allowances: impl Iterator<Item = (&'a str, &'a routing::Allowance)>,
+    ) {
+        let mut old = std::mem::take(&mut self.buckets);
+        for (name, allowance) in allowances {
+            let id = WorkspaceId::of(name);
+            let numbers = Numbers::new(&self.bound, allowance);
+            let mut bucket = old.remove(&id).unwrap_or(Bucket::new(numbers, now));
+            // Tokens up to now come at the old rate.
+            bucket.refill(now);
+            bucket.numbers = numbers;
+            bucket.level = bucket.level.min(numbers.capacity);
+            self.buckets.insert(id, bucket);
+        }
+    }
+
+    /// Starts to lead. The buckets start empty, because the tokens of the previous leader are used up
+    /// as far as this one knows.
+    pub fn start(&mut self, now: core_time::Instant) {
+        self.started = Some(now);
+        for bucket in self.buckets.values_mut() {
+            *bucket = Bucket::new(bucket.numbers, now);
+        }
+    }
+
+    /// Ends the leadership.
+    pub fn stop(&mut self) {
+        self.started = None;
+    }
+
+    /// Grants tokens for one workspace. The caller has made sure that a quorum confirms the leadership.
+    ///
+    /// Tokens ahead of need are granted from the upper half of the bucket only, so that VMs which don't
+    /// use them take nothing from the others when tokens are short.
+    pub fn grant(&mut self, now: core_time::Instant, ask: &Ask) -> Answer {
+        let (Some(started), Some(bucket)) = (self.started, self.buckets.get_mut(&ask.workspace))
+        else {
+            return Answer::default();
+        };
+        bucket.refill(now);
+        let needed = (bucket.level as u32).min(ask.needed);
+        bucket.level -= f64::from(needed);
+        if needed < ask.needed {
+            let fill_time = duration(bucket.numbers.capacity / bucket.numbers.rate);
+            let filling = now.since(started) < fill_time;
+            return Answer {
+                granted: needed,
+                wait: Some(bucket.refuse(now, filling)),
+                filling,
+            };
+        }
+        let spare = bucket.level - bucket.numbers.capacity * SHARE_FOR_NEED;
+        let ahead = (spare.max(0.0) as u32).min(ask.ahead);
+        bucket.level -= f64::from(ahead);
+        Answer {
+            granted: needed + ahead,
+            ..Answer::default()
+        }
+    }
+}
--- /dev/null
+++ b/core/src/allowance/numbers.rs
@@ -0,0 +1,118 @@
+//! The bound on the calls of a workspace, and the numbers that keep it.
+
+use std::time;
+
+use crate::routing;
+
+/// Bound on the calls of a workspace: in no sliding window may more run than (rate x window + burst) x
+/// (1 + overage) + slack.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bound {
+    /// Length of the window.
+    pub window: time::Duration,
+    /// Tolerated share beyond the allowance.
+    pub overage: f64,
+    /// Calls that are tolerated in addition.
+    pub slack: f64,
+}
+
+impl Default for Bound {
+    fn default() -> Self {
+        Bound {
+            window: time::Duration::from_secs(5),
+            overage: 0.1,
+            slack: 20.0,
+        }
+    }
+}
+
+impl Bound {
+    /// Returns the number of calls that may run in any window.
+    pub fn calls(&self, allowance: &routing::Allowance) -> f64 {
+        self.allowed(allowance) + self.extra(allowance)
+    }
+
+    fn allowed(&self, allowance: &routing::Allowance) -> f64 {
+        allowance.calls_per_second * self.window.as_secs_f64() + allowance.burst
+    }
+
+    /// Returns the calls that the bound tolerates beyond the allowance.
+    fn extra(&self, allowance: &routing::Allowance) -> f64 {
+        self.overage * self.allowed(allowance) + self.slack
+    }
+}
+
+/// Longest validity of a token. It covers a round trip between failure domains and a VM that is slow
+/// for a moment; a longer one would make tokens that are held in advance cheaper, but each second of
+/// it costs one second of the rate in the bound.
+const MAX_VALIDITY_S: f64 = 0.4;
+
+/// Validity below which VMs other than the leader could use no token. It is kept even if the bound
+/// leaves no room for it, and is then taken from the burst.
+const MIN_VALIDITY_S: f64 = 0.1;
+
+/// Longest time between the use of a token and the sending of its call for which the bound has room.
+const MAX_DELAY_S: f64 = 0.1;
+
+/// Largest shares of the tolerated extra that validity and delay take.
+const VALIDITY_SHARE: f64 = 0.6;
+const DELAY_SHARE: f64 = 0.2;
+
+/// Share of what is left that enlarges the bucket of the leader; the reserve gets the rest. The bucket
+/// absorbs random arrivals, which the configured burst of a small workspace may not.
+const CAPACITY_SHARE: f64 = 0.5;
+
+/// Share of the reserve that is divided among the known VMs; the rest is for VMs that join while
+/// others are cut off and go on with their old share.
+const DIVIDED_SHARE: f64 = 0.7;
+
+/// The numbers by which the bound of one workspace is kept.
+///
+/// With extra = overage x (rate x window + burst) + slack, and V = min(0.4 s, 0.6 x extra / rate) and
+/// D = min(0.1 s, 0.2 x extra / rate):
+///
+/// * Tokens that are used in a window were granted in it or at most V before, and calls are sent at
+///   most D after their token was used. All leaders together grant at most rate x (window + V + D) +
+///   capacity in that time.
+/// * rest = extra - rate x (V + D) is at least 0.2 x extra. capacity = burst + rest / 2.
+/// * All VMs together use at most 0.7 x rest / 2 of the reserve in a window.
+///
+/// The sum is at most rate x window + burst + extra, which is the bound.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Numbers {
+    /// Tokens per second.
+    pub rate: f64,
+    /// Time after the question for which a VM may use a token.
+    pub validity: time::Duration,
+    /// Tokens that the leader's bucket holds at most.
+    pub capacity: f64,
+    /// Calls that all VMs together may run in a window without tokens.
+    pub reserve: u64,
+}
+
+impl Numbers {
+    /// Computes the numbers of a workspace.
+    pub fn new(bound: &Bound, allowance: &routing::Allowance) -> Numbers {
+        let rate = allowance.calls_per_second;
+        let extra = bound.extra(allowance);
+        let seconds = |share: f64, max: f64| match rate > 0.0 {
+            true => (share * extra / rate).min(max),
+            false => max,
+        };
+        let validity = seconds(VALIDITY_SHARE, MAX_VALIDITY_S).max(MIN_VALIDITY_S);
+        let delay = seconds(DELAY_SHARE, MAX_DELAY_S);
+        let rest = extra - rate * (validity + delay);
+        let capacity = match rest > 0.0 {
+            true => allowance.burst + rest * CAPACITY_SHARE,
+            false => allowance.burst + rest,
+        };
+        let reserve = rest.max(0.0) * (1.0 - CAPACITY_SHARE) * DIVIDED_SHARE;
+        Numbers {
+            rate,
+            validity: time::Duration::from_secs_f64(validity),
+            // A bucket of less than one token would never grant any.
+            capacity: capacity.max(1.0),
+            reserve: reserve as u64,
+        }
+    }
+}
--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -122,4 +122,7 @@
     PathChanged = 134, Warn, "path to the targets lost or regained";
     StateSent = 135, Info, "state or missing commands sent to a VM";
     StateReceived = 136, Info, "state received from a VM";
+    AllowanceExceeded = 143, Warn, "workspace over its allowance";
+    AllowanceKept = 144, Info, "workspace no longer over its allowance";
+    AllowanceUnanswered = 145, Warn, "allowances decided without the leader";
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! and get the resulting actions as return values or from a module's `poll_output`.
 
 pub mod admission;
+pub mod allowance;
 pub mod balance;
 pub mod catch_up;
 pub mod connection;
--- a/core/src/replication/leader.rs
+++ b/core/src/replication/leader.rs
@@ -160,6 +160,12 @@
     /// the leader releases the lease. A lease is held only once the entries of all earlier terms
     /// are committed and queued to be applied.
     pub fn lease_valid_until(&self, now: time::Instant) -> Option<time::Instant> {
+        Some(self.lease_begin(now)? + self.cfg.lease())
+    }
+
+    /// Returns when the round began to which a quorum has replied and on which the leader's lease
+    /// rests, or `None` when this node holds none.
+    pub fn lease_begin(&self, now: time::Instant) -> Option<time::Instant> {
         let State::Leader(leader) = &self.state else {
             return None;
         };
@@ -171,8 +177,7 @@
         } else {
             leader.quorum_contact?
         };
-        let end = begin + self.cfg.lease();
-        (end > now).then_some(end)
+        (begin + self.cfg.lease() > now).then_some(begin)
     }
 
     /// Sends a heartbeat to `to` and repeats a snapshot chunk that had no reply for the longest
--- /dev/null
+++ b/core/tests/allowance.rs
@@ -0,0 +1,266 @@
+//! Allowances of workspaces over all VMs, in a model without a network.
+
+mod allowance_world;
+
+use std::time::Duration;
+
+use allowance_world::{Callers, Off, World};
+use wagtailshunt_core::{
+    allowance::{Ask, Bound, Decision, Grantor, Holder, Numbers, WorkspaceId},
+    routing::Allowance,
+    time::Instant,
+    types::VmId,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn allowance(calls_per_second: f64, burst: f64) -> Allowance {
+    Allowance {
+        calls_per_second,
+        burst,
+    }
+}
+
+/// Workspaces of all sizes whose callers send ten times their rate.
+fn greedy() -> Vec<Callers> {
+    let allowances = [(0.5, 0.0), (2.0, 3.0), (20.0, 40.0), (200.0, 200.0)];
+    let callers = |(rate, burst)| Callers {
+        allowance: allowance(rate, burst),
+        calls_per_second: rate * 10.0,
+    };
+    allowances.into_iter().map(callers).collect()
+}
+
+/// The expected load: 840 calls a second of 72 workspaces with a skew of 1.2, each at 0.6 of its rate.
+fn usual() -> Vec<Callers> {
+    let weights: Vec<f64> = (1..=72).map(|i| f64::from(i).powf(-1.2)).collect();
+    let total: f64 = weights.iter().sum();
+    let callers = |weight: f64| {
+        let calls_per_second = 840.0 * weight / total;
+        let rate = calls_per_second / 0.6;
+        Callers {
+            allowance: allowance(rate, (rate / 2.0).max(2.0)),
+            calls_per_second,
+        }
+    };
+    weights.into_iter().map(callers).collect()
+}
+
+type Scenario = fn(Off) -> World;
+
+fn greedy_world(vms: usize, off: Off, seed: u64) -> World {
+    let mut world = World::new(vms, greedy(), true, off, seed);
+    // The buckets fill up, and VMs get their part of the reserve.
+    world.run(10 * SECOND);
+    world
+}
+
+fn after_random_faults(vms: usize, off: Off, seed: u64) -> World {
+    let mut world = greedy_world(vms, off, seed);
+    world.start_calls(1.0, 30 * SECOND);
+    for _ in 0..60 {
+        world.fault();
+        world.run(SECOND / 2);
+    }
+    world
+}
+
+fn after_elections(off: Off) -> World {
+    let mut world = greedy_world(44, off, 2);
+    world.start_calls(1.0, 5 * SECOND);
+    for _ in 0..3 {
+        world.run(SECOND);
+        world.elect();
+    }
+    world.run(2 * SECOND);
+    world
+}
+
+fn after_cut(off: Off) -> World {
+    let mut world = greedy_world(44, off, 3);
+    world.start_calls(1.0, 10 * SECOND);
+    world.run(4 * SECOND);
+    world.cut_all(4 * SECOND);
+    world.run(6 * SECOND);
+    world
+}
+
+/// Guards against more calls than the bound allows in any window, when callers send ten times their
+/// rate to few VMs, and VMs are cut off, killed and restarted, leaders change, and deposed leaders go on
+/// being asked. Each mechanism is needed: without it a scenario exceeds the bound.
+#[test]
+fn bound_holds_in_every_window() {
+    for (vms, seed) in [(11, 1), (44, 2), (44, 3), (149, 4)] {
+        let worst = after_random_faults(vms, Off::default(), seed).worst_window();
+        assert!(worst <= 1.0, "{vms} VMs, seed {seed}: {worst}");
+    }
+    let none = Off::default();
+    let scenarios: [(&str, Scenario, Off); 3] = [
+        (
+            "elections, old leader",
+            after_elections,
+            Off {
+                lease: true,
+                ..none
+            },
+        ),
+        (
+            "elections, new leader",
+            after_elections,
+            Off {
+                empty_start: true,
+                ..none
+            },
+        ),
+        (
+            "cut",
+            after_cut,
+            Off {
+                ranks: true,
+                ..none
+            },
+        ),
+    ];
+    for (name, scenario, off) in scenarios {
+        let worst = scenario(none).worst_window();
+        assert!(worst <= 1.0, "{name}: {worst}");
+        let without = scenario(off).worst_window();
+        assert!(without > 1.0, "{name}: {without} without the mechanism");
+    }
+}
+
+fn lost_share(world: &World) -> f64 {
+    let tallies = || world.tallies.iter();
+    let lost: usize = tallies().map(|tally| tally.refused + tally.unknown).sum();
+    let ran: usize = tallies().map(|tally| tally.sent.len()).sum();
+    lost as f64 / (lost + ran) as f64
+}
+
+fn usual_world(vms: usize, answering: bool) -> World {
+    let mut world = World::new(vms, usual(), false, Off::default(), 5);
+    world.run(10 * SECOND);
+    if !answering {
+        world.cut_all(60 * SECOND);
+    }
+    for _ in 0..4 {
+        world.start_calls(1.0, 15 * SECOND);
+        world.run(7 * SECOND);
+        world.start_bursts();
+        world.run(8 * SECOND);
+    }
+    world.run(SECOND);
+    world
+}
+
+/// Guards against refusals of callers that stay within their allowance, also in their bursts and if
+/// they send less than one call a second to each VM.
+#[test]
+fn usual_callers_are_not_refused() {
+    let world = usual_world(44, true);
+    let lost = lost_share(&world);
+    assert!(lost < 0.001, "{lost}");
+    let lost = lost_share(&usual_world(44, false));
+    assert!(lost > 0.001, "{lost} without a leader");
+}
+
+/// Prints the figures of docs/design/allowances.md.
+#[test]
+#[ignore = "prints figures"]
+fn figures() {
+    for vms in [11, 44, 149, 300] {
+        let world = usual_world(vms, true);
+        let ran: usize = world.tallies.iter().map(|tally| tally.sent.len()).sum();
+        let faults = after_random_faults(vms, Off::default(), 6);
+        println!(
+            "{vms} VMs: lost {:.5}, questions per call {:.3}, unused tokens {:.4}; worst window with faults {:.3}",
+            lost_share(&world),
+            world.questions as f64 / ran as f64,
+            1.0 - ran as f64 / world.granted as f64,
+            faults.worst_window(),
+        );
+    }
+}
+
+/// Guards against refusals of other workspaces, or a question for each refused call, while one
+/// workspace sends ten times its rate.
+#[test]
+fn excess_of_one_workspace_costs_the_others_nothing() {
+    let mut callers = usual();
+    callers[5].calls_per_second *= 17.0;
+    let mut world = World::new(44, callers, false, Off::default(), 6);
+    world.run(10 * SECOND);
+    world.start_calls(1.0, 20 * SECOND);
+    let before = world.questions;
+    world.run(21 * SECOND);
+    let refused = world.tallies[5].refused;
+    assert!(refused > 5000, "{refused}");
+    world.tallies.remove(5);
+    assert!(lost_share(&world) < 0.001, "{}", lost_share(&world));
+    let questions = world.questions - before;
+    assert!(questions < 840 * 20 * 3 / 2, "{questions}");
+}
+
+/// Guards against tokens that are used after their validity or a suspension of the VM, and calls of a
+/// workspace that overtake each other.
+#[test]
+fn tokens_expire_and_calls_wait_in_order() {
+    let (id, leader) = (WorkspaceId::of("a"), VmId(1));
+    let limit = allowance(100.0, 10.0);
+    let mut holder = Holder::new(Instant(0), Bound::default(), 0);
+    holder.configure([("a", &limit)].into_iter());
+    holder.set_leader(Instant(0), Some(leader));
+    let tickets: Vec<Decision> = (0..3).map(|_| holder.take(Instant(0), id)).collect();
+    let (_, question) = holder.poll_question(Instant(0)).unwrap();
+    assert_eq!(question.asks[0].needed, 3);
+    let granted = |granted| wagtailshunt_core::allowance::Answer {
+        granted,
+        ..Default::default()
+    };
+    holder.answered(Instant(9000), leader, question.number, &[granted(4)]);
+    for ticket in tickets {
+        let (decided, decision) = holder.poll_decision().unwrap();
+        assert_eq!(
+            (Decision::Wait(decided), decision),
+            (ticket, Decision::Granted)
+        );
+    }
+    let validity = Numbers::new(&Bound::default(), &limit).validity;
+    let late = Instant(1) + validity;
+    let mut expired = holder.clone();
+    assert!(matches!(expired.take(late, id), Decision::Wait(_)));
+    let mut suspended = holder.clone();
+    suspended.clock_stopped();
+    assert!(matches!(
+        suspended.take(Instant(9000), id),
+        Decision::Wait(_)
+    ));
+    assert_eq!(holder.take(Instant(9000), id), Decision::Granted);
+}
+
+/// Guards against tokens that survive the removal of a workspace or a lower rate.
+#[test]
+fn buckets_follow_the_configuration() {
+    let (high, low) = (allowance(100.0, 1000.0), allowance(1.0, 2.0));
+    let mut grantor = Grantor::new(Bound::default());
+    let mut configure = |seconds: u64, limit: &[(&'static str, &Allowance)], needed| {
+        let now = Instant(seconds * 1_000_000);
+        grantor.configure(now, limit.iter().copied());
+        if seconds == 0 {
+            grantor.start(now);
+        }
+        let workspace = WorkspaceId::of("a");
+        let ask = Ask {
+            workspace,
+            needed,
+            ahead: 0,
+        };
+        grantor.grant(now, &ask).granted
+    };
+    assert_eq!(configure(0, &[("a", &high)], 1), 0);
+    assert_eq!(configure(9, &[("a", &high)], 1), 1);
+    let low_burst = configure(9, &[("a", &low)], 1000);
+    assert!((2..=20).contains(&low_burst), "{low_burst}");
+    assert_eq!(configure(20, &[("a", &high)], 5), 5);
+    assert_eq!(configure(25, &[], 1), 0);
+    assert_eq!(configure(25, &[("a", &high)], 1), 0);
+}
--- /dev/null
+++ b/core/tests/allowance_world/mod.rs
@@ -0,0 +1,393 @@
+//! A model of VMs, leaders and callers with delays and faults, in virtual time.
+
+use std::{collections, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use wagtailshunt_core::{
+    allowance::{Answer, Bound, Decision, Grantor, Holder, Question, Ticket, WorkspaceId},
+    placement::Position,
+    routing::Allowance,
+    time::Instant,
+    types::VmId,
+};
+
+/// Time for which a leader may grant after a quorum confirmed it.
+const LEASE: Duration = Duration::from_millis(297);
+
+/// Longest wait of a call for a token, and longest time from the token to the sending of the call.
+const MAX_WAIT: Duration = Duration::from_millis(100);
+
+/// Mechanisms that are switched off to show that a check depends on them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Off {
+    /// A deposed leader goes on granting.
+    pub lease: bool,
+    /// A new leader starts with full buckets.
+    pub empty_start: bool,
+    /// Each VM takes itself for the only one.
+    pub ranks: bool,
+}
+
+/// Number of a VM and of its start.
+type Life = (usize, u32);
+
+enum Event {
+    Call(usize, usize),
+    Question(Life, usize, Question),
+    Answer(Life, usize, u64, Vec<Answer>),
+    GiveUp(Life, usize, Ticket),
+    Restart(usize),
+    Reconnect(usize),
+    LeaderKnown(usize),
+    Tick,
+}
+
+struct Vm {
+    holder: Holder,
+    waiting: collections::HashMap<Ticket, usize>,
+    life: u32,
+    alive: bool,
+    /// Whether its messages are lost.
+    cut: bool,
+    leader: usize,
+    /// How far its clock is ahead of that of the model.
+    clock: Duration,
+}
+
+struct Leader {
+    grantor: Grantor,
+    /// When its lease ends; `None` while a quorum confirms it.
+    lease_end: Option<Instant>,
+}
+
+/// Callers of one workspace.
+#[derive(Clone, Debug)]
+pub struct Callers {
+    pub allowance: Allowance,
+    pub calls_per_second: f64,
+}
+
+/// What became of the calls of a workspace.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// When each call was sent that ran.
+    pub sent: Vec<Instant>,
+    pub reserve: usize,
+    pub refused: usize,
+    pub unknown: usize,
+}
+
+pub struct World {
+    pub now: Instant,
+    bound: Bound,
+    off: Off,
+    rng: SmallRng,
+    queue: collections::BTreeMap<(Instant, u64), Event>,
+    queued: u64,
+    vms: Vec<Vm>,
+    leaders: Vec<Leader>,
+    callers: Vec<Callers>,
+    /// Whether the callers of a workspace prefer few VMs, and some messages are slow.
+    hostile: bool,
+    pub tallies: Vec<Tally>,
+    pub questions: usize,
+    pub granted: u64,
+}
+
+fn id(workspace: usize) -> WorkspaceId {
+    WorkspaceId::of(&format!("w-{workspace}"))
+}
+
+impl World {
+    pub fn new(vms: usize, callers: Vec<Callers>, hostile: bool, off: Off, seed: u64) -> World {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let bound = Bound::default();
+        let new_vm = |_| {
+            let clock = Duration::from_millis(rng.random_range(10_000..100_000));
+            Vm {
+                holder: Holder::new(Instant(0) + clock, bound, 0),
+                waiting: collections::HashMap::new(),
+                life: 0,
+                alive: true,
+                cut: false,
+                leader: 0,
+                clock,
+            }
+        };
+        let vms: Vec<Vm> = (0..vms).map(new_vm).collect();
+        let mut world = World {
+            now: Instant(0),
+            bound,
+            off,
+            queue: collections::BTreeMap::new(),
+            queued: 0,
+            vms,
+            leaders: Vec::new(),
+            tallies: vec![Tally::default(); callers.len()],
+            callers,
+            hostile,
+            questions: 0,
+            granted: 0,
+            rng,
+        };
+        (0..world.vms.len()).for_each(|vm| world.configure(vm));
+        world.elect();
+        world.push(Duration::ZERO, Event::Tick);
+        world
+    }
+
+    fn names(&self) -> Vec<(String, Allowance)> {
+        let callers = self.callers.iter().enumerate();
+        let named = callers.map(|(i, callers)| (format!("w-{i}"), callers.allowance));
+        named.collect()
+    }
+
+    fn configure(&mut self, vm: usize) {
+        let names = self.names();
+        let allowances = names.iter().map(|(name, all)| (name.as_str(), all));
+        self.vms[vm].holder.configure(allowances);
+    }
+
+    fn push(&mut self, after: Duration, event: Event) {
+        self.queued += 1;
+        self.queue.insert((self.now + after, self.queued), event);
+    }
+
+    /// Starts the calls of all workspaces, `factor` times their usual rate, for `length`.
+    pub fn start_calls(&mut self, factor: f64, length: Duration) {
+        for workspace in 0..self.callers.len() {
+            let rate = self.callers[workspace].calls_per_second * factor;
+            let mut at = 0.0;
+            while at < length.as_secs_f64() {
+                self.start_call(workspace, Duration::from_secs_f64(at));
+                at -= (1.0 - self.rng.random::<f64>()).ln() / rate;
+            }
+        }
+    }
+
+    /// Starts as many calls at once as the burst of each workspace allows.
+    pub fn start_bursts(&mut self) {
+        for workspace in 0..self.callers.len() {
+            for _ in 0..self.callers[workspace].allowance.burst as usize {
+                self.start_call(workspace, Duration::ZERO);
+            }
+        }
+    }
+
+    fn start_call(&mut self, workspace: usize, after: Duration) {
+        let count = self.vms.len();
+        let share: f64 = self.rng.random();
+        // The fourth power gives half of the calls to a sixteenth of the VMs.
+        let share = if self.hostile { share.powi(4) } else { share };
+        let vm = (workspace * 7 + (share * count as f64) as usize) % count;
+        self.push(after, Event::Call(workspace, vm));
+    }
+
+    /// Elects the next leader. The one before keeps its lease for its full length, and goes on leading
+    /// as far as it knows.
+    pub fn elect(&mut self) {
+        let is_first = self.leaders.is_empty();
+        let elected = self.now + if is_first { Duration::ZERO } else { LEASE };
+        if let Some(leader) = self.leaders.last_mut() {
+            leader.lease_end.get_or_insert(elected);
+        }
+        let mut grantor = Grantor::new(self.bound);
+        let start = if self.off.empty_start {
+            Instant(0)
+        } else {
+            elected
+        };
+        let names = self.names();
+        let allowances = names.iter().map(|(name, all)| (name.as_str(), all));
+        grantor.configure(start, allowances);
+        grantor.start(start);
+        let lease_end = None;
+        self.leaders.push(Leader { grantor, lease_end });
+        let known_after = elected.since(self.now) + Duration::from_millis(5);
+        self.push(known_after, Event::LeaderKnown(self.leaders.len() - 1));
+    }
+
+    /// Kills a VM, which starts again after a second.
+    pub fn kill(&mut self, vm: usize) {
+        self.vms[vm].alive = false;
+        self.push(Duration::from_secs(1), Event::Restart(vm));
+    }
+
+    /// Loses the messages of a VM for a time.
+    pub fn cut(&mut self, vm: usize, length: Duration) {
+        self.vms[vm].cut = true;
+        self.push(length, Event::Reconnect(vm));
+    }
+
+    /// Loses the messages of all VMs for a time.
+    pub fn cut_all(&mut self, length: Duration) {
+        (0..self.vms.len()).for_each(|vm| self.cut(vm, length));
+    }
+
+    /// Runs one random fault.
+    pub fn fault(&mut self) {
+        let vm = self.rng.random_range(0..self.vms.len());
+        let length = Duration::from_millis(self.rng.random_range(500..9000));
+        match self.rng.random_range(0..5) {
+            0 => self.elect(),
+            1 => self.kill(vm),
+            _ => self.cut(vm, length),
+        }
+    }
+
+    /// Runs the events of the next `length`.
+    pub fn run(&mut self, length: Duration) {
+        let end = self.now + length;
+        while let Some(next) = self.queue.first_entry().filter(|next| next.key().0 <= end) {
+            let ((at, _), event) = next.remove_entry();
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn delay(&mut self) -> Duration {
+        let is_slow = self.hostile && self.rng.random_range(0..200) == 0;
+        let us = if is_slow { 50_000..900_000 } else { 900..5400 };
+        Duration::from_micros(self.rng.random_range(us))
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Call(workspace, vm) => self.call(workspace, vm),
+            Event::Question(from, leader, question) => {
+                self.questions += 1;
+                let Leader { grantor, lease_end } = &mut self.leaders[leader];
+                let is_confirmed = lease_end.is_none_or(|end| self.now < end);
+                let may_grant = is_confirmed || self.off.lease;
+                let asks = question.asks.iter().filter(|_| may_grant);
+                let answers: Vec<Answer> = asks.map(|ask| grantor.grant(self.now, ask)).collect();
+                let granted = answers.iter().map(|answer| u64::from(answer.granted));
+                self.granted += granted.sum::<u64>();
+                let after = self.delay();
+                let answer = Event::Answer(from, leader, question.number, answers);
+                self.push(after, answer);
+            }
+            Event::Answer((vm, life), leader, number, answers) => {
+                let state = &mut self.vms[vm];
+                if state.life == life && state.alive && !state.cut {
+                    let (now, from) = (self.now + state.clock, VmId(leader as u32));
+                    state.holder.answered(now, from, number, &answers);
+                    self.after_input(vm);
+                }
+            }
+            Event::GiveUp((vm, life), workspace, ticket) => {
+                let state = &mut self.vms[vm];
+                let is_current = state.life == life && state.alive;
+                if is_current && state.waiting.remove(&ticket).is_some() {
+                    let now = self.now + state.clock;
+                    let decision = state.holder.give_up(now, id(workspace), ticket);
+                    self.decided(workspace, decision.unwrap());
+                }
+            }
+            Event::Restart(vm) => {
+                let state = &mut self.vms[vm];
+                state.life += 1;
+                state.alive = true;
+                state.waiting.clear();
+                let first_question = u64::from(state.life) << 32;
+                state.holder = Holder::new(self.now + state.clock, self.bound, first_question);
+                state.leader = self.leaders.len() - 1;
+                self.configure(vm);
+            }
+            Event::Reconnect(vm) => {
+                self.vms[vm].cut = false;
+                self.vms[vm].leader = self.leaders.len() - 1;
+            }
+            Event::LeaderKnown(leader) => {
+                for vm in 0..self.vms.len() {
+                    // One VM in eight goes on asking the old leader for a while.
+                    if !self.vms[vm].cut && self.rng.random_range(0..8) > 0 {
+                        self.vms[vm].leader = leader;
+                        self.after_input(vm);
+                    }
+                }
+            }
+            Event::Tick => {
+                let count = if self.off.ranks { 1 } else { self.vms.len() };
+                for (rank, vm) in self.vms.iter_mut().enumerate() {
+                    let rank = rank % count;
+                    let now = self.now + vm.clock;
+                    vm.holder.set_position(now, Position { rank, count });
+                }
+                (0..self.vms.len()).for_each(|vm| self.after_input(vm));
+                self.push(Duration::from_millis(100), Event::Tick);
+            }
+        }
+    }
+
+    fn call(&mut self, workspace: usize, vm: usize) {
+        let state = &mut self.vms[vm];
+        if !state.alive {
+            return;
+        }
+        let life = (vm, state.life);
+        match state.holder.take(self.now + state.clock, id(workspace)) {
+            Decision::Wait(ticket) => {
+                state.waiting.insert(ticket, workspace);
+                self.push(MAX_WAIT, Event::GiveUp(life, workspace, ticket));
+                self.after_input(vm);
+            }
+            decision => self.decided(workspace, decision),
+        }
+    }
+
+    fn after_input(&mut self, vm: usize) {
+        if !self.vms[vm].alive {
+            return;
+        }
+        let state = &mut self.vms[vm];
+        let now = self.now + state.clock;
+        let leader = state.leader;
+        state.holder.set_leader(now, Some(VmId(leader as u32)));
+        if let Some((_, question)) = state.holder.poll_question(now)
+            && !state.cut
+        {
+            let from = (vm, state.life);
+            let after = self.delay();
+            self.push(after, Event::Question(from, leader, question));
+        }
+        while let Some((ticket, decision)) = self.vms[vm].holder.poll_decision() {
+            if let Some(workspace) = self.vms[vm].waiting.remove(&ticket) {
+                self.decided(workspace, decision);
+            }
+        }
+    }
+
+    fn decided(&mut self, workspace: usize, decision: Decision) {
+        let delay = Duration::from_micros(self.rng.random_range(0..100_000));
+        let tally = &mut self.tallies[workspace];
+        match decision {
+            Decision::Granted => tally.sent.push(self.now + delay),
+            Decision::GrantedFromReserve => {
+                tally.reserve += 1;
+                tally.sent.push(self.now + delay);
+            }
+            Decision::Refused { .. } => tally.refused += 1,
+            Decision::Unknown | Decision::Wait(_) => tally.unknown += 1,
+        }
+    }
+
+    /// Returns the largest part of the bound that calls of a workspace used in any window.
+    pub fn worst_window(&self) -> f64 {
+        let mut worst: f64 = 0.0;
+        for (callers, tally) in self.callers.iter().zip(&self.tallies) {
+            let mut sent = tally.sent.clone();
+            sent.sort_unstable();
+            let most = self.bound.calls(&callers.allowance);
+            let mut first = 0;
+            for (last, at) in sent.iter().enumerate() {
+                while at.since(sent[first]) > self.bound.window {
+                    first += 1;
+                }
+                worst = worst.max((last - first + 1) as f64 / most);
+            }
+        }
+        worst
+    }
+}
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     entry::{
+        allowance,
         calls::{
             attempt::{CallRequest, CallWorkspace},
             call::{self, Call, CallOutcome},
@@ -95,8 +96,18 @@
     let request_id = req.headers().get(&state.cfg.protocol.request_id).cloned();
     let host = req.headers().get(header::HOST).cloned();
     let uri = req.uri().clone();
-    let mut response = match serve_call(state, req, relayed, arrival).await {
+    let retry_after = cell::Cell::new(None);
+    let mut response = match serve_call(state, req, relayed, arrival, &retry_after).await {
         Ok(response) => response,
+        // These may be many and are counted only; events 143 to 145 tell when they begin and end.
+        Err(reason @ Failure::OverAllowance) => {
+            state.metrics.allowances.refused_outcome.inc();
+            failed_response(reason, retry_after.get(), false)
+        }
+        Err(reason @ Failure::AllowanceUnknown) => {
+            state.metrics.allowances.unknown_outcome.inc();
+            failed_response(reason, retry_after.get(), false)
+        }
         Err(reason) => {
             let version = state.with(|inner| inner.machine.table.version());
             record_finished(
@@ -181,6 +192,7 @@
     req: Request<http::Body>,
     relayed: Option<RelayedCall>,
     arrival: core_time::Instant,
+    retry_after: &cell::Cell<Option<std::time::Duration>>,
 ) -> Result<Response<http::Body>, Failure> {
     http::check_head(&req).map_err(|_| Failure::Malformed)?;
     // Without an id, no response could be attributed to the call.
@@ -202,6 +214,15 @@
         named_route => named_route?,
     };
     let (workspace, has_workspaces) = workspace(state, &req, &named_route.1)?;
+    // The VM that relays a call has taken its token.
+    if let Some(workspace) = workspace.as_ref().filter(|_| relayed.is_none()) {
+        let time_left = caller_time_left(state, &req).min(named_route.1.timeout);
+        let taken = allowance::take(state, &workspace.workspace, time_left).await;
+        taken.map_err(|(reason, after)| {
+            retry_after.set(Some(after));
+            reason
+        })?;
+    }
     let limits = state.with(|inner| inner.machine.table.items().limits.clone());
     let limits = limits.unwrap_or_default();
     let caller_deadline = arrival + caller_time_left(state, &req);
--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -22,6 +22,7 @@
 
 pub use attempt::{Destination, accepts_connection};
 pub use crash::crash_received;
+pub use failure::Failure;
 pub use handler::{MAX_LOGGED_TEXT_CHARS, handle, handle_relayed, may_start_early};
 pub use pool::Pool;
 pub use probe::run as run_probes;
--- a/wagtailshunt/src/entry/leader_sync.rs
+++ b/wagtailshunt/src/entry/leader_sync.rs
@@ -17,7 +17,7 @@
 use wagtailshunt_core::{event, replication, routing, state_machine, types};
 use wagtailshunt_wire::generated::fleet::{self, fleet_message::Body as Fleet};
 
-use crate::entry::{replica, state, state_transfer, targets};
+use crate::entry::{allowance, replica, state, state_transfer, targets};
 
 /// Time after its election from which a leader knows all targets. Each announces itself at some VM
 /// within its interval, and the VMs forward this to the leader every second.
@@ -77,6 +77,7 @@
         }
         leader
     });
+    allowance::role_changed(state, role == replication::Role::Leader);
     state.events.emit(
         event::Id::RoleChanged,
         &[("group", &replica::GROUP), ("role", &role), ("term", &term)],
@@ -115,6 +116,7 @@
     if is_new && leader != state.vm {
         state_transfer::request_state(state, leader);
         targets::send_own_announcements(state, leader);
+        allowance::ask(state);
     }
     true
 }
@@ -240,6 +242,7 @@
         &[("version", &version), ("index", &index)],
     );
     state.unsaved.configuration.set(true);
+    allowance::configured(state);
     state.update_readiness();
 }
 
--- a/wagtailshunt/src/entry/metrics.rs
+++ b/wagtailshunt/src/entry/metrics.rs
@@ -2,7 +2,7 @@
 
 use prometheus::{HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
 
-use crate::metrics;
+use crate::{entry::calls::Failure, metrics};
 
 /// Counters, gauges and histograms, all with the prefix `wagtailshunt_entry_`.
 pub struct Metrics {
@@ -31,6 +31,37 @@
     pub disk_limit_bytes: IntGauge,
     /// 1 while the disk refuses writes because it is full.
     pub disk_full: IntGauge,
+    /// Calls of workspaces with an allowance, by decision.
+    pub allowances: AllowanceCounters,
+}
+
+/// Calls of workspaces with an allowance. Not by workspace, of which there may be any number.
+pub struct AllowanceCounters {
+    pub granted: IntCounter,
+    /// Calls that ran on the reserve, without an answer of the leader.
+    pub reserve: IntCounter,
+    pub refused: IntCounter,
+    pub unknown: IntCounter,
+    /// Calls that were refused over the allowance, among all calls by outcome.
+    pub refused_outcome: IntCounter,
+    /// Calls that were refused because the allowance is unknown, among all calls by outcome.
+    pub unknown_outcome: IntCounter,
+}
+
+impl AllowanceCounters {
+    fn new(registry: &Registry, calls: &IntCounterVec) -> AllowanceCounters {
+        let help = "Calls of workspaces with an allowance, by decision.";
+        let decisions = metrics::counter_vec(registry, "allowance_calls_total", help, "decision");
+        let outcome = |failure: Failure| calls.with_label_values(&[failure.to_string()]);
+        AllowanceCounters {
+            granted: decisions.with_label_values(&["granted"]),
+            reserve: decisions.with_label_values(&["reserve"]),
+            refused: decisions.with_label_values(&["refused"]),
+            unknown: decisions.with_label_values(&["unknown"]),
+            refused_outcome: outcome(Failure::OverAllowance),
+            unknown_outcome: outcome(Failure::AllowanceUnknown),
+        }
+    }
 }
 
 /// Bucket bounds of the latency histogram in seconds, from below the shortest service time to the
@@ -48,8 +79,10 @@
         if let Err(err) = registry.register(Box::new(latency.clone())) {
             log::warn!("metric cannot be registered: {err}");
         }
+        let calls = metrics::counter_vec(&registry, "calls_total", "Calls by outcome.", "outcome");
         Metrics {
-            calls: metrics::counter_vec(&registry, "calls_total", "Calls by outcome.", "outcome"),
+            allowances: AllowanceCounters::new(&registry, &calls),
+            calls,
             attempts: metrics::counter_vec(
                 &registry,
                 "attempts_total",
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -6,6 +6,7 @@
 //! memory. [`Settings`] come from the adapter of the platform, routes and services from the
 //! replicated configuration.
 
+mod allowance;
 pub mod calls;
 mod disk_space;
 mod leader_sync;
@@ -306,6 +307,7 @@
         store::save_roster(&state);
         store::save_configuration(&state);
         path::check(&state);
+        allowance::tick(&state, ticks % TICKS_PER_SLOW_TICK == 0);
         if ticks % TICKS_PER_SLOW_TICK == 0 {
             store::save_targets(&state);
             state.pool.remove_expired(state.clock.now());
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::{
-    entry::{calls, leader_sync, members, replica, state, state_transfer, targets},
+    entry::{allowance, calls, leader_sync, members, replica, state, state_transfer, targets},
     transport,
 };
 
@@ -252,6 +252,10 @@
         Fleet::Departed(fleet::Departed {}) => state.complete_request(request),
         Fleet::Crash(crash) => calls::crash_received(state, from, crash)?,
         Fleet::Loads(loads) => targets::loads_received(state, loads),
+        Fleet::AllowanceQuestion(question) => {
+            allowance::question_received(state, from, &question);
+        }
+        Fleet::AllowanceAnswer(answer) => allowance::answer_received(state, from, &answer),
     }
     Ok(())
 }
--- a/wagtailshunt/src/entry/replica.rs
+++ b/wagtailshunt/src/entry/replica.rs
@@ -24,9 +24,9 @@
 /// Heartbeat interval of the leader.
 const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
-/// Range of election timeouts: at least three heartbeats, and long enough for a slow disk sync. No
-/// lease depends on them, since reads are confirmed by a round of heartbeats. They only balance
-/// fast failover against needless elections.
+/// Range of election timeouts: at least three heartbeats, and long enough for a slow disk sync. Reads
+/// are confirmed by a round of heartbeats; the grants of `allowance` rely on the shortest timeout,
+/// which is the leader's lease. Otherwise they only balance fast failover against needless elections.
 const ELECTION_TIMEOUT_MIN: time::Duration = time::Duration::from_millis(300);
 const ELECTION_TIMEOUT_MAX: time::Duration = time::Duration::from_millis(700);
 
--- a/wagtailshunt/src/entry/settings.rs
+++ b/wagtailshunt/src/entry/settings.rs
@@ -5,6 +5,7 @@
 use std::{net, path, time};
 
 use hyper::header::HeaderName;
+pub use wagtailshunt_core::allowance::Bound as AllowanceBound;
 use wagtailshunt_core::{formation, placement, types};
 
 /// Settings of an entry VM, independent of the platform's file format.
@@ -114,28 +115,6 @@
     pub warmup_slack: f64,
 }
 
-/// Bound on the calls of a workspace: in no sliding window may more run than (rate x window + burst) x
-/// (1 + overage) + slack.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct AllowanceBound {
-    /// Length of the window.
-    pub window: time::Duration,
-    /// Tolerated share beyond the allowance.
-    pub overage: f64,
-    /// Calls that are tolerated in addition.
-    pub slack: f64,
-}
-
-impl Default for AllowanceBound {
-    fn default() -> Self {
-        AllowanceBound {
-            window: time::Duration::from_secs(5),
-            overage: 0.1,
-            slack: 20.0,
-        }
-    }
-}
-
 impl Limits {
     /// Returns the interval between regular probes of a target, counted over all VMs of its failure
     /// domain; `None` without regular probes.
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock,
-    entry::{calls, metrics, peers, replica, settings, store},
+    entry::{allowance, calls, metrics, peers, replica, settings, store},
     events, transport,
 };
 
@@ -108,6 +108,8 @@
     /// How far each service of a traffic split is behind its weight, in calls, by route.
     pub(crate) split_credits:
         collections::BTreeMap<String, collections::BTreeMap<types::ServiceName, f64>>,
+    /// Allowances of workspaces.
+    pub(crate) allowances: allowance::Allowances,
     /// Estimated service times, by route.
     pub(crate) service_times: collections::BTreeMap<String, calls::ServiceTime>,
 }
@@ -191,6 +193,7 @@
                 queues: collections::BTreeMap::new(),
                 crashes: containment::CrashCounter::default(),
                 split_credits: collections::BTreeMap::new(),
+                allowances: allowance::Allowances::new(now, cfg.limits.allowance, incarnation),
                 service_times: collections::BTreeMap::new(),
             }),
             pending_requests: cell::RefCell::default(),
--- a/wire/src/fleet.rs
+++ b/wire/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::{net, time};
 
 use wagtailshunt_core::{
-    catch_up, containment, fleet, formation, placement, time as core_time, types,
+    allowance, catch_up, containment, fleet, formation, placement, time as core_time, types,
 };
 
 use crate::generated::fleet as wire;
@@ -186,3 +186,63 @@
     let age = time::Duration::from_millis(u64::from(load.age_ms));
     (types::TargetId(load.target), report, age)
 }
+
+/// Converts a question for tokens to its wire form.
+pub fn encode_allowance_question(question: &allowance::Question) -> wire::AllowanceQuestion {
+    let asks = || question.asks.iter();
+    wire::AllowanceQuestion {
+        number: question.number,
+        workspaces: asks().map(|ask| ask.workspace.0).collect(),
+        needed: asks().map(|ask| ask.needed).collect(),
+        ahead: asks().map(|ask| ask.ahead).collect(),
+    }
+}
+
+/// Returns what a question asks for. A workspace without numbers is asked for nothing.
+pub fn decode_asks(
+    question: &wire::AllowanceQuestion,
+) -> impl ExactSizeIterator<Item = allowance::Ask> {
+    let number = |numbers: &[u32], i: usize| numbers.get(i).copied().unwrap_or(0);
+    let workspaces = question.workspaces.iter().enumerate();
+    workspaces.map(move |(i, workspace)| allowance::Ask {
+        workspace: allowance::WorkspaceId(*workspace),
+        needed: number(&question.needed, i),
+        ahead: number(&question.ahead, i),
+    })
+}
+
+/// Converts the answers to the question `number` to their wire form.
+pub fn encode_allowance_answers(
+    number: u64,
+    answers: impl ExactSizeIterator<Item = allowance::Answer>,
+) -> wire::AllowanceAnswer {
+    let mut message = wire::AllowanceAnswer {
+        number,
+        granted: Vec::with_capacity(answers.len()),
+        wait_ms: Vec::with_capacity(answers.len()),
+        filling: Vec::with_capacity(answers.len()),
+    };
+    for answer in answers {
+        let wait_ms = answer.wait.map(|wait| wait.as_micros().div_ceil(1000) + 1);
+        let wait_ms = wait_ms.map_or(0, |ms| u32::try_from(ms).unwrap_or(u32::MAX));
+        message.granted.push(answer.granted);
+        message.wait_ms.push(wait_ms);
+        message.filling.push(answer.filling);
+    }
+    message
+}
+
+/// Returns the answers of a message.
+pub fn decode_allowance_answers(message: &wire::AllowanceAnswer) -> Vec<allowance::Answer> {
+    let granted = message.granted.iter().enumerate();
+    let answers = granted.map(|(i, granted)| {
+        let wait_ms = message.wait_ms.get(i).copied().unwrap_or(0);
+        let wait = wait_ms.checked_sub(1);
+        allowance::Answer {
+            granted: *granted,
+            wait: wait.map(|ms| time::Duration::from_millis(u64::from(ms))),
+            filling: message.filling.get(i).copied().unwrap_or(false),
+        }
+    });
+    answers.collect()
+}
