--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -125,4 +125,7 @@
     KeyLeaseGained = 140, Info, "lease on keys acquired";
     KeyLeaseLost = 141, Warn, "lease on keys expired; calls with keys wait or are refused";
     KeysUnconfirmed = 142, Warn, "no lease on keys; calls with keys are refused";
+    AllowanceExceeded = 143, Warn, "workspace over its allowance";
+    AllowanceKept = 144, Info, "workspace no longer over its allowance";
+    AllowanceUnanswered = 145, Warn, "allowances decided without the leader";
 }
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -19,7 +19,9 @@
 };
 
 use crate::{
-    entry::{calls, key_lease, leader_sync, members, replica, state, state_transfer, targets},
+    entry::{
+        allowance, calls, key_lease, leader_sync, members, replica, state, state_transfer, targets,
+    },
     transport,
 };
 
@@ -260,6 +262,10 @@
             let reply = wire::fleet::decode_key_lease_reply(&reply);
             key_lease::reply_received(state, from, &reply);
         }
+        Fleet::AllowanceQuestion(question) => {
+            allowance::question_received(state, from, &question);
+        }
+        Fleet::AllowanceAnswer(answer) => allowance::answer_received(state, from, &answer),
     }
     Ok(())
 }
