Evacuation of a failure domain: replicated set, orders, placement and the check before each send

Placement, regular probes and samples of the path check leave out the targets of such domains; the domain is checked again before a connection is opened and before the bytes of a request or probe go, and an attempt that is stopped there is replaced without a token of the retry budget.

The check right before the bytes has no test of its own.

--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -122,4 +122,5 @@
     PathChanged = 134, Warn, "path to the targets lost or regained";
     StateSent = 135, Info, "state or missing commands sent to a VM";
     StateReceived = 136, Info, "state received from a VM";
+    EvacuationChanged = 146, Warn, "evacuation of a failure domain started or ended";
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod deadline;
 pub mod directory;
 pub mod drain;
+pub mod evacuation;
 pub mod event;
 pub mod fleet;
 pub mod formation;
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -29,7 +29,7 @@
 pub use self::queue::{Queue, Ticket};
 pub use self::search::{Search, SearchConfig, Step};
 use self::target::Target;
-use crate::{fleet, time as core_time, types};
+use crate::{evacuation, fleet, time as core_time, types};
 
 /// Settings of the estimates and of target ejection.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -126,6 +126,7 @@
     services: collections::BTreeMap<types::ServiceName, Service>,
     domain_position: Position,
     system_position: Position,
+    evacuations: evacuation::Evacuations,
     rng: rngs::SmallRng,
 }
 
@@ -198,6 +199,7 @@
             services: collections::BTreeMap::new(),
             domain_position: Position::default(),
             system_position: Position::default(),
+            evacuations: evacuation::Evacuations::default(),
             rng,
         }
     }
@@ -208,14 +210,21 @@
         self.system_position = system_position;
     }
 
-    /// Returns the targets of the own failure domain that the group of this VM prefers.
+    /// Sets the failure domains whose targets get no calls and no probes.
+    pub fn set_evacuations(&mut self, evacuations: &evacuation::Evacuations) {
+        self.evacuations = evacuations.clone();
+    }
+
+    /// Returns the targets of the own failure domain that the group of this VM prefers, none while
+    /// the domain is evacuated.
     pub fn group_targets(&self) -> impl Iterator<Item = &types::TargetId> {
         let group = self.domain_position.group();
+        let evacuated = self.evacuations.contains(&self.own_domain);
         self.services.values().flat_map(move |service| {
             let in_domain = service
                 .targets
                 .iter()
-                .filter(|(_, target)| target.same_domain);
+                .filter(|(_, target)| target.same_domain && !evacuated);
             let ids: Vec<&types::TargetId> = in_domain.map(|(id, _)| id).collect();
             let own_part = group.range(ids.len());
             ids.into_iter().skip(own_part.start).take(own_part.len())
@@ -323,8 +332,8 @@
         Some(target.estimate(now, &service.means, &self.cfg))
     }
 
-    /// Returns the candidates for a call, without the targets that it was already sent to, by
-    /// rising cost, at most [`MAX_CANDIDATES`]. The cost is the expected latency with penalties;
+    /// Returns the candidates for a call, without the targets that it was already sent to and those
+    /// of evacuated failure domains, by rising cost, at most [`MAX_CANDIDATES`]. The cost is the expected latency with penalties;
     /// ejected targets are last.
     pub fn ranked(&mut self, now: core_time::Instant, demand: &Demand<'_>) -> Vec<Choice> {
         let Some(service) = self.services.get(demand.service) else {
@@ -357,7 +366,7 @@
                     (distance, domain_penalty)
                 }
             };
-            if demand.tried.contains(id) {
+            if demand.tried.contains(id) || self.evacuations.contains(&target.failure_domain) {
                 continue;
             }
             let estimate = target.estimate(now, &service.means, &self.cfg);
--- a/core/src/placement/target.rs
+++ b/core/src/placement/target.rs
@@ -19,6 +19,7 @@
 pub(super) struct Target {
     pub service: types::ServiceName,
     pub born: core_time::UnixMillis,
+    pub failure_domain: types::FailureDomain,
     pub same_domain: bool,
     /// This VM's calls in flight.
     pub in_flight: u32,
@@ -41,6 +42,7 @@
         Target {
             service: announcement.service.clone(),
             born: announcement.born,
+            failure_domain: announcement.failure_domain.clone(),
             same_domain,
             in_flight: 0,
             reports_load: true,
--- a/core/src/state_machine/mod.rs
+++ b/core/src/state_machine/mod.rs
@@ -1,13 +1,14 @@
-//! Replicated state machine of the entry VMs: the routing table and the deregistrations of targets.
-//! It applies the commands of the replicated log, which contain the configuration changes of
-//! operators and the deregistrations that targets request.
+//! Replicated state machine of the entry VMs: the routing table, the deregistrations of targets and the
+//! evacuated failure domains. It applies the commands of the replicated log, which contain the
+//! configuration changes and evacuations that operators order and the deregistrations that targets
+//! request.
 
 use std::collections;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{fleet, ledger, routing};
+use crate::{evacuation, fleet, ledger, routing, types};
 
 /// Command in the replicated log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -16,6 +17,37 @@
     Change(Box<routing::Change>),
     /// Deregistration of a target.
     Depart(fleet::TargetIncarnation),
+    /// Start or end of the evacuation of a failure domain. See [`EVACUATION_BASE`] for its encoding.
+    #[serde(skip)]
+    Evacuate(evacuation::Order),
+}
+
+/// Base of the change that carries an evacuation in the log. A process of 9cc22dc ends when it cannot
+/// decode a command, so that an evacuation has the form of a change with an additional field, which
+/// such a process ignores. It refuses the change, because the version is not the current one; if it
+/// were, because the new version is not higher.
+const EVACUATION_BASE: routing::Version = routing::Version(u64::MAX);
+
+/// Part of an encoded change that only evacuations have.
+#[derive(Debug, Default, Deserialize)]
+struct EvacuationField {
+    evacuation: Option<evacuation::Order>,
+}
+
+/// An encoded command whose change is read for its evacuation only.
+#[derive(Debug, Deserialize)]
+enum EvacuationCommand {
+    Change(EvacuationField),
+}
+
+/// An encoded evacuation.
+#[derive(Debug, Serialize)]
+enum EncodedEvacuation<'a> {
+    Change {
+        #[serde(flatten)]
+        change: routing::Change,
+        evacuation: &'a evacuation::Order,
+    },
 }
 
 /// Result of applying a command.
@@ -25,6 +57,8 @@
     Change(routing::ChangeResult),
     /// The deregistration is recorded.
     Deregistered,
+    /// The evacuation is started or ended.
+    Evacuated,
 }
 
 /// Error of encoding or decoding a command or snapshot.
@@ -39,7 +73,25 @@
     ///
     /// Returns an error when a weight is not a finite number. Such a change is invalid.
     pub fn encode(&self) -> Result<Bytes, CodecError> {
-        Ok(serde_json::to_vec(self)?.into())
+        let Command::Evacuate(order) = self else {
+            return Ok(serde_json::to_vec(self)?.into());
+        };
+        let change = routing::Change {
+            base: EVACUATION_BASE,
+            version: EVACUATION_BASE,
+            digest: ledger::Digest(0),
+            kind: routing::ChangeKind::Amend {
+                upsert: routing::ConfigItems::default(),
+                delete_routes: collections::BTreeSet::new(),
+                delete_services: collections::BTreeSet::new(),
+                delete_workspaces: collections::BTreeSet::new(),
+            },
+        };
+        let encoded = EncodedEvacuation::Change {
+            change,
+            evacuation: order,
+        };
+        Ok(serde_json::to_vec(&encoded)?.into())
     }
 
     /// Decodes a command of the log.
@@ -48,7 +100,16 @@
     ///
     /// Returns an error when the bytes are not a command of this version.
     pub fn decode(bytes: &[u8]) -> Result<Command, CodecError> {
-        Ok(serde_json::from_slice(bytes)?)
+        let command: Command = serde_json::from_slice(bytes)?;
+        if let Command::Change(change) = &command
+            && change.base == EVACUATION_BASE
+        {
+            let EvacuationCommand::Change(field) = serde_json::from_slice(bytes)?;
+            if let Some(order) = field.evacuation {
+                return Ok(Command::Evacuate(order));
+            }
+        }
+        Ok(command)
     }
 }
 
@@ -59,6 +120,9 @@
     items: routing::ConfigItems,
     accepted: Vec<String>,
     departures: Vec<fleet::TargetIncarnation>,
+    /// Missing in snapshots of 9cc22dc, which ignores it in those of later builds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    evacuated: Vec<types::FailureDomain>,
 }
 
 /// Replicated state, which is the same on all VMs of the group at the same log index.
@@ -66,6 +130,8 @@
 pub struct StateMachine {
     /// The routing table.
     pub table: routing::Table,
+    /// Failure domains whose targets get no calls.
+    pub evacuations: evacuation::Evacuations,
     /// Latest deregistrations, oldest first.
     deregistrations: collections::VecDeque<fleet::TargetIncarnation>,
 }
@@ -89,6 +155,10 @@
                 }
                 Reply::Deregistered
             }
+            Command::Evacuate(order) => {
+                self.evacuations.apply(order);
+                Reply::Evacuated
+            }
         }
     }
 
@@ -109,6 +179,7 @@
             items: self.table.items().clone(),
             accepted: digests.map(|digest| format!("{:032x}", digest.0)).collect(),
             departures: self.deregistrations.iter().cloned().collect(),
+            evacuated: self.evacuations.iter().cloned().collect(),
         };
         Ok(serde_json::to_vec(&snapshot)?.into())
     }
@@ -130,6 +201,7 @@
         }
         Ok(StateMachine {
             table: routing::Table::from_parts(snapshot.version, snapshot.items, accepted),
+            evacuations: snapshot.evacuated.into_iter().collect(),
             deregistrations: snapshot.departures.into(),
         })
     }
--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -81,6 +81,8 @@
     pub born: core_time::UnixMillis,
     /// Address of the target.
     pub address: net::SocketAddr,
+    /// Failure domain of the target.
+    pub failure_domain: types::FailureDomain,
 }
 
 impl From<&fleet::TargetEntry> for Destination {
@@ -89,6 +91,7 @@
             target: known.announcement.target.clone(),
             born: known.announcement.born,
             address: known.announcement.address,
+            failure_domain: known.announcement.failure_domain.clone(),
         }
     }
 }
@@ -105,6 +108,9 @@
     Answered(TargetResponse),
     /// No byte of the call reached the target; with the reason for the log.
     NotSent(String),
+    /// The attempt was stopped before its first byte was sent, because the failure domain of the
+    /// target is evacuated.
+    Withdrawn,
     /// The target did not run the call; with the reason for the log.
     NotRun(String),
     /// The target may have run the call, but there is no valid response; with the reason for the
@@ -162,6 +168,9 @@
     let mut flight = InFlightGuard::start(state, &destination.target);
     let (client, response) = match exchange(state, call_request, &destination).await {
         Ok(exchanged) => exchanged,
+        Err(err) if err.proves_not_run() && state.is_evacuated(&destination.failure_domain) => {
+            return AttemptOutcome::Withdrawn;
+        }
         Err(err) => {
             flight.finish(placement::Outcome::Failed);
             return match err.proves_not_run() {
@@ -251,10 +260,22 @@
             exchanged => return exchanged,
         }
     }
+    check_destination(state, destination)?;
     let client = connect(state, destination).await?;
     send(state, call_request, destination, client).await
 }
 
+/// Checks right before bytes go to a target that its failure domain is not evacuated.
+pub fn check_destination(
+    state: &state::State,
+    destination: &Destination,
+) -> Result<(), http::ClientError> {
+    match state.is_evacuated(&destination.failure_domain) {
+        true => Err(http::ClientError::NotSent),
+        false => Ok(()),
+    }
+}
+
 /// Sends the request on a connection and waits for the head of the response.
 async fn send(
     state: &state::State,
@@ -262,6 +283,7 @@
     destination: &Destination,
     mut client: http::Client,
 ) -> Result<(http::Client, hyper::Response<Incoming>), http::ClientError> {
+    check_destination(state, destination)?;
     call_request.record_sent();
     let req = build_target_request(state, call_request, destination);
     match client.send(req).await {
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -80,6 +80,8 @@
     Hedge,
     /// The earlier attempts have reached no target, perhaps since this VM has lost its path.
     Reroute,
+    /// An attempt was stopped before it was sent; this one takes its place and its token.
+    Replace,
 }
 
 /// An attempt that was sent to a target, with the estimate made before.
@@ -121,6 +123,8 @@
     NotSent(Failure),
     /// No byte of the call reached the target.
     NotReached,
+    /// The attempt was stopped before it was sent.
+    Withdrawn,
     /// The target did not run the call.
     NotRun,
     /// A target may have run the call, and there is no response, for this reason.
@@ -218,6 +222,10 @@
                             fallback = Some(response);
                         }
                         Evaluation::NotReached => purpose = Purpose::Reroute,
+                        Evaluation::Withdrawn => {
+                            purpose = Purpose::Replace;
+                            attempts_started -= 1;
+                        }
                         Evaluation::NotRun => {}
                         Evaluation::Unknown(failure) => unknown = Some(failure),
                         Evaluation::NotSent(not_sent) => {
@@ -331,12 +339,8 @@
             return AttemptResult::NotSent(reason);
         }
         let destination = self.state.with(|inner| {
-            let known = inner.directory.get(&choice.target)?;
-            Some(Destination {
-                target: choice.target.clone(),
-                born: known.announcement.born,
-                address: known.announcement.address,
-            })
+            let known = inner.directory.get(&choice.target);
+            known.map(Destination::from)
         });
         let Some(destination) = destination else {
             return AttemptResult::NotSent(Failure::NoTarget);
@@ -396,7 +400,7 @@
         expected_latency: time::Duration,
         to: &dyn std::fmt::Display,
     ) -> Option<Failure> {
-        if purpose == Purpose::First {
+        if matches!(purpose, Purpose::First | Purpose::Replace) {
             return None;
         }
         let now = self.state.clock.now();
@@ -461,6 +465,7 @@
                 Evaluation::Final(response)
             }
             AttemptOutcome::NotSent(_) => Evaluation::NotReached,
+            AttemptOutcome::Withdrawn => Evaluation::Withdrawn,
             AttemptOutcome::NotRun(_) => Evaluation::NotRun,
             AttemptOutcome::Lost(_) => {
                 let fingerprint = crash::fingerprint(&self.service, &self.request);
@@ -499,6 +504,7 @@
             AttemptOutcome::NotSent(reason) | AttemptOutcome::NotRun(reason) => {
                 ("not-run", reason.clone())
             }
+            AttemptOutcome::Withdrawn => ("not-run", "failure domain is evacuated".to_owned()),
             AttemptOutcome::Lost(reason) => ("lost", reason.clone()),
         };
         let attempts = self.state.metrics.attempts.with_label_values(&[result]);
--- a/wagtailshunt/src/entry/calls/probe.rs
+++ b/wagtailshunt/src/entry/calls/probe.rs
@@ -154,6 +154,7 @@
         Some(client) => client,
         None => attempt::connect(state, destination).await?,
     };
+    attempt::check_destination(state, destination)?;
     let mut req = Request::new(http::empty());
     *req.uri_mut() = target_to_probe.path.parse()?;
     let host = header::HeaderValue::from_str(&destination.address.to_string())?;
--- a/wagtailshunt/src/entry/leader_sync.rs
+++ b/wagtailshunt/src/entry/leader_sync.rs
@@ -17,7 +17,7 @@
 use wagtailshunt_core::{event, replication, routing, state_machine, types};
 use wagtailshunt_wire::generated::fleet::{self, fleet_message::Body as Fleet};
 
-use crate::entry::{replica, state, state_transfer, targets};
+use crate::entry::{evacuation, replica, state, state_transfer, targets};
 
 /// Time after its election from which a leader knows all targets. Each announces itself at some VM
 /// within its interval, and the VMs forward this to the leader every second.
@@ -214,7 +214,7 @@
         return;
     }
     let version = machine.table.version();
-    state.with(|inner| {
+    let previous = state.with(|inner| {
         for deregistered in machine.deregistrations() {
             inner.directory.deregister(deregistered);
             // A later incarnation of the target may be registered.
@@ -222,10 +222,12 @@
                 inner.placement.remove(&deregistered.target);
             }
         }
-        inner.machine = machine;
+        let previous = std::mem::replace(&mut inner.machine, machine);
         inner.applied = index;
         inner.routes = rc::Rc::new(routing::Index::new(inner.machine.table.items()));
+        previous
     });
+    evacuation::applied(state, index, &previous.evacuations);
     configuration_applied(state, index, version);
 }
 
@@ -283,6 +285,7 @@
     if state.with(|inner| index <= inner.applied) {
         return None;
     }
+    let evacuations = state.with(|inner| inner.machine.evacuations.clone());
     let (previous, reply) = state.with(|inner| {
         let reply = inner.machine.apply(&command);
         let previous = inner.applied;
@@ -304,6 +307,10 @@
             state.unsaved.configuration.set(true);
             targets::apply_deregistration(state, deregistered);
         }
+        (state_machine::Command::Evacuate(_), _) => {
+            state.unsaved.configuration.set(true);
+            evacuation::applied(state, index, &evacuations);
+        }
         _ => {}
     }
     Some(reply)
--- a/wagtailshunt/src/entry/metrics.rs
+++ b/wagtailshunt/src/entry/metrics.rs
@@ -21,6 +21,8 @@
     pub connections: IntCounter,
     /// Probes sent to targets.
     pub probes: IntCounter,
+    /// Failure domains that are evacuated.
+    pub evacuated_domains: IntGauge,
     /// Calls in progress.
     pub in_progress: IntGauge,
     /// Announcements of targets received by this VM.
@@ -70,6 +72,11 @@
                 "Connections opened to targets.",
             ),
             probes: metrics::counter(&registry, "probes_total", "Probes sent to targets."),
+            evacuated_domains: metrics::gauge(
+                &registry,
+                "evacuated_domains",
+                "Failure domains that are evacuated.",
+            ),
             in_progress: metrics::gauge(&registry, "calls_in_progress", "Calls in progress."),
             announcements: metrics::counter(
                 &registry,
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod calls;
 mod disk_space;
+pub mod evacuation;
 mod leader_sync;
 mod members;
 mod metrics;
--- a/wagtailshunt/src/entry/operators.rs
+++ b/wagtailshunt/src/entry/operators.rs
@@ -28,7 +28,7 @@
 }
 
 /// Returns a redirect to the leader, or why there is none.
-fn redirect<T>(state: &state::State) -> Outcome<T> {
+pub(super) fn redirect<T>(state: &state::State) -> Outcome<T> {
     let Some(leader) = state.reachable_leader() else {
         return Outcome::Undecided("no leader is known");
     };
@@ -54,7 +54,7 @@
     let command = state_machine::Command::Change(Box::new(change));
     let outcome = match replica::propose(state, &command).await {
         Ok(state_machine::Reply::Change(result)) => Outcome::Decided(result),
-        Ok(state_machine::Reply::Deregistered) => Outcome::Undecided("unexpected result"),
+        Ok(_) => Outcome::Undecided("unexpected result"),
         Err(replica::CommandError::Encode) => {
             Outcome::Decided(routing::ChangeResult::Invalid(Vec::new()))
         }
--- a/wagtailshunt/src/entry/path.rs
+++ b/wagtailshunt/src/entry/path.rs
@@ -83,6 +83,9 @@
     state.with(|inner| {
         let known = inner.directory.targets();
         let known = known.filter(|known| Some(&known.announcement.target) != except);
+        // An evacuated failure domain may be switched off.
+        let evacuations = &inner.machine.evacuations;
+        let known = known.filter(|known| !evacuations.contains(&known.announcement.failure_domain));
         let mut known: Vec<&fleet::TargetEntry> = known.collect();
         known.shuffle(&mut *state.rng.borrow_mut());
         let mut taken: collections::BTreeMap<&types::ServiceName, usize> =
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -251,6 +251,11 @@
         self.with(|inner| inner.directory.get(target).is_some())
     }
 
+    /// Returns whether a failure domain is evacuated, as far as this VM knows.
+    pub fn is_evacuated(&self, domain: &types::FailureDomain) -> bool {
+        self.with(|inner| inner.machine.evacuations.contains(domain))
+    }
+
     /// Returns the event log of this process.
     pub fn events(&self) -> &events::EventLog {
         &self.events
