--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -128,4 +128,5 @@
     AllowanceExceeded = 143, Warn, "workspace over its allowance";
     AllowanceKept = 144, Info, "workspace no longer over its allowance";
     AllowanceUnanswered = 145, Warn, "allowances decided without the leader";
+    EvacuationChanged = 146, Warn, "evacuation of a failure domain started or ended";
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod deadline;
 pub mod directory;
 pub mod drain;
+pub mod evacuation;
 pub mod event;
 pub mod fleet;
 pub mod formation;
--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -84,6 +84,8 @@
     pub born: core_time::UnixMillis,
     /// Address of the target.
     pub address: net::SocketAddr,
+    /// Failure domain of the target.
+    pub failure_domain: types::FailureDomain,
 }
 
 impl From<&fleet::TargetEntry> for Destination {
@@ -92,6 +94,7 @@
             target: known.announcement.target.clone(),
             born: known.announcement.born,
             address: known.announcement.address,
+            failure_domain: known.announcement.failure_domain.clone(),
         }
     }
 }
@@ -110,6 +113,9 @@
     NotSent(String),
     /// The call was not sent, and must not be sent to another target either.
     Refused(Failure),
+    /// The attempt was stopped before its first byte was sent, because the failure domain of the
+    /// target is evacuated.
+    Withdrawn,
     /// The target did not run the call; with the reason for the log.
     NotRun(String),
     /// The target may have run the call, but there is no valid response; with the reason for the
@@ -186,6 +192,11 @@
             flight.finish(placement::Outcome::Cancelled);
             return AttemptOutcome::Refused(reason);
         }
+        Err(SendError::Client(err))
+            if err.proves_not_run() && state.is_evacuated(&destination.failure_domain) =>
+        {
+            return AttemptOutcome::Withdrawn;
+        }
         Err(SendError::Client(err)) => {
             flight.finish(placement::Outcome::Failed);
             return match err.proves_not_run() {
@@ -275,10 +286,22 @@
             exchanged => return exchanged,
         }
     }
+    check_destination(state, destination)?;
     let client = connect(state, destination).await?;
     send(state, call_request, destination, client).await
 }
 
+/// Checks right before bytes go to a target that its failure domain is not evacuated.
+pub fn check_destination(
+    state: &state::State,
+    destination: &Destination,
+) -> Result<(), http::ClientError> {
+    match state.is_evacuated(&destination.failure_domain) {
+        true => Err(http::ClientError::NotSent),
+        false => Ok(()),
+    }
+}
+
 /// Sends the request on a connection and waits for the head of the response.
 async fn send(
     state: &state::State,
@@ -287,6 +310,7 @@
     mut client: http::Client,
 ) -> Result<(http::Client, hyper::Response<Incoming>), SendError> {
     key_check::check_before_send(state, call_request)?;
+    check_destination(state, destination)?;
     call_request.record_sent();
     let req = build_target_request(state, call_request, destination);
     match client.send(req).await {
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod allowance;
 pub mod calls;
 mod disk_space;
+pub mod evacuation;
 mod key_lease;
 mod leader_sync;
 mod members;
