--- a/core/tests/key_lease.rs
+++ b/core/tests/key_lease.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use wagtailshunt_core::key_lease::{
-    Answer, Change, Holder, Pace, Reply, Request, Rounds, Terms, Watch,
+    Answer, Change, Holder, Pace, Reply, Request, Rounds, Terms, UNKNOWN_KEY_CONFIRMATION, Watch,
 };
 use wagtailshunt_core::time::BootInstant;
 use wagtailshunt_core::types::{LogIndex, VmId};
@@ -417,6 +417,20 @@
     let sent = (0..10_000)
         .filter(|ms| holder.is_request_due(at(*ms)) && holder.request(at(*ms), true).urgent);
     assert_eq!(sent.take(5).collect::<Vec<_>>(), [0, 100, 300, 700, 1200]);
+    // A lease that is too old to tell that a key is unknown: one request for all such calls.
+    let request = holder.request(at(20_000), true);
+    let reply = Reply {
+        number: request.number,
+        asker: VM,
+        applied: LogIndex(0),
+    };
+    holder.reply(&reply, LogIndex(0));
+    let now = at(22_500);
+    assert!(holder.is_held(now) && !holder.is_confirmed_within(now, UNKNOWN_KEY_CONFIRMATION));
+    assert!(holder.needs_request_for_call(now));
+    holder.request(now, true);
+    assert!(!holder.needs_request_for_call(at(22_550)));
+    assert!(holder.needs_request_for_call(at(22_600)), "lost");
     let mut watch = Watch::default();
     let changes = (0..5000).filter_map(|ms| watch.update(at(ms), Some(ms >= 3000)));
     let gained = Change::Gained(Duration::from_secs(3));
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -97,6 +97,7 @@
     let request_id = req.headers().get(&state.cfg.protocol.request_id).cloned();
     let host = req.headers().get(header::HOST).cloned();
     let uri = req.uri().clone();
+    let caller_deadline = arrival + caller_time_left(state, &req);
     let mut response = match serve_call(state, req, relayed, arrival).await {
         Ok(response) => response,
         Err(reason) => {
@@ -115,7 +116,10 @@
             );
             let retry_after = match reason {
                 Failure::NoConfiguration => Some(CONFIGURATION_RETRY_AFTER),
-                Failure::KeysUnconfirmed => Some(key_check::RETRY_AFTER),
+                Failure::KeysUnconfirmed => {
+                    let time_left = caller_deadline.since(state.clock.now());
+                    Some(key_check::retry_after(state, time_left))
+                }
                 _ => None,
             };
             failed_response(reason, retry_after, relayed.is_some())
--- a/wagtailshunt/src/entry/calls/key_check.rs
+++ b/wagtailshunt/src/entry/calls/key_check.rs
@@ -3,6 +3,7 @@
 use std::{rc, time};
 
 use hyper::Request;
+use rand::Rng;
 use wagtailshunt_core::{key_lease as core_lease, routing};
 
 use crate::{
@@ -16,9 +17,20 @@
     http,
 };
 
-/// `Retry-After` of a call refused by a VM that has no lease, chosen so that a VM that has just
-/// started, with its group, usually has one by then.
-pub const RETRY_AFTER: time::Duration = time::Duration::from_millis(250);
+/// Longest `Retry-After` of a call refused for lack of a lease: a VM that has just started, with its
+/// group, usually has one by then, and another VM may have one now.
+const MAX_RETRY_AFTER: time::Duration = time::Duration::from_millis(250);
+
+/// Part of the longest delay that is drawn at random, so that calls refused together do not return
+/// together.
+const RETRY_AFTER_SHARE: std::ops::Range<f64> = 0.4..1.0;
+
+/// Returns the `Retry-After` of a call that is refused for lack of a lease. Callers honour up to a
+/// third of the time that they have left.
+pub fn retry_after(state: &state::State, time_left: time::Duration) -> time::Duration {
+    let share = state.rng.borrow_mut().random_range(RETRY_AFTER_SHARE);
+    MAX_RETRY_AFTER.min(time_left / 3).mul_f64(share)
+}
 
 /// Returns the workspace of a call, `None` on public routes, and whether the configuration has workspaces.
 /// Without a lease, waits for one for at most `limit`.
