--- a/wagtailshunt/src/entry/key_lease.rs
+++ b/wagtailshunt/src/entry/key_lease.rs
@@ -205,7 +205,10 @@
     let Some(holder) = needed_holder(state) else {
         return;
     };
-    let leader = state.reachable_leader();
+    // A VM that was deposed and has not heard of its successor still knows itself as the leader.
+    let leader = state
+        .reachable_leader()
+        .filter(|leader| *leader != state.vm || state.is_leading());
     let detour = match leader.is_none() || holder.borrow().needs_detour() {
         true => choose_detour(state, leader),
         false => None,
