--- a/core/tests/key_lease.rs
+++ b/core/tests/key_lease.rs
@@ -13,7 +13,6 @@
 
 const REVOCATION_MS: u64 = 5000;
 const STEP_MS: u64 = 10;
-const ROUND_MS: u64 = 20;
 const VM: VmId = VmId(9);
 /// Index of the removal of the key.
 const REVOKED: LogIndex = LogIndex(2);
@@ -22,56 +21,37 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Off {
     Nothing,
-    /// Leases do not end.
-    Expiry,
-    /// Leases last as long as a revoked key may be accepted.
-    Margin,
-    /// The clock stops during a suspension.
-    BootClock,
-    /// A lease begins with the reply.
-    RequestTime,
-    /// Processes use the same numbers.
-    Numbers,
-    /// A restarted VM relies on its stored configuration.
-    Restart,
-    /// A leader replies without a quorum.
-    Quorum,
-    /// A reply grants a lease before the VM has applied its index.
-    Index,
-    /// A VM does not renew its lease before it ends.
-    Renewal,
-}
-
-/// A leader; without a quorum, its rounds do not end.
-struct Leader {
-    rounds: Rounds,
-    round_ends: [(Pace, Option<u64>); 2],
-    applied: LogIndex,
-    has_quorum: bool,
+    Expiry,      // Leases do not end.
+    Margin,      // Leases last as long as a revoked key may be accepted.
+    BootClock,   // The clock stops during a suspension.
+    RequestTime, // A lease begins with the reply.
+    Numbers,     // Processes use the same numbers.
+    Restart,     // A restarted VM relies on its stored configuration.
+    Quorum,      // A leader replies without a quorum.
+    Index,       // A reply grants a lease before the VM has applied its index.
+    Renewal,     // A VM does not renew its lease before it ends.
 }
 
 struct World {
     off: Off,
     now_ms: u64,
-    leaders: [Leader; 2],
+    rounds: [Rounds; 2],           // Requests at each leader.
+    leader_applied: [LogIndex; 2], // Index that each leader has applied.
+    quorum: usize,                 // The leader that has a quorum.
+    link: Option<usize>,           // The leader to which the VM is connected.
     holder: Holder,
-    /// Leader to which the VM is connected.
-    link: Option<usize>,
     requests: Vec<Request>,
-    /// Replies with the time of their arrival.
-    replies: Vec<(u64, Reply)>,
+    replies: Vec<(u64, Reply)>, // With the time of the arrival.
     reply_delay_ms: u64,
     is_frozen: bool,
     suspended_ms: u64,
-    /// Rate of the VM's clock in thousandths.
-    clock_rate: u64,
+    clock_rate: u64, // Of the VM, in thousandths.
     gets_commands: bool,
     applied: LogIndex,
     revoked_at_ms: Option<u64>,
     is_held: bool,
-    /// Steps in which the VM accepted the key too late, and those in which it had no lease.
-    violations: usize,
-    gaps: usize,
+    violations: usize, // Steps in which the VM accepted the key too late.
+    gaps: usize,       // Steps in which it had no lease.
 }
 
 fn holder(off: Off, process: u64) -> Holder {
@@ -88,18 +68,14 @@
 impl World {
     /// Starts with a VM that has a lease.
     fn new(off: Off) -> World {
-        let leader = |has_quorum| Leader {
-            rounds: Rounds::default(),
-            round_ends: [(Pace::Urgent, None), (Pace::Heartbeat, None)],
-            applied: LogIndex(1),
-            has_quorum,
-        };
         let mut world = World {
             off,
             now_ms: 1000,
-            leaders: [leader(true), leader(false)],
-            holder: holder(off, 1),
+            rounds: Default::default(),
+            leader_applied: [LogIndex(1); 2],
+            quorum: 0,
             link: Some(0),
+            holder: holder(off, 1),
             requests: Vec::new(),
             replies: Vec::new(),
             reply_delay_ms: STEP_MS,
@@ -140,34 +116,29 @@
         }
     }
 
+    /// A round takes a step; without a quorum, it does not end.
     fn step_leader(&mut self) {
         let Some(link) = self.link else {
             return self.requests.clear();
         };
-        let leader = &mut self.leaders[link];
-        let mut answers = Vec::new();
-        for request in self.requests.drain(..) {
-            leader.rounds.add(VM, &request);
-        }
-        for (pace, end) in &mut leader.round_ends {
-            let has_quorum = leader.has_quorum || self.off == Off::Quorum;
-            if end.is_some_and(|at| at <= self.now_ms) && has_quorum {
-                answers.extend(leader.rounds.confirmed(*pace));
-                *end = None;
-            }
-            if leader.rounds.start(*pace) {
-                *end = Some(self.now_ms + ROUND_MS);
+        let rounds = &mut self.rounds[link];
+        for pace in [Pace::Urgent, Pace::Heartbeat] {
+            let has_quorum = self.quorum == link || self.off == Off::Quorum;
+            let answers = has_quorum.then(|| rounds.confirmed(pace));
+            for Answer { number, asker, .. } in answers.into_iter().flatten() {
+                let applied = self.leader_applied[link];
+                let reply = Reply {
+                    number,
+                    asker,
+                    applied,
+                };
+                self.replies
+                    .push((self.now_ms + self.reply_delay_ms, reply));
             }
         }
-        let applied = leader.applied;
-        for Answer { number, asker, .. } in answers {
-            let reply = Reply {
-                number,
-                asker,
-                applied,
-            };
-            self.replies
-                .push((self.now_ms + self.reply_delay_ms, reply));
+        for request in self.requests.drain(..) {
+            let pace = rounds.add(VM, &request);
+            rounds.start(pace);
         }
     }
 
@@ -175,10 +146,8 @@
         // A call that arrived during a pause is handled before anything else.
         self.check();
         let clock = self.clock();
-        if let Some(link) = self.link
-            && self.gets_commands
-        {
-            self.applied = self.applied.max(self.leaders[link].applied);
+        if let Some(link) = self.link.filter(|_| self.gets_commands) {
+            self.applied = self.applied.max(self.leader_applied[link]);
             self.holder.applied(self.applied);
         }
         let now_ms = self.now_ms;
@@ -214,15 +183,9 @@
 
     /// Acknowledges the removal of the key at a leader.
     fn revoke(&mut self, leader: usize) {
-        self.leaders[leader].applied = REVOKED;
+        self.leader_applied[leader] = REVOKED;
         self.revoked_at_ms = Some(self.now_ms);
     }
-
-    /// Replaces the leader; the VM stays connected to the old one.
-    fn depose(&mut self) {
-        self.leaders[0].has_quorum = false;
-        self.leaders[1].has_quorum = true;
-    }
 }
 
 /// Runs a scenario as it is and with mechanisms switched off, each of which must break it.
@@ -337,7 +300,7 @@
 #[test]
 fn deposed_leader_grants_nothing() {
     let scenario = |world: &mut World| {
-        world.depose();
+        world.quorum = 1;
         world.revoke(1);
         world.run(9000);
     };
@@ -366,7 +329,7 @@
     for off in [Off::Nothing, Off::Renewal] {
         let mut world = World::new(off);
         world.run(2500);
-        world.depose();
+        world.quorum = 1;
         world.run(1500);
         world.link = Some(1);
         world.holder.leader_changed();
--- a/core/tests/replication.rs
+++ b/core/tests/replication.rs
@@ -375,11 +375,9 @@
     group.node(leader).read_index(now, 8).unwrap();
     group.node(leader).read_index_with_heartbeat(10).unwrap();
     group.run(ms(5000));
-    for token in [8, 10] {
-        assert!(!ready(&group, token));
-        let failed = (leader, Output::ReadFailed { token });
-        assert!(group.other_outputs.contains(&failed));
-    }
+    let failed = |token| (leader, Output::ReadFailed { token });
+    assert!(!ready(&group, 8) && group.other_outputs.contains(&failed(8)));
+    assert!(!ready(&group, 10) && group.other_outputs.contains(&failed(10)));
 }
 
 /// Guards against a planned transfer that interrupts commits for an election timeout, and a
