Cold targets: one VM holds each, with a token bucket, and lends single calls to other VMs

The VM that it announces itself to has too few calls of its service alone: 0.3 to 0.9 a second at the sizes to design for.

Change: core::warmup decides who may send. The VM that got the last announcement holds the target for 2.5 s with a bucket from the rate, overage and slack, sized for three holders at the same time. It prefers a target without a call for a second, and lends tokens to VMs that ask with a call in hand. Announcements and health responses that make a target cold reach all VMs through the leader. After an evacuation, the targets of the domain count as cold for 2.5 s.

--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -123,4 +123,7 @@
     StateSent = 135, Info, "state or missing commands sent to a VM";
     StateReceived = 136, Info, "state received from a VM";
     EvacuationChanged = 146, Warn, "evacuation of a failure domain started or ended";
+    ColdTargetReported = 147, Info, "cold target reported to all VMs";
+    ColdTargetsHeld = 148, Info, "number of cold targets held by this VM changed";
+    ColdTargetsAssumed = 149, Info, "targets counted as cold after an evacuation";
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -31,3 +31,4 @@
 pub mod storage;
 pub mod time;
 pub mod types;
+pub mod warmup;
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! report is exact only when it is made. As it ages, its slowness and the calls of other VMs in it
 //! move towards the mean of the service.
 
+mod cold;
 mod contention;
 mod estimate;
 mod group;
@@ -29,7 +30,7 @@
 pub use self::queue::{Queue, Ticket};
 pub use self::search::{Search, SearchConfig, Step};
 use self::target::Target;
-use crate::{evacuation, fleet, time as core_time, types};
+use crate::{evacuation, fleet, time as core_time, types, warmup};
 
 /// Settings of the estimates and of target ejection.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -126,7 +127,9 @@
     services: collections::BTreeMap<types::ServiceName, Service>,
     domain_position: Position,
     system_position: Position,
-    evacuations: evacuation::Evacuations,
+    evacuated: evacuation::Evacuations,
+    /// Cold targets, and the calls that this VM may send to them.
+    pub cold: warmup::ColdTargets,
     rng: rngs::SmallRng,
 }
 
@@ -199,7 +202,8 @@
             services: collections::BTreeMap::new(),
             domain_position: Position::default(),
             system_position: Position::default(),
-            evacuations: evacuation::Evacuations::default(),
+            evacuated: evacuation::Evacuations::default(),
+            cold: warmup::ColdTargets::default(),
             rng,
         }
     }
@@ -211,15 +215,15 @@
     }
 
     /// Sets the failure domains whose targets get no calls and no probes.
-    pub fn set_evacuations(&mut self, evacuations: &evacuation::Evacuations) {
-        self.evacuations = evacuations.clone();
+    pub fn set_evacuations(&mut self, evacuated: &evacuation::Evacuations) {
+        self.evacuated = evacuated.clone();
     }
 
     /// Returns the targets of the own failure domain that the group of this VM prefers, none while
     /// the domain is evacuated.
     pub fn group_targets(&self) -> impl Iterator<Item = &types::TargetId> {
         let group = self.domain_position.group();
-        let evacuated = self.evacuations.contains(&self.own_domain);
+        let evacuated = self.evacuated.contains(&self.own_domain);
         self.services.values().flat_map(move |service| {
             let in_domain = service
                 .targets
@@ -233,6 +237,7 @@
 
     /// Adds a target that may get calls, or updates it. A new incarnation starts without history.
     pub fn add(&mut self, now: core_time::Instant, announcement: &fleet::Announcement) {
+        self.cold.learned(now, announcement);
         let same_domain = announcement.failure_domain == self.own_domain;
         if let Some(target) = self.target_mut(&announcement.target)
             && target.born == announcement.born
@@ -241,7 +246,7 @@
             target.update(now, announcement);
             return;
         }
-        self.remove(&announcement.target);
+        self.remove_estimates(&announcement.target);
         let target = Target::new(now, announcement, same_domain);
         let id = &announcement.target;
         self.services_by_target
@@ -262,6 +267,11 @@
 
     /// Removes a target and its estimates.
     pub fn remove(&mut self, target: &types::TargetId) {
+        self.cold.remove(target);
+        self.remove_estimates(target);
+    }
+
+    fn remove_estimates(&mut self, target: &types::TargetId) {
         if let Some(service) = self.services_by_target.remove(target)
             && let Some(service) = self.services.get_mut(&service)
         {
@@ -332,9 +342,10 @@
         Some(target.estimate(now, &service.means, &self.cfg))
     }
 
-    /// Returns the candidates for a call, without the targets that it was already sent to and those
-    /// of evacuated failure domains, by rising cost, at most [`MAX_CANDIDATES`]. The cost is the expected latency with penalties;
-    /// ejected targets are last.
+    /// Returns the candidates for a call by rising cost, at most [`MAX_CANDIDATES`]. Left out are the
+    /// targets that it was already sent to, those of evacuated failure domains, and cold targets to
+    /// which this VM may send no call now. The cost is the expected latency with penalties; ejected
+    /// targets are last.
     pub fn ranked(&mut self, now: core_time::Instant, demand: &Demand<'_>) -> Vec<Choice> {
         let Some(service) = self.services.get(demand.service) else {
             return Vec::new();
@@ -366,7 +377,10 @@
                     (distance, domain_penalty)
                 }
             };
-            if demand.tried.contains(id) || self.evacuations.contains(&target.failure_domain) {
+            if demand.tried.contains(id) || self.evacuated.contains(&target.failure_domain) {
+                continue;
+            }
+            if !self.cold.may_send(now, id) {
                 continue;
             }
             let estimate = target.estimate(now, &service.means, &self.cfg);
--- a/core/src/placement/search.rs
+++ b/core/src/placement/search.rs
@@ -132,7 +132,11 @@
     ) -> Step {
         let ranked = placement.ranked(now, demand);
         let Some(best) = ranked.first() else {
-            return Step::NoTarget;
+            // A cold target of this VM takes a call when there is a token again.
+            return match placement.cold.holds_cold(now, demand.service) {
+                true => self.wait(now, self.is_late(now, demand.work)),
+                false => Step::NoTarget,
+            };
         };
         if !placement.reports_load(&best.target) {
             return match now + best.expected_latency <= self.deadline {
--- a/core/src/state_machine/mod.rs
+++ b/core/src/state_machine/mod.rs
@@ -131,7 +131,7 @@
     /// The routing table.
     pub table: routing::Table,
     /// Failure domains whose targets get no calls.
-    pub evacuations: evacuation::Evacuations,
+    pub evacuated: evacuation::Evacuations,
     /// Latest deregistrations, oldest first.
     deregistrations: collections::VecDeque<fleet::TargetIncarnation>,
 }
@@ -156,7 +156,7 @@
                 Reply::Deregistered
             }
             Command::Evacuate(order) => {
-                self.evacuations.apply(order);
+                self.evacuated.apply(order);
                 Reply::Evacuated
             }
         }
@@ -179,7 +179,7 @@
             items: self.table.items().clone(),
             accepted: digests.map(|digest| format!("{:032x}", digest.0)).collect(),
             departures: self.deregistrations.iter().cloned().collect(),
-            evacuated: self.evacuations.iter().cloned().collect(),
+            evacuated: self.evacuated.iter().cloned().collect(),
         };
         Ok(serde_json::to_vec(&snapshot)?.into())
     }
@@ -201,7 +201,7 @@
         }
         Ok(StateMachine {
             table: routing::Table::from_parts(snapshot.version, snapshot.items, accepted),
-            evacuations: snapshot.evacuated.into_iter().collect(),
+            evacuated: snapshot.evacuated.into_iter().collect(),
             deregistrations: snapshot.departures.into(),
         })
     }
--- a/core/tests/evacuation.rs
+++ b/core/tests/evacuation.rs
@@ -81,8 +81,8 @@
     let without = machine.snapshot().unwrap();
     assert!(!String::from_utf8_lossy(&without).contains("evacuated"));
     assert_eq!(
-        StateMachine::restore(&without).unwrap().evacuations,
-        machine.evacuations
+        StateMachine::restore(&without).unwrap().evacuated,
+        machine.evacuated
     );
     for each in [
         order("a", Action::Start),
@@ -92,12 +92,12 @@
         order("a", Action::End),
     ] {
         machine.apply(&Command::decode(&encoded(&each)).unwrap());
-        assert!(machine.evacuations.is_applied(&each));
+        assert!(machine.evacuated.is_applied(&each));
     }
     let restored = StateMachine::restore(&machine.snapshot().unwrap()).unwrap();
     let expected: Evacuations = [types::FailureDomain::from("b")].into_iter().collect();
-    assert_eq!(restored.evacuations, expected);
-    let orders = restored.evacuations.orders_since(&Evacuations::default());
+    assert_eq!(restored.evacuated, expected);
+    let orders = restored.evacuated.orders_since(&Evacuations::default());
     assert_eq!(orders, [order("b", Action::Start)]);
 }
 
--- /dev/null
+++ b/wagtailshunt/src/entry/calls/cold_target.rs
@@ -0,0 +1,59 @@
+//! Calls to cold targets: those that are due for a call are preferred, with a token of this VM or of
+//! the VM that they announce themselves to.
+
+use wagtailshunt_core::placement;
+
+use crate::entry::{calls::call::Call, cold_targets};
+
+impl Call {
+    /// Returns a cold target that is due for a call, if this one is its first attempt and may run more
+    /// than once. Its token is taken.
+    pub(super) async fn due_cold_target(&self) -> Option<placement::Choice> {
+        let is_first = self.tried.borrow().is_empty();
+        if !self.request.repeatable || !is_first {
+            return None;
+        }
+        let now = self.state.clock.now();
+        let tried = self.tried.borrow().clone();
+        let demand = self.demand(&tried);
+        let own = self.state.with(|inner| {
+            let placement = &mut inner.placement;
+            let choice = placement.starved_choice(now, &demand, self.request.deadline)?;
+            placement.cold.take(now, &choice.target).then_some(choice)
+        });
+        match own {
+            Some(choice) => Some(choice),
+            None => self.borrowed_cold_target(false).await,
+        }
+    }
+
+    /// Returns a cold target that another VM holds, with a token of that VM. If the call is `urgent`,
+    /// there is no other target for it.
+    pub(super) async fn borrowed_cold_target(&self, urgent: bool) -> Option<placement::Choice> {
+        let now = self.state.clock.now();
+        let tried = self.tried.borrow().clone();
+        let demand = self.demand(&tried);
+        let is_connected = |vm| self.state.peers.is_connected(vm);
+        let (target, holder) = self.state.with(|inner| {
+            let placement = &mut inner.placement;
+            let lender = placement.next_lender(now, &demand, urgent, is_connected)?;
+            // No token is requested for a call that the target could not answer in time.
+            placement.choice_of(now, &demand, &lender.0, self.request.deadline)?;
+            Some(lender)
+        })?;
+        if !cold_targets::request_token(&self.state, holder, &target).await {
+            return None;
+        }
+        let now = self.state.clock.now();
+        let deadline = self.request.deadline;
+        self.state
+            .with(|inner| inner.placement.choice_of(now, &demand, &target, deadline))
+    }
+
+    /// Takes the token for a call to a target, if it needs one.
+    pub(super) fn take_token(&self, choice: &placement::Choice) -> bool {
+        let now = self.state.clock.now();
+        self.state
+            .with(|inner| inner.placement.cold.take(now, &choice.target))
+    }
+}
--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod budget;
 mod call;
+mod cold_target;
 mod crash;
 mod failure;
 mod handler;
--- a/wagtailshunt/src/entry/calls/probe.rs
+++ b/wagtailshunt/src/entry/calls/probe.rs
@@ -14,7 +14,7 @@
 use crate::{
     entry::{
         calls::attempt::{self, Destination},
-        path, state,
+        cold_targets, path, state,
     },
     http,
 };
@@ -174,6 +174,11 @@
             true => {}
             false => state.with(|inner| inner.placement.answered_without_load(&destination.target)),
         }
+        let left = http::header_text(&head.headers, &protocol.warmup_left_ms);
+        if let Some(left) = left.and_then(|text| text.trim().parse().ok()) {
+            let left = time::Duration::from_millis(left);
+            cold_targets::health_received(state, &destination.target, left);
+        }
     }
     if attempt::closes_connection(&head.headers) {
         return Ok(());
--- a/wagtailshunt/src/entry/calls/target_search.rs
+++ b/wagtailshunt/src/entry/calls/target_search.rs
@@ -3,11 +3,16 @@
 //! A step sends the call, probes targets, or waits in the queue of the service. The results of
 //! probes reach the search as load reports in the shared state.
 
+use std::time;
+
 use futures_util::{StreamExt, stream};
 use wagtailshunt_core::{placement, types};
 
 use crate::entry::calls::{budget, call::Call, failure::Failure, probe};
 
+/// Pause of a call whose cold target got another call in the meantime.
+const TOKEN_PAUSE: time::Duration = time::Duration::from_millis(5);
+
 /// An entry in the queue of a service; dropping it removes the call from the queue.
 struct QueueEntry<'a> {
     call: &'a Call,
@@ -56,6 +61,9 @@
     if call.state.is_path_lost() {
         return Err(Failure::Unreachable);
     }
+    if let Some(choice) = call.due_cold_target().await {
+        return Ok(choice);
+    }
     call.check_queue_wait()?;
     let mut queue_entry = QueueEntry::join(call, &search);
     let choice = loop {
@@ -65,9 +73,13 @@
         let now = call.state.clock.now();
         let is_head = call.with_queue(|queue| queue.is_next(now, queue_entry.ticket));
         match call.step(&mut search, is_head) {
-            placement::Step::Send(choice) => break choice,
+            placement::Step::Send(choice) if call.take_token(&choice) => break choice,
+            placement::Step::Send(_) => compio::time::sleep(TOKEN_PAUSE).await,
             placement::Step::Overloaded => return Err(Failure::Overloaded),
-            placement::Step::NoTarget => return Err(Failure::NoTarget),
+            placement::Step::NoTarget => match call.borrowed_cold_target(true).await {
+                Some(choice) => break choice,
+                None => return Err(call.no_target_failure()),
+            },
             placement::Step::Wait { pause, late } => {
                 queue_entry.set_late(late);
                 compio::time::sleep(pause).await;
@@ -96,7 +108,9 @@
         .collect();
     futures_util::pin_mut!(probes);
     while probes.next().await.is_some() {
-        if let Some(choice) = call.immediate_target(search) {
+        if let Some(choice) = call.immediate_target(search)
+            && call.take_token(&choice)
+        {
             return Some(choice);
         }
     }
@@ -109,11 +123,7 @@
     fn step(&self, search: &mut placement::Search, is_head: bool) -> placement::Step {
         let now = self.state.clock.now();
         let tried = self.tried.borrow();
-        let demand = placement::Demand {
-            service: &self.service,
-            work: self.service_time(),
-            tried: &tried,
-        };
+        let demand = self.demand(&tried);
         self.state.with(|inner| {
             let limits = &self.state.cfg.limits;
             let may_probe = budget::probes(limits, inner, &self.service).has_tokens();
@@ -127,6 +137,29 @@
         })
     }
 
+    /// Returns what decides the target of the call.
+    pub(super) fn demand<'a>(&'a self, tried: &'a [types::TargetId]) -> placement::Demand<'a> {
+        placement::Demand {
+            service: &self.service,
+            work: self.service_time(),
+            tried,
+        }
+    }
+
+    /// Returns why the call has no target: all that it was not sent to are cold and get no further call
+    /// now, or there are none.
+    fn no_target_failure(&self) -> Failure {
+        let now = self.state.clock.now();
+        let cold = &self.service;
+        match self
+            .state
+            .with(|inner| inner.placement.cold.has_cold(now, cold))
+        {
+            true => Failure::Overloaded,
+            false => Failure::NoTarget,
+        }
+    }
+
     /// Runs `f` on the queue of the service.
     fn with_queue<R>(&self, f: impl FnOnce(&mut placement::Queue) -> R) -> R {
         self.state
@@ -153,11 +186,7 @@
     fn immediate_target(&self, search: &placement::Search) -> Option<placement::Choice> {
         let now = self.state.clock.now();
         let tried = self.tried.borrow();
-        let demand = placement::Demand {
-            service: &self.service,
-            work: self.service_time(),
-            tried: &tried,
-        };
+        let demand = self.demand(&tried);
         self.state
             .with(|inner| search.ready_target(now, &mut inner.placement, &demand))
     }
--- a/wagtailshunt/src/entry/evacuation.rs
+++ b/wagtailshunt/src/entry/evacuation.rs
@@ -9,6 +9,7 @@
 use wagtailshunt_core::{evacuation, event, state_machine, types};
 
 use crate::entry::{
+    cold_targets,
     operators::{self, Outcome},
     replica, state,
 };
@@ -31,7 +32,7 @@
     state: &rc::Rc<state::State>,
     order: evacuation::Order,
 ) -> Result<(), replica::CommandError> {
-    let is_applied = || state.with(|inner| inner.machine.evacuations.is_applied(&order));
+    let is_applied = || state.with(|inner| inner.machine.evacuated.is_applied(&order));
     if is_applied() {
         replica::read(state).await?;
         // A contrary order may have been applied meanwhile.
@@ -51,16 +52,19 @@
     previous: &evacuation::Evacuations,
 ) {
     let orders = state.with(|inner| {
-        let evacuations = &inner.machine.evacuations;
-        inner.placement.set_evacuations(evacuations);
-        let count = evacuations.iter().count();
+        let evacuated = &inner.machine.evacuated;
+        inner.placement.set_evacuations(evacuated);
+        let count = evacuated.iter().count();
         state
             .metrics
             .evacuated_domains
             .set(i64::try_from(count).unwrap_or(i64::MAX));
-        evacuations.orders_since(previous)
+        evacuated.orders_since(previous)
     });
     for order in orders {
+        if order.action == evacuation::Action::End {
+            cold_targets::evacuation_ended(state, &order.failure_domain);
+        }
         state.events.emit(
             event::Id::EvacuationChanged,
             &[
--- a/wagtailshunt/src/entry/leader_sync.rs
+++ b/wagtailshunt/src/entry/leader_sync.rs
@@ -17,7 +17,7 @@
 use wagtailshunt_core::{event, replication, routing, state_machine, types};
 use wagtailshunt_wire::generated::fleet::{self, fleet_message::Body as Fleet};
 
-use crate::entry::{evacuation, replica, state, state_transfer, targets};
+use crate::entry::{cold_targets, evacuation, replica, state, state_transfer, targets};
 
 /// Time after its election from which a leader knows all targets. Each announces itself at some VM
 /// within its interval, and the VMs forward this to the leader every second.
@@ -30,6 +30,7 @@
     if let Some(leading) = leading_message(state) {
         state.peers.send_fleet(to, leading);
     }
+    cold_targets::peer_connected(state, to);
 }
 
 /// Returns whether this VM leads and has heard of all targets since it was elected.
@@ -115,6 +116,7 @@
     if is_new && leader != state.vm {
         state_transfer::request_state(state, leader);
         targets::send_own_announcements(state, leader);
+        cold_targets::send_held(state, leader);
     }
     true
 }
@@ -227,7 +229,7 @@
         inner.routes = rc::Rc::new(routing::Index::new(inner.machine.table.items()));
         previous
     });
-    evacuation::applied(state, index, &previous.evacuations);
+    evacuation::applied(state, index, &previous.evacuated);
     configuration_applied(state, index, version);
 }
 
@@ -241,6 +243,7 @@
         event::Id::ConfigurationApplied,
         &[("version", &version), ("index", &index)],
     );
+    cold_targets::configuration_changed(state);
     state.unsaved.configuration.set(true);
     state.update_readiness();
 }
@@ -285,7 +288,7 @@
     if state.with(|inner| index <= inner.applied) {
         return None;
     }
-    let evacuations = state.with(|inner| inner.machine.evacuations.clone());
+    let evacuated = state.with(|inner| inner.machine.evacuated.clone());
     let (previous, reply) = state.with(|inner| {
         let reply = inner.machine.apply(&command);
         let previous = inner.applied;
@@ -309,7 +312,7 @@
         }
         (state_machine::Command::Evacuate(_), _) => {
             state.unsaved.configuration.set(true);
-            evacuation::applied(state, index, &evacuations);
+            evacuation::applied(state, index, &evacuated);
         }
         _ => {}
     }
--- a/wagtailshunt/src/entry/metrics.rs
+++ b/wagtailshunt/src/entry/metrics.rs
@@ -23,6 +23,10 @@
     pub probes: IntCounter,
     /// Failure domains that are evacuated.
     pub evacuated_domains: IntGauge,
+    /// Targets that are cold and whose calls are limited.
+    pub cold_targets: IntGauge,
+    /// Those of them that this VM may send calls to.
+    pub cold_targets_held: IntGauge,
     /// Calls in progress.
     pub in_progress: IntGauge,
     /// Announcements of targets received by this VM.
@@ -77,6 +81,12 @@
                 "evacuated_domains",
                 "Failure domains that are evacuated.",
             ),
+            cold_targets: metrics::gauge(&registry, "cold_targets", "Cold targets known here."),
+            cold_targets_held: metrics::gauge(
+                &registry,
+                "cold_targets_held",
+                "Cold targets that announce themselves here.",
+            ),
             in_progress: metrics::gauge(&registry, "calls_in_progress", "Calls in progress."),
             announcements: metrics::counter(
                 &registry,
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -7,6 +7,7 @@
 //! replicated configuration.
 
 pub mod calls;
+mod cold_targets;
 mod disk_space;
 pub mod evacuation;
 mod leader_sync;
@@ -309,6 +310,7 @@
         path::check(&state);
         if ticks % TICKS_PER_SLOW_TICK == 0 {
             store::save_targets(&state);
+            cold_targets::update_metrics(&state);
             state.pool.remove_expired(state.clock.now());
             state.relay_pool.remove_expired(state.clock.now());
         }
--- a/wagtailshunt/src/entry/path.rs
+++ b/wagtailshunt/src/entry/path.rs
@@ -84,8 +84,8 @@
         let known = inner.directory.targets();
         let known = known.filter(|known| Some(&known.announcement.target) != except);
         // An evacuated failure domain may be switched off.
-        let evacuations = &inner.machine.evacuations;
-        let known = known.filter(|known| !evacuations.contains(&known.announcement.failure_domain));
+        let evacuated = &inner.machine.evacuated;
+        let known = known.filter(|known| !evacuated.contains(&known.announcement.failure_domain));
         let mut known: Vec<&fleet::TargetEntry> = known.collect();
         known.shuffle(&mut *state.rng.borrow_mut());
         let mut taken: collections::BTreeMap<&types::ServiceName, usize> =
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::{
-    entry::{calls, leader_sync, members, replica, state, state_transfer, targets},
+    entry::{calls, cold_targets, leader_sync, members, replica, state, state_transfer, targets},
     transport,
 };
 
@@ -252,6 +252,10 @@
         Fleet::Departed(fleet::Departed {}) => state.complete_request(request),
         Fleet::Crash(crash) => calls::crash_received(state, from, crash)?,
         Fleet::Loads(loads) => targets::loads_received(state, loads),
+        Fleet::ColdTargets(cold) => {
+            cold_targets::reports_received(state, from, wire::fleet::decode_cold_targets(cold)?);
+        }
+        Fleet::CallToken(token) => cold_targets::token_received(state, from, request, token),
     }
     Ok(())
 }
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -7,7 +7,7 @@
 use rand::{SeedableRng, rngs};
 use wagtailshunt_core::{
     catch_up, containment, drain, fleet, formation, placement, reach, relay, replication, retry,
-    routing, state_machine, time as core_time, types,
+    routing, state_machine, time as core_time, types, warmup,
 };
 
 use crate::{
@@ -143,8 +143,9 @@
     ) -> State {
         let incarnation = identity.incarnation;
         let rng = rngs::SmallRng::seed_from_u64(incarnation.0 ^ u64::from(vm.0) << 20);
-        let placement =
+        let mut placement =
             placement::Placement::new(cfg.placement.clone(), cfg.failure_domain.clone(), rng);
+        placement.cold = warmup::ColdTargets::new(vm, cfg.limits.announce_interval);
         let now = clock.now();
         let mut roster = formation::Roster::default();
         let own = cfg.vm(vm, incarnation);
@@ -251,9 +252,15 @@
         self.with(|inner| inner.directory.get(target).is_some())
     }
 
+    /// Returns the numbers of cold targets that this VM knows and holds.
+    pub fn cold_targets(&self) -> (usize, usize) {
+        let now = self.clock.now();
+        self.with(|inner| inner.placement.cold.counts(now))
+    }
+
     /// Returns whether a failure domain is evacuated, as far as this VM knows.
     pub fn is_evacuated(&self, domain: &types::FailureDomain) -> bool {
-        self.with(|inner| inner.machine.evacuations.contains(domain))
+        self.with(|inner| inner.machine.evacuated.contains(domain))
     }
 
     /// Returns the event log of this process.
--- a/wagtailshunt/src/entry/state_transfer.rs
+++ b/wagtailshunt/src/entry/state_transfer.rs
@@ -13,7 +13,7 @@
     generated::fleet::{self, fleet_message::Body as Fleet},
 };
 
-use crate::entry::{leader_sync, state, targets};
+use crate::entry::{cold_targets, leader_sync, state, targets};
 
 /// Largest state that is sent in one message, with the targets; leaves room for the envelope.
 const MAX_WHOLE_STATE_BYTES: usize = codec::MAX_FRAME_BYTES - 1024;
@@ -188,13 +188,14 @@
     subscribe: &fleet::Subscribe,
     missing: &Missing,
 ) {
+    let now = state.clock.now();
     let (reports, complete_buckets) = state.with(|inner| {
         let differing = match core_fleet::Digests::from_slice(&subscribe.bucket_digests) {
             Some(digests) => inner.directory.digests().differing(&digests),
             None => (0..core_fleet::BUCKETS).collect(),
         };
         let known = differing.iter().flat_map(|i| inner.directory.in_bucket(*i));
-        let reports = known.map(|known| wire::fleet::encode_announcement(&known.announcement));
+        let reports = known.map(|known| cold_targets::encode_known(inner, now, known));
         let reports: Vec<fleet::TargetReport> = reports.collect();
         let complete_buckets = match leader_sync::knows_all_targets(state, inner) {
             true => differing.iter().map(|i| *i as u32).collect(),
--- a/wagtailshunt/src/entry/store.rs
+++ b/wagtailshunt/src/entry/store.rs
@@ -9,7 +9,7 @@
 use wagtailshunt_core::{formation, state_machine, types};
 use wagtailshunt_wire::{self as wire, generated::fleet};
 
-use crate::entry::{leader_sync, state, targets};
+use crate::entry::{cold_targets, leader_sync, state, targets};
 
 const ID_FILE: &str = "vm-id";
 const ROSTER_FILE: &str = "roster";
@@ -206,10 +206,11 @@
     {
         return;
     }
+    let now = state.clock.now();
     let reports = state.with(|inner| {
         let known = inner.directory.targets();
         known
-            .map(|known| wire::fleet::encode_announcement(&known.announcement))
+            .map(|known| cold_targets::encode_known(inner, now, known))
             .collect()
     });
     let known = fleet::State {
--- a/wagtailshunt/src/entry/targets.rs
+++ b/wagtailshunt/src/entry/targets.rs
@@ -15,7 +15,7 @@
     generated::fleet::{self, fleet_message::Body as Fleet},
 };
 
-use crate::entry::{peers, replica, state};
+use crate::entry::{cold_targets, peers, replica, state};
 
 /// Announcement intervals without an announcement after which the leader removes a target.
 const MISSED_ANNOUNCEMENTS: u32 = 3;
@@ -30,16 +30,17 @@
 pub fn send_own_announcements(state: &rc::Rc<state::State>, leader: types::VmId) {
     let now = state.clock.now();
     let limit = silence_timeout(state);
-    let announcements: Vec<core_fleet::Announcement> = state.with(|inner| {
+    let announcements: Vec<fleet::TargetReport> = state.with(|inner| {
         inner
             .announced_here
             .retain(|_, last_announced| now.since(*last_announced) < limit);
         let targets = inner.announced_here.keys();
         let known = targets.filter_map(|target| inner.directory.get(target));
-        known.map(|known| known.announcement.clone()).collect()
+        known
+            .map(|known| cold_targets::encode_known(inner, now, known))
+            .collect()
     });
     for announcement in announcements {
-        let announcement = wire::fleet::encode_announcement(&announcement);
         state.peers.send_fleet(leader, Fleet::Report(announcement));
     }
 }
@@ -161,24 +162,26 @@
             core_fleet::RegistrationResult::Renewed | core_fleet::RegistrationResult::Stale => {}
         },
         Some((_, leader)) if result == core_fleet::RegistrationResult::Joined => {
-            let announcement = wire::fleet::encode_announcement(&announcement);
-            state.peers.send_fleet(leader, Fleet::Report(announcement));
+            let encoded = wire::fleet::encode_announcement(&announcement);
+            state.peers.send_fleet(leader, Fleet::Report(encoded));
         }
         Some(_) => state.with(|inner| {
-            inner.unsent_renewals.insert(announcement.target);
+            inner.unsent_renewals.insert(announcement.target.clone());
         }),
         None => {}
     }
+    // After the announcement of a target that joins, so that the leader knows it.
+    cold_targets::announced(state, &announcement);
 }
 
 /// Sends the leader the announcements that were renewed at this VM since the last call. The leader
 /// needs them only to notice targets that have stopped announcing themselves.
 pub fn send_renewals(state: &rc::Rc<state::State>) {
+    let now = state.clock.now();
     let (leader, announcements) = state.with(|inner| {
         let renewed = std::mem::take(&mut inner.unsent_renewals);
         let known = renewed.iter().filter_map(|id| inner.directory.get(id));
-        let announcements =
-            known.map(|known| wire::fleet::encode_announcement(&known.announcement));
+        let announcements = known.map(|known| cold_targets::encode_known(inner, now, known));
         (inner.leader, announcements.collect::<Vec<_>>())
     });
     if let Some((_, leader)) = leader.filter(|(_, leader)| *leader != state.vm) {
--- a/wire/src/fleet.rs
+++ b/wire/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::{net, time};
 
 use wagtailshunt_core::{
-    catch_up, containment, fleet, formation, placement, time as core_time, types,
+    catch_up, containment, fleet, formation, placement, time as core_time, types, warmup,
 };
 
 use crate::generated::fleet as wire;
@@ -68,6 +68,36 @@
     }
 }
 
+/// Converts reports of cold targets to their wire form.
+pub fn encode_cold_targets(reports: &[warmup::Report]) -> wire::ColdTargets {
+    let encode = |report: &warmup::Report| wire::ColdTarget {
+        life: Some(encode_incarnation(&report.incarnation)),
+        warmup_left_ms: u32::try_from(report.left.as_millis()).unwrap_or(u32::MAX),
+        announced_at: report.holder.map_or(0, |vm| vm.0),
+    };
+    wire::ColdTargets {
+        targets: reports.iter().map(encode).collect(),
+    }
+}
+
+/// Converts reports of cold targets from their wire form.
+///
+/// # Errors
+///
+/// Returns [`Error::Missing`] if the incarnation of a target is missing.
+pub fn decode_cold_targets(cold: wire::ColdTargets) -> Result<Vec<warmup::Report>, Error> {
+    let decode = |target: wire::ColdTarget| {
+        let life = target.life;
+        let life = life.ok_or(Error::Missing("the incarnation of a target"))?;
+        Ok(warmup::Report {
+            incarnation: decode_incarnation(life),
+            left: time::Duration::from_millis(u64::from(target.warmup_left_ms)),
+            holder: Some(types::VmId(target.announced_at)).filter(|vm| vm.0 != 0),
+        })
+    };
+    cold.targets.into_iter().map(decode).collect()
+}
+
 /// Converts a part of an encoded state to its wire form.
 pub fn encode_state_part(part: catch_up::Part) -> wire::StatePart {
     wire::StatePart {
