Cold targets: no waiting behind evacuated ones, assumptions end for all VMs, age of lent tokens

Cause, found by reading: a call whose only targets are cold and evacuated waited for a token instead of being refused at once; after an evacuation only the VM that heard that a target is warm used it at once; a process that was frozen between its request and the reply would have used an old token.

Calls look for cold targets only while there are some.

--- a/core/src/placement/cold.rs
+++ b/core/src/placement/cold.rs
@@ -45,6 +45,12 @@
         })
     }
 
+    /// Returns whether a cold target will take a call when this VM has a token for it again.
+    pub fn awaits_token(&self, now: core_time::Instant, demand: &Demand<'_>) -> bool {
+        let mut held = self.cold.held(now, demand.service);
+        held.any(|(id, domain)| !demand.tried.contains(id) && !self.evacuated.contains(domain))
+    }
+
     /// Returns a cold target for a call, and the VM to request a token from. See
     /// [`ColdTargets::next_lender`](crate::warmup::ColdTargets::next_lender).
     pub fn next_lender(
--- a/core/src/placement/search.rs
+++ b/core/src/placement/search.rs
@@ -133,7 +133,7 @@
         let ranked = placement.ranked(now, demand);
         let Some(best) = ranked.first() else {
             // A cold target of this VM takes a call when there is a token again.
-            return match placement.cold.holds_cold(now, demand.service) {
+            return match placement.awaits_token(now, demand) {
                 true => self.wait(now, self.is_late(now, demand.work)),
                 false => Step::NoTarget,
             };
--- a/core/src/warmup/mod.rs
+++ b/core/src/warmup/mod.rs
@@ -34,7 +34,7 @@
 /// remaining time, which is rounded and delayed.
 const MIN_REPORTED_CHANGE: time::Duration = time::Duration::from_millis(500);
 
-/// That a target is cold, for all VMs.
+/// That a target is cold, or is not although it was assumed, for all VMs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
     /// The incarnation of the target.
@@ -87,10 +87,11 @@
         now < self.cold_until.max(self.assumed_until)
     }
 
-    /// Records what the target itself says about its state.
-    fn set_left(&mut self, now: core_time::Instant, left: time::Duration) {
+    /// Records what the target itself says about its state; returns whether it ends an assumption.
+    fn set_left(&mut self, now: core_time::Instant, left: time::Duration) -> bool {
         self.cold_until = now + left;
-        self.assumed_until = core_time::Instant(0);
+        let assumed_until = std::mem::take(&mut self.assumed_until);
+        now < assumed_until
     }
 }
 
@@ -135,7 +136,7 @@
     }
 
     /// Handles an announcement to this VM; returns a report for all VMs if they do not know that the
-    /// target is cold or where it announces itself.
+    /// target is cold or where it announces itself, or if they assume that it is cold.
     pub fn announced(
         &mut self,
         now: core_time::Instant,
@@ -144,24 +145,24 @@
         let own = self.own;
         let target = self.entry(announcement);
         target.announced_here_at = Some(now);
-        target.set_left(now, announcement.warmup_left);
+        let was_assumed = target.set_left(now, announcement.warmup_left);
         let until = target.cold_until;
         let has_moved = target.holder != Some(own);
         self.any_cold_until = self.any_cold_until.max(until);
-        self.report(now, &announcement.target, has_moved)
+        self.report(now, &announcement.target, has_moved, was_assumed)
     }
 
     /// Handles a health response; returns a report for all VMs if they do not know that the target is
-    /// cold.
+    /// cold, or if they assume it.
     pub fn health(
         &mut self,
         now: core_time::Instant,
         id: &types::TargetId,
         left: time::Duration,
     ) -> Option<Report> {
-        self.targets.get_mut(id)?.set_left(now, left);
+        let was_assumed = self.targets.get_mut(id)?.set_left(now, left);
         self.any_cold_until = self.any_cold_until.max(now + left);
-        self.report(now, id, false)
+        self.report(now, id, false, was_assumed)
     }
 
     /// Handles the report of another VM; returns whether it contains news.
@@ -174,7 +175,8 @@
             return false;
         }
         let until = now + report.left;
-        let is_longer = until > target.reported_until + MIN_REPORTED_CHANGE;
+        let is_longer =
+            !report.left.is_zero() && until > target.reported_until + MIN_REPORTED_CHANGE;
         target.cold_until = target.cold_until.max(until);
         target.reported_until = target.reported_until.max(until);
         self.any_cold_until = self.any_cold_until.max(until);
@@ -185,7 +187,12 @@
                 target.announced_here_at = None;
             }
         }
-        is_longer || has_moved
+        // After an evacuation, the target may say at any VM that it is warm.
+        let ends_assumption = report.left.is_zero() && now < target.assumed_until;
+        if ends_assumption {
+            target.assumed_until = core_time::Instant(0);
+        }
+        is_longer || has_moved || ends_assumption
     }
 
     /// Treats the targets of a failure domain as cold until they say otherwise, because its
@@ -305,10 +312,16 @@
         self.cold_targets(now, service).next().is_some()
     }
 
-    /// Returns whether this VM holds cold targets of a service, for which it will have tokens.
-    pub fn holds_cold(&self, now: core_time::Instant, service: &types::ServiceName) -> bool {
-        let mut cold = self.cold_targets(now, service);
-        cold.any(|(id, _)| self.is_holder(now, id))
+    /// Returns the cold targets of a service that this VM holds, and for which it will have tokens,
+    /// with their failure domains.
+    pub fn held(
+        &self,
+        now: core_time::Instant,
+        service: &types::ServiceName,
+    ) -> impl Iterator<Item = (&types::TargetId, &types::FailureDomain)> {
+        let cold = self.cold_targets(now, service);
+        let held = cold.filter(move |(id, _)| self.is_holder(now, id));
+        held.map(|(id, target)| (id, &target.failure_domain))
     }
 
     /// Returns the numbers of cold targets that this VM knows and holds.
@@ -375,12 +388,14 @@
         now: core_time::Instant,
         id: &types::TargetId,
         has_moved: bool,
+        was_assumed: bool,
     ) -> Option<Report> {
         let holds = self.is_holder(now, id);
         let target = self.targets.get_mut(id)?;
-        let is_cold = target.cold_until > now && self.rates.contains_key(&target.service);
+        let is_cold = target.cold_until > now;
         let is_longer = target.cold_until > target.reported_until + MIN_REPORTED_CHANGE;
-        if !is_cold || !(is_longer || has_moved) {
+        let has_news = is_cold && (is_longer || has_moved) || !is_cold && was_assumed;
+        if !has_news || !self.rates.contains_key(&target.service) {
             return None;
         }
         target.reported_until = target.cold_until;
--- a/core/tests/warmup/main.rs
+++ b/core/tests/warmup/main.rs
@@ -5,7 +5,7 @@
 
 use std::time;
 
-use wagtailshunt_core::types;
+use wagtailshunt_core::{placement, types};
 use world::{COLD, MAX_GAP_MS, Plan, World, at, chill_domain, id};
 
 /// Guards against a failure domain of cold targets that gets more calls than it bears when all VMs find
@@ -128,6 +128,41 @@
                 .all(|i| !vm.cold.is_cold(at(4500), &id(*i)))
         );
     }
+    // The first VM that hears otherwise tells all others.
+    let health = world.vms[3]
+        .cold
+        .health(at(2100), &id(0), time::Duration::ZERO);
+    assert!(world.vms[5].cold.reported(at(2130), &health.unwrap()));
+    assert!(world.vms[5].cold.may_send(at(2130), &id(0)));
+    assert!(!world.vms[6].cold.may_send(at(2130), &id(0)));
     world.run(2000..4500);
     assert!(world.worst(&in_domain, 2000..4500) <= plan.bound());
 }
+
+/// Guards against calls that wait for a token of a cold target whose failure domain is evacuated.
+#[test]
+fn evacuated_cold_targets_take_no_waiting_calls() {
+    let mut world = World::new(&Plan::of_44(), 11);
+    let vm = world.targets[0].announced_to;
+    world.run(0..2000);
+    let service = world.targets[0].service.clone();
+    let others = (1..world.targets.len()).filter(|i| world.targets[*i].service == service);
+    let others: Vec<usize> = others.collect();
+    let vm = &mut world.vms[vm];
+    others.iter().for_each(|i| vm.remove(&id(*i)));
+    vm.cold
+        .health(at(2000), &id(0), time::Duration::from_secs(5));
+    while vm.cold.take(at(2000), &id(0)) {}
+    let demand = placement::Demand {
+        service: &service,
+        work: time::Duration::from_millis(100),
+        tried: &[],
+    };
+    let (objective, deadline) = (at(2300), at(3000));
+    let mut search = placement::Search::new(Default::default(), at(2000), objective, deadline);
+    let step = search.step(at(2000), vm, &demand, true, true);
+    assert!(matches!(step, placement::Step::Wait { .. }), "{step:?}");
+    vm.set_evacuations(&[types::FailureDomain::from("d0")].into_iter().collect());
+    let step = search.step(at(2000), vm, &demand, true, true);
+    assert_eq!(step, placement::Step::NoTarget);
+}
--- a/wagtailshunt/src/entry/calls/cold_target.rs
+++ b/wagtailshunt/src/entry/calls/cold_target.rs
@@ -3,7 +3,7 @@
 
 use wagtailshunt_core::placement;
 
-use crate::entry::{calls::call::Call, cold_targets};
+use crate::entry::{calls::call::Call, cold_targets, state};
 
 impl Call {
     /// Returns a cold target that is due for a call, if this one is its first attempt and may run more
@@ -14,6 +14,10 @@
             return None;
         }
         let now = self.state.clock.now();
+        let has_cold = |inner: &mut state::Inner| inner.placement.cold.has_cold(now, &self.service);
+        if !self.state.with(has_cold) {
+            return None;
+        }
         let tried = self.tried.borrow().clone();
         let demand = self.demand(&tried);
         let own = self.state.with(|inner| {
--- a/wagtailshunt/src/entry/cold_targets.rs
+++ b/wagtailshunt/src/entry/cold_targets.rs
@@ -166,6 +166,7 @@
     holder: types::VmId,
     target: &types::TargetId,
 ) -> bool {
+    let requested_at = state.clock.now();
     let (tx, rx) = oneshot::channel();
     let request = state.register_request(tx);
     let message = fleet::CallToken {
@@ -177,7 +178,8 @@
     let granted = state.peers.send(holder, request, body)
         && matches!(compio::time::timeout(TOKEN_TIMEOUT, rx).await, Ok(Ok(())));
     state.cancel_request(request);
-    granted
+    // After a pause of this process, the reply may have waited longer than the timer.
+    granted && state.clock.now().since(requested_at) < warmup::LENT_TOKEN_VALIDITY
 }
 
 /// Handles a request for a token, or the reply to one.
