--- a/core/src/state_machine/mod.rs
+++ b/core/src/state_machine/mod.rs
@@ -17,7 +17,7 @@
     Change(Box<routing::Change>),
     /// Deregistration of a target.
     Depart(fleet::TargetIncarnation),
-    /// Start or end of the evacuation of a failure domain. See [`EVACUATION_BASE`] for its encoding.
+    /// Start or end of the evacuation of a failure domain; encoded in the form of a change.
     #[serde(skip)]
     Evacuate(evacuation::Order),
 }
--- a/core/src/warmup/mod.rs
+++ b/core/src/warmup/mod.rs
@@ -267,7 +267,7 @@
     }
 
     /// Returns the cold targets of a service that this VM holds and that have had no call with its
-    /// tokens for [`STARVED_AFTER`] or ever, longest without a call first.
+    /// tokens for a second or ever, longest without a call first.
     pub fn starved(
         &self,
         now: core_time::Instant,
--- a/core/src/warmup/rate.rs
+++ b/core/src/warmup/rate.rs
@@ -31,7 +31,7 @@
 }
 
 impl Rate {
-    /// Returns the rate at which [`MAX_HOLDERS`] VMs together send at most the configured rate times
+    /// Returns the rate at which three VMs together send at most the configured rate times
     /// `overage` plus `slack` in any second. If that is less than a call for each of them, cold
     /// targets get none.
     pub fn new(warmup: &routing::Warmup, overage: f64, slack: f64) -> Rate {
