--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -129,4 +129,7 @@
     AllowanceKept = 144, Info, "workspace no longer over its allowance";
     AllowanceUnanswered = 145, Warn, "allowances decided without the leader";
     EvacuationChanged = 146, Warn, "evacuation of a failure domain started or ended";
+    ColdTargetReported = 147, Info, "cold target reported to all VMs";
+    ColdTargetsHeld = 148, Info, "number of cold targets held by this VM changed";
+    ColdTargetsAssumed = 149, Info, "targets counted as cold after an evacuation";
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -33,3 +33,4 @@
 pub mod storage;
 pub mod time;
 pub mod types;
+pub mod warmup;
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -8,6 +8,7 @@
 
 mod allowance;
 pub mod calls;
+mod cold_targets;
 mod disk_space;
 pub mod evacuation;
 mod key_lease;
@@ -313,6 +314,7 @@
         allowance::tick(&state, ticks % TICKS_PER_SLOW_TICK == 0);
         if ticks % TICKS_PER_SLOW_TICK == 0 {
             store::save_targets(&state);
+            cold_targets::update_metrics(&state);
             state.pool.remove_expired(state.clock.now());
             state.relay_pool.remove_expired(state.clock.now());
         }
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -20,7 +20,8 @@
 
 use crate::{
     entry::{
-        allowance, calls, key_lease, leader_sync, members, replica, state, state_transfer, targets,
+        allowance, calls, cold_targets, key_lease, leader_sync, members, replica, state,
+        state_transfer, targets,
     },
     transport,
 };
@@ -266,6 +267,10 @@
             allowance::question_received(state, from, &question);
         }
         Fleet::AllowanceAnswer(answer) => allowance::answer_received(state, from, &answer),
+        Fleet::ColdTargets(cold) => {
+            cold_targets::reports_received(state, from, wire::fleet::decode_cold_targets(cold)?);
+        }
+        Fleet::CallToken(token) => cold_targets::token_received(state, from, request, token),
     }
     Ok(())
 }
