Memory budget: decisions without I/O

Cause: nothing limits the memory that requests and connections of callers hold together.

Change: core::memory divides a budget between holders: connections and messages. Events 137 to 139.

--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -122,4 +122,7 @@
     PathChanged = 134, Warn, "path to the targets lost or regained";
     StateSent = 135, Info, "state or missing commands sent to a VM";
     StateReceived = 136, Info, "state received from a VM";
+    MemoryShort = 137, Warn, "memory budget exhausted";
+    MemoryAvailable = 138, Info, "memory budget available again";
+    ConnectionsReplaced = 139, Warn, "idle connections closed for new ones";
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod measure;
+pub mod memory;
 pub mod outcome;
 pub mod placement;
 pub mod reach;
