Bodies, responses and connections of callers within a memory budget

Cause: read_body buffered each body whole and copied it; a small chunk kept the read buffer of its connection alive; connections, read-ahead buffers and buffered responses had no common bound; at the limit of connections, idle clients shut out new ones.

Change: bodies and buffered responses are read into blocks of 64 KiB that are reserved before they are filled and freed with their last reference; retries send the same blocks. Announced lengths over the limit get 413 before the first byte. Without room a call waits for at most 2 s and a quarter of its time, then it gets 503 (no-memory) with Retry-After. Stalled bodies, unfinished heads and slow readers are evicted when the budget is exhausted. Pipelined requests are read ahead only while half of the budget is free. The limit of caller connections is half of the descriptors less 200; at it, the connection that has been idle longest is closed for a new one. Metrics memory_*, docs.

--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -5,8 +5,7 @@
 
 use std::{cell, net, rc, time};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Method, Request, StatusCode, Uri,
     body::Incoming,
@@ -41,7 +40,7 @@
     pub headers: HeaderMap,
     /// Workspace of the caller, if the configuration has workspaces and the route is not public.
     pub workspace: Option<CallWorkspace>,
-    pub body: Bytes,
+    pub body: http::Blocks,
     /// Whether the call may run more than once.
     pub repeatable: bool,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
@@ -206,7 +205,7 @@
     let OwnResponse { mut head, body } = response;
     let keep_alive = keep_alive_timeout(&head.headers);
     let closes = closes_connection(&head.headers);
-    let body = match buffer_body(body).await {
+    let body = match buffer_body(state, body).await {
         Ok(body) => body,
         Err(reason) => {
             flight.finish(placement::Outcome::Failed);
@@ -214,9 +213,7 @@
         }
     };
     flight.finish(outcome_of_status(head.status));
-    if let http::Body::Full(_) = body
-        && !closes
-    {
+    if body.is_buffered() && !closes {
         return_to_pool(state, &destination, client, keep_alive);
     }
     http::strip_connection_fields(&mut head.headers);
@@ -308,7 +305,7 @@
 /// Builds the request of a call with the time that is left.
 pub fn build_request(state: &state::State, call_request: &CallRequest) -> Request<http::Body> {
     let time_left = call_request.deadline.since(state.clock.now());
-    let mut req = Request::new(http::full(call_request.body.clone()));
+    let mut req = Request::new(call_request.body.body());
     *req.method_mut() = call_request.method.clone();
     *req.uri_mut() = call_request.uri.clone();
     *req.headers_mut() = call_request.headers.clone();
@@ -353,19 +350,19 @@
     req
 }
 
-/// Reads a small body completely. A body of known larger size is forwarded as it arrives.
-pub async fn buffer_body(body: Incoming) -> Result<http::Body, String> {
+/// Reads a small body completely. A body of known larger size is forwarded as it arrives, and so is
+/// what there is no memory for.
+pub async fn buffer_body(state: &state::State, body: Incoming) -> Result<http::Body, String> {
     let size = hyper::body::Body::size_hint(&body);
     if size.lower() > MAX_BUFFERED_BYTES as u64 {
         return Ok(http::Body::Incoming(body));
     }
-    match Limited::new(body, MAX_BUFFERED_BYTES * 16).collect().await {
-        Ok(whole) => Ok(http::full(whole.to_bytes())),
-        Err(err) if err.is::<LengthLimitError>() => {
-            Err("response of unknown length is too large to buffer".to_owned())
-        }
-        Err(err) => Err(format!("response body broke off: {err}")),
-    }
+    let limit = MAX_BUFFERED_BYTES as u64 * 16;
+    let read = http::buffer_response(&state.memory, body, limit).await;
+    read.map_err(|err| match err {
+        http::ReadError::TooLong => "response of unknown length is too large to buffer".to_owned(),
+        err => format!("response {err}"),
+    })
 }
 
 /// Reads the rest of a refusal in the background and returns the connection to the pool.
--- a/wagtailshunt/src/entry/calls/crash.rs
+++ b/wagtailshunt/src/entry/calls/crash.rs
@@ -33,7 +33,10 @@
         .path_and_query()
         .map_or("/", |path| path.as_str());
     let mut body = wagtailshunt_core::ledger::DigestBuilder::default();
-    body.part(&call_request.body);
+    for part in call_request.body.parts() {
+        body.bytes(part);
+    }
+    body.end_part(call_request.body.len_bytes());
     let identity = containment::Identity::Body(body.finish());
     containment::Fingerprint::new(
         service.as_str(),
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -6,8 +6,6 @@
 
 use std::{borrow, cell, net, rc};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Request, Response,
     header::{self, HeaderValue},
@@ -39,6 +37,20 @@
 /// Largest share of its remaining time that such a call waits, so that enough is left to run it.
 const CONFIGURATION_WAIT_SHARE: f64 = 0.25;
 
+/// Longest time that a call waits for memory for its body; calls in progress end within it.
+const MAX_MEMORY_WAIT: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// Largest share of its remaining time that a call waits for memory: a refusal is of use only while
+/// the caller can try another VM.
+const MEMORY_WAIT_SHARE: f64 = 0.25;
+
+/// `Retry-After` of calls refused for lack of memory: calls in progress end within it. Multiplied by a
+/// random number between 0.5 and 1.5, so that callers refused together do not return together.
+const MEMORY_RETRY_AFTER: std::time::Duration = std::time::Duration::from_millis(400);
+
+/// Memory of a call in progress, its connection to a target included, beside its head and its body.
+const CALL_BYTES: u64 = 24 * 1024;
+
 /// Interval at which a relayed call checks for the version of the sender's configuration.
 const VERSION_CHECK_INTERVAL: std::time::Duration = std::time::Duration::from_millis(10);
 
@@ -111,8 +123,14 @@
                     ("version", &version),
                 ],
             );
-            let retry_after =
-                (reason == Failure::NoConfiguration).then_some(CONFIGURATION_RETRY_AFTER);
+            let retry_after = match reason {
+                Failure::NoConfiguration => Some(CONFIGURATION_RETRY_AFTER),
+                Failure::NoMemory => {
+                    let factor = state.rng.borrow_mut().random_range(0.5..1.5);
+                    Some(MEMORY_RETRY_AFTER.mul_f64(factor))
+                }
+                _ => None,
+            };
             failed_response(reason, retry_after, relayed.is_some())
         }
     };
@@ -140,7 +158,9 @@
 /// repeatable calls may, since the caller sends them again when the connection closes first. During
 /// a planned stop none is started, as the next response closes the connection.
 pub fn may_start_early(state: &state::State, req: &Request<http::Body>) -> bool {
-    !state.stopping() && route(state, req).is_ok_and(|named_route| named_route.1.repeatable)
+    !state.stopping()
+        && state.memory.may_read_ahead()
+        && route(state, req).is_ok_and(|named_route| named_route.1.repeatable)
 }
 
 /// Counts a call as in progress until it is dropped.
@@ -207,7 +227,7 @@
     let caller_deadline = arrival + caller_time_left(state, &req);
     let deadline = caller_deadline.min(arrival + named_route.1.timeout);
     let (head, body) = req.into_parts();
-    let body = read_body(state, body, limits.body_bytes, deadline).await?;
+    let body = read_body(state, &head, body, limits.body_bytes, deadline).await?;
     let mut headers = head.headers;
     http::strip_connection_fields(&mut headers);
     headers.remove(header::EXPECT);
@@ -333,21 +353,30 @@
     ms.map_or(DEFAULT_TIME_LEFT, std::time::Duration::from_millis)
 }
 
+/// Reads the body of a call within the memory budget.
 async fn read_body(
     state: &state::State,
+    head: &hyper::http::request::Parts,
     body: http::Body,
     limit: u64,
     deadline: core_time::Instant,
-) -> Result<Bytes, Failure> {
-    if hyper::body::Body::is_end_stream(&body) {
-        return Ok(Bytes::new());
-    }
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+) -> Result<http::Blocks, Failure> {
     let time_left = deadline.since(state.clock.now());
-    match compio::time::timeout(time_left, Limited::new(body, limit).collect()).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Failure::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => Err(Failure::BodyIncomplete),
+    let wait = MAX_MEMORY_WAIT.min(time_left.mul_f64(MEMORY_WAIT_SHARE));
+    let mut reader = http::BlockReader::new(&state.memory, limit, wait);
+    let fields = head.headers.iter();
+    let head_bytes: usize = fields
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    let read = async {
+        reader.reserve(CALL_BYTES + head_bytes as u64).await?;
+        reader.read_request(body).await
+    };
+    match compio::time::timeout(time_left, read).await {
+        Ok(Ok(())) => Ok(reader.finish()),
+        Ok(Err(http::ReadError::TooLong)) => Err(Failure::BodyTooLarge),
+        Ok(Err(http::ReadError::NoMemory)) => Err(Failure::NoMemory),
+        Ok(Err(http::ReadError::BrokenOff)) | Err(_) => Err(Failure::BodyIncomplete),
     }
 }
 
--- a/wagtailshunt/src/entry/calls/relay.rs
+++ b/wagtailshunt/src/entry/calls/relay.rs
@@ -245,13 +245,11 @@
     let failure = http::header_text(&head.headers, &FAILURE_HEADER).map(Failure::from_text);
     let keep_alive = attempt::keep_alive_timeout(&head.headers);
     let closes = attempt::closes_connection(&head.headers);
-    let body = match attempt::buffer_body(body).await {
+    let body = match attempt::buffer_body(state, body).await {
         Ok(body) => body,
         Err(reason) => return (relay::Outcome::Failed, Some(RelayOutcome::Lost(reason))),
     };
-    if let http::Body::Full(_) = body
-        && !closes
-    {
+    if body.is_buffered() && !closes {
         return_to_pool(state, vm, client, keep_alive);
     }
     match failure {
--- a/wagtailshunt/src/entry/metrics.rs
+++ b/wagtailshunt/src/entry/metrics.rs
@@ -31,6 +31,12 @@
     pub disk_limit_bytes: IntGauge,
     /// 1 while the disk refuses writes because it is full.
     pub disk_full: IntGauge,
+    /// Size of the memory budget.
+    pub memory_budget_bytes: IntGauge,
+    /// Bytes of it that are held.
+    pub memory_used_bytes: IntGauge,
+    /// Connections and messages that the memory budget ended or refused, by reason.
+    pub memory_refused: IntCounterVec,
 }
 
 /// Bucket bounds of the latency histogram in seconds, from below the shortest service time to the
@@ -78,6 +84,22 @@
             ),
             disk_used_bytes: metrics::gauge(&registry, "disk_used_bytes", "Size of the files."),
             disk_limit_bytes: metrics::gauge(&registry, "disk_limit_bytes", "Size of the disk."),
+            memory_budget_bytes: metrics::gauge(
+                &registry,
+                "memory_budget_bytes",
+                "Memory for connections and messages of callers.",
+            ),
+            memory_used_bytes: metrics::gauge(
+                &registry,
+                "memory_used_bytes",
+                "Memory that connections and messages of callers hold.",
+            ),
+            memory_refused: metrics::counter_vec(
+                &registry,
+                "memory_refused_total",
+                "Connections and messages ended for lack of memory or descriptors, by reason.",
+                "reason",
+            ),
             disk_full: metrics::gauge(&registry, "disk_full", "1 while the disk is full."),
             registry,
         }
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod disk_space;
 mod leader_sync;
 mod members;
+mod memory;
 mod metrics;
 pub mod operators;
 mod path;
@@ -24,7 +25,7 @@
 use std::{net, rc, time};
 
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use wagtailshunt_core::{event, types};
+use wagtailshunt_core::{event, memory as core_memory, types};
 
 pub use settings::{AllowanceBound, Limits, Protocol, Settings};
 pub use state::State;
@@ -42,9 +43,6 @@
 /// Timer ticks between two runs of the slow tasks: one second.
 const TICKS_PER_SLOW_TICK: u32 = 10;
 
-/// Limit of open caller connections; the platform's VMs allow a few thousand file descriptors.
-const MAX_CALLER_CONNECTIONS: usize = 3000;
-
 /// Errors that prevent an entry VM from starting.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -154,7 +152,9 @@
         let shared = state.clone();
         let early = move |req: &Request<http::Body>| calls::may_start_early(&shared, req);
         let stop = self.caller_shutdown.clone();
-        let serve = http::serve_pipelined(callers, caller_limits(), stop, early, handler);
+        let caller_limits = caller_limits(&state.cfg.limits);
+        let memory = state.memory.clone();
+        let serve = http::serve_pipelined(callers, caller_limits, stop, memory, early, handler);
         daemon::spawn_listener(&state.events, "callers", serve);
 
         if let Some(address) = state.cfg.relay_address {
@@ -164,7 +164,7 @@
                 calls::handle_relayed(shared.clone(), req.map(http::Body::Incoming), peer)
             };
             let stop = self.caller_shutdown.clone();
-            let serve = http::serve(relayed, caller_limits(), stop, handler);
+            let serve = http::serve(relayed, caller_limits, stop, handler);
             daemon::spawn_listener(&state.events, "relayed calls", serve);
         }
 
@@ -174,7 +174,16 @@
             let (api, state) = (api.clone(), shared.clone());
             async move { api.handle(state, req).await }
         };
-        let serve = http::serve(operators, limits, self.internal_shutdown.clone(), handler);
+        let operator_limits = http::Limits {
+            connections: core_memory::operator_connections(state.cfg.limits.max_open_files),
+            ..limits
+        };
+        let serve = http::serve(
+            operators,
+            operator_limits,
+            self.internal_shutdown.clone(),
+            handler,
+        );
         daemon::spawn_listener(&state.events, "operators", serve);
 
         let peers = daemon::bind(state.cfg.peer_address).await?;
@@ -274,10 +283,10 @@
 /// it.
 const CALLER_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 
-fn caller_limits() -> http::Limits {
+fn caller_limits(limits: &Limits) -> http::Limits {
     http::Limits {
         header_timeout: CALLER_IDLE_TIMEOUT,
-        connections: MAX_CALLER_CONNECTIONS,
+        connections: core_memory::caller_connections(limits.max_open_files),
         ..http::Limits::default()
     }
 }
@@ -291,6 +300,7 @@
 
 async fn run_timers(state: rc::Rc<State>) {
     let mut ticks = 0;
+    let mut memory_watch = memory::Watch::default();
     while !state.stopped() {
         // Election timeouts are handled at their exact time: if all VMs checked them at the same
         // ticks, several would become candidates at once and split the vote.
@@ -308,6 +318,7 @@
         path::check(&state);
         if ticks % TICKS_PER_SLOW_TICK == 0 {
             store::save_targets(&state);
+            memory_watch.tick(&state);
             state.pool.remove_expired(state.clock.now());
             state.relay_pool.remove_expired(state.clock.now());
         }
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -6,14 +6,14 @@
 use futures_channel::oneshot;
 use rand::{SeedableRng, rngs};
 use wagtailshunt_core::{
-    catch_up, containment, drain, fleet, formation, placement, reach, relay, replication, retry,
-    routing, state_machine, time as core_time, types,
+    catch_up, containment, drain, fleet, formation, memory, placement, reach, relay, replication,
+    retry, routing, state_machine, time as core_time, types,
 };
 
 use crate::{
     clock,
     entry::{calls, metrics, peers, replica, settings, store},
-    events, transport,
+    events, http, transport,
 };
 
 /// State of an entry VM, shared by its tasks.
@@ -30,6 +30,8 @@
     /// Idle connections to VMs that relay calls.
     pub(crate) relay_pool: calls::Pool<types::VmId>,
     pub(crate) metrics: metrics::Metrics,
+    /// Memory of the connections and messages of callers.
+    pub(crate) memory: http::Memory,
     /// Peer addresses of the seed VMs; they change with the settings file.
     pub(crate) seeds: cell::RefCell<Vec<net::SocketAddr>>,
     /// Files whose content in memory is newer than on the disk.
@@ -159,6 +161,7 @@
             pool: calls::Pool::default(),
             relay_pool: calls::Pool::default(),
             metrics: metrics::Metrics::new(),
+            memory: http::Memory::new(memory::capacity(cfg.limits.memory_bytes), clock),
             seeds: cell::RefCell::new(cfg.seed_addresses.clone()),
             unsaved: store::Unsaved::default(),
             rng: cell::RefCell::new(rngs::SmallRng::seed_from_u64(incarnation.0)),
--- a/wagtailshunt/src/http/blocks.rs
+++ b/wagtailshunt/src/http/blocks.rs
@@ -55,7 +55,7 @@
             [] => http::empty(),
             [only] => http::full(only.clone()),
             parts => http::Body::Blocks {
-                parts: parts.to_vec().into_iter(),
+                parts: Vec::from(parts).into_iter(),
                 left: self.len,
             },
         }
--- a/wagtailshunt/src/http/body.rs
+++ b/wagtailshunt/src/http/body.rs
@@ -1,6 +1,6 @@
 //! Body of requests and responses: buffered bytes or a forwarded stream.
 
-use std::{pin, task};
+use std::{pin, task, vec};
 
 use bytes::Bytes;
 use hyper::body::{Frame, Incoming, SizeHint};
@@ -26,6 +26,13 @@
 pub enum Body {
     /// A buffered body; `None` if it is empty or its bytes were taken.
     Full(Option<Bytes>),
+    /// A buffered body in several parts.
+    Blocks {
+        /// The parts that are still to be sent.
+        parts: vec::IntoIter<Bytes>,
+        /// Their total length in bytes.
+        left: u64,
+    },
     /// A body that is received from a peer and forwarded as it arrives.
     Incoming(Incoming),
     /// A boxed stream.
@@ -42,6 +49,13 @@
     Body::Full(Some(bytes.into()).filter(|bytes| !bytes.is_empty()))
 }
 
+impl Body {
+    /// Returns whether the whole body is in memory.
+    pub fn is_buffered(&self) -> bool {
+        matches!(self, Body::Full(_) | Body::Blocks { .. })
+    }
+}
+
 impl hyper::body::Body for Body {
     type Data = Bytes;
     type Error = BodyError;
@@ -52,6 +66,11 @@
     ) -> task::Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             Body::Full(bytes) => task::Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Body::Blocks { parts, left } => {
+                let part = parts.next();
+                *left -= part.as_ref().map_or(0, Bytes::len) as u64;
+                task::Poll::Ready(part.map(|part| Ok(Frame::data(part))))
+            }
             Body::Incoming(incoming) => pin::Pin::new(incoming)
                 .poll_frame(cx)
                 .map(|frame| frame.map(|frame| frame.map_err(BodyError::from))),
@@ -62,6 +81,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Body::Full(bytes) => bytes.is_none(),
+            Body::Blocks { parts, .. } => parts.len() == 0,
             Body::Incoming(incoming) => incoming.is_end_stream(),
             Body::Stream(stream) => stream.is_end_stream(),
         }
@@ -70,6 +90,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Body::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Body::Blocks { left, .. } => SizeHint::with_exact(*left),
             Body::Incoming(incoming) => incoming.size_hint(),
             Body::Stream(stream) => stream.size_hint(),
         }
--- a/wagtailshunt/src/http/pipeline.rs
+++ b/wagtailshunt/src/http/pipeline.rs
@@ -7,11 +7,11 @@
 
 use std::{cell, collections, net, pin, rc, task};
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use compio::runtime;
-use hyper::{Method, Request, Response, Uri, header, rt};
+use hyper::{Method, Request, Response, Uri, body, header, rt};
 
-use crate::http::{self, Body};
+use crate::http::{self, Body, occupancy::Occupancy};
 
 /// Maximum number of bytes that are read ahead of the request in progress.
 const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
@@ -19,9 +19,13 @@
 /// Maximum number of requests of a connection that run in addition to the one in hyper.
 const MAX_EARLY_REQUESTS: usize = 8;
 
-/// Largest single read from the socket.
+/// Largest single read from the socket, and largest number of bytes of the message in progress that
+/// are read before hyper takes them.
 const READ_CHUNK_BYTES: usize = 8 * 1024;
 
+/// Bytes for which memory is reserved before a read; more than a connection returns at once.
+const FIRST_READ_BYTES: usize = 4 * 1024;
+
 type Task = runtime::JoinHandle<Response<Body>>;
 
 /// Starts a request before hyper reaches it; returns `None` if the request must not start early.
@@ -39,6 +43,8 @@
     peer: net::SocketAddr,
     start: StartEarly,
     max_header_count: usize,
+    /// Memory of the connection.
+    pub occupancy: Occupancy,
     ahead: cell::RefCell<ReadAhead>,
     early_requests: cell::RefCell<collections::VecDeque<EarlyRequest>>,
     /// Whether a request was passed to hyper and has no response yet.
@@ -62,6 +68,19 @@
     eof: bool,
 }
 
+impl ReadAhead {
+    /// Appends bytes. The buffer grows in small steps, as its memory is charged.
+    fn append(&mut self, bytes: &[u8]) {
+        let len = self.buf.len() + bytes.len();
+        if self.buf.capacity() < len {
+            let mut grown = BytesMut::with_capacity(len.next_multiple_of(FIRST_READ_BYTES));
+            grown.extend_from_slice(&self.buf);
+            self.buf = grown;
+        }
+        self.buf.extend_from_slice(bytes);
+    }
+}
+
 /// A complete request head at the start of the buffer.
 struct Head {
     /// Length of the head in bytes.
@@ -77,11 +96,13 @@
         peer: net::SocketAddr,
         max_header_count: usize,
         start: StartEarly,
+        occupancy: Occupancy,
     ) -> rc::Rc<PipelineState> {
         rc::Rc::new(PipelineState {
             peer,
             start,
             max_header_count,
+            occupancy,
             ahead: cell::RefCell::default(),
             early_requests: cell::RefCell::default(),
             response_pending: cell::Cell::new(false),
@@ -132,6 +153,36 @@
         }
     }
 
+    /// Returns up to how many bytes are read ahead now. A head must fit; other bytes wait in the
+    /// kernel's buffer, where they cost this process nothing.
+    fn read_ahead_limit(&self, ahead: &ReadAhead) -> usize {
+        let is_in_message = ahead.pass_through || ahead.current_left > 0;
+        if is_in_message || ahead.buf.len() < READ_CHUNK_BYTES {
+            return READ_CHUNK_BYTES;
+        }
+        let may_read = match self.response_pending.get() {
+            true => self.occupancy.may_read_ahead(),
+            false => parse_head(&ahead.buf, self.max_header_count).is_none(),
+        };
+        match may_read {
+            true => MAX_READ_AHEAD_BYTES,
+            false => READ_CHUNK_BYTES,
+        }
+    }
+
+    /// Records whether a part of the next message was read, and frees an empty buffer.
+    fn update_occupancy(&self) {
+        let mut ahead = self.ahead.borrow_mut();
+        let is_empty = ahead.buf.is_empty();
+        self.occupancy.set_partial_message(!is_empty);
+        if is_empty && ahead.current_left == 0 && !ahead.pass_through {
+            if ahead.buf.capacity() > FIRST_READ_BYTES {
+                ahead.buf = BytesMut::new();
+            }
+            self.occupancy.release_ahead();
+        }
+    }
+
     fn start(&self, req: Option<Request<Body>>, body: Option<usize>) -> bool {
         let Some(req) = req.filter(|_| body == Some(0)) else {
             return false;
@@ -233,6 +284,63 @@
     }
 }
 
+/// Counts a request of a connection as in progress until it is dropped.
+pub struct RequestGuard {
+    state: rc::Rc<PipelineState>,
+}
+
+impl RequestGuard {
+    /// Records the start of a request.
+    pub fn new(state: &rc::Rc<PipelineState>) -> RequestGuard {
+        state.occupancy.request_started();
+        RequestGuard {
+            state: state.clone(),
+        }
+    }
+
+    /// Ends the request with its response, or at the end of a body that is still being received.
+    pub fn attach(self, response: Response<Body>) -> Response<Body> {
+        match response.body().is_buffered() {
+            true => response,
+            false => {
+                response.map(|body| Body::Stream(Box::pin(GuardedBody { body, _guard: self })))
+            }
+        }
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.state.occupancy.request_ended();
+    }
+}
+
+/// A body that belongs to a request in progress.
+struct GuardedBody {
+    body: Body,
+    _guard: RequestGuard,
+}
+
+impl body::Body for GuardedBody {
+    type Data = Bytes;
+    type Error = http::BodyError;
+
+    fn poll_frame(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<body::Frame<Bytes>, http::BodyError>>> {
+        pin::Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A connection that passes one message at a time to hyper.
 pub struct PipelinedIo<S> {
     inner: S,
@@ -247,21 +355,24 @@
 }
 
 impl<S: rt::Read + Unpin> PipelinedIo<S> {
-    /// Reads the available bytes, up to [`MAX_READ_AHEAD_BYTES`].
+    /// Reads the available bytes, up to the limit of what is read ahead and as far as there is memory.
     fn fill(&mut self, cx: &mut task::Context<'_>) -> std::io::Result<()> {
         loop {
             let mut ahead = self.state.ahead.borrow_mut();
-            if ahead.eof || ahead.buf.len() >= MAX_READ_AHEAD_BYTES {
+            let room = self.state.read_ahead_limit(&ahead);
+            let room = room.saturating_sub(ahead.buf.len()).min(READ_CHUNK_BYTES);
+            let expected = ahead.buf.len() + room.min(FIRST_READ_BYTES);
+            if ahead.eof || room == 0 || !self.state.occupancy.reserve_ahead(expected, cx) {
                 return Ok(());
             }
             let mut chunk = [0; READ_CHUNK_BYTES];
-            let mut read = rt::ReadBuf::new(&mut chunk);
+            let mut read = rt::ReadBuf::new(&mut chunk[..room]);
             match pin::Pin::new(&mut self.inner).poll_read(cx, read.unfilled()) {
                 task::Poll::Pending => return Ok(()),
                 task::Poll::Ready(result) => result?,
             }
             ahead.eof = read.filled().is_empty();
-            ahead.buf.extend_from_slice(read.filled());
+            ahead.append(read.filled());
         }
     }
 }
@@ -278,6 +389,8 @@
         let ready = this.state.deliverable_bytes();
         let mut ahead = this.state.ahead.borrow_mut();
         if ready == 0 {
+            let has_part = !ahead.buf.is_empty();
+            this.state.occupancy.set_partial_message(has_part);
             return match ahead.eof {
                 // The caller has closed the connection; end of file cancels its requests.
                 true => task::Poll::Ready(Ok(())),
@@ -288,6 +401,8 @@
         out.put_slice(&ahead.buf[..taken]);
         ahead.buf.advance(taken);
         ahead.current_left = ahead.current_left.saturating_sub(taken);
+        drop(ahead);
+        this.state.update_occupancy();
         task::Poll::Ready(Ok(()))
     }
 }
@@ -298,14 +413,20 @@
         cx: &mut task::Context<'_>,
         buf: &[u8],
     ) -> task::Poll<std::io::Result<usize>> {
-        pin::Pin::new(&mut self.get_mut().inner).poll_write(cx, buf)
+        let this = self.get_mut();
+        let written = pin::Pin::new(&mut this.inner).poll_write(cx, buf);
+        this.state.occupancy.record_write(&written);
+        written
     }
 
     fn poll_flush(
         self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<std::io::Result<()>> {
-        pin::Pin::new(&mut self.get_mut().inner).poll_flush(cx)
+        let this = self.get_mut();
+        let flushed = pin::Pin::new(&mut this.inner).poll_flush(cx);
+        this.state.occupancy.record_flush(&flushed);
+        flushed
     }
 
     fn poll_shutdown(
@@ -324,6 +445,9 @@
         cx: &mut task::Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> task::Poll<std::io::Result<usize>> {
-        pin::Pin::new(&mut self.get_mut().inner).poll_write_vectored(cx, bufs)
+        let this = self.get_mut();
+        let written = pin::Pin::new(&mut this.inner).poll_write_vectored(cx, bufs);
+        this.state.occupancy.record_write(&written);
+        written
     }
 }
--- a/wagtailshunt/src/http/serve.rs
+++ b/wagtailshunt/src/http/serve.rs
@@ -8,7 +8,12 @@
 use futures_util::{FutureExt, future as future_util, pin_mut, select_biased};
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service};
 
-use crate::http::{Body, io::Io, pipeline};
+use crate::http::{
+    Body, Memory,
+    io::Io,
+    occupancy::Occupancy,
+    pipeline::{self, RequestGuard},
+};
 
 /// Limits of a listener.
 #[derive(Clone, Copy, Debug)]
@@ -153,17 +158,29 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     let stopping = shutdown.clone();
-    accept(listener, limits, shutdown, move |stream, peer| {
-        let handler = handler.clone();
-        let respond = move |req| handler(req, peer);
-        serve_connection(Io::new(stream), limits, stopping.clone(), || true, respond)
-    })
+    let admit = |_is_full: bool| Some(());
+    accept(
+        listener,
+        limits,
+        shutdown,
+        admit,
+        move |stream, peer, ()| {
+            let handler = handler.clone();
+            let respond = move |req| handler(req, peer);
+            let evicted = future_util::pending();
+            let io = Io::new(stream);
+            serve_connection(io, limits, stopping.clone(), || true, evicted, respond)
+        },
+    )
     .await
 }
 
 /// Accepts connections as [`serve`] does and runs pipelined requests concurrently if
 /// `may_start_early` allows it. Responses are sent in the order of the requests.
 ///
+/// Connections are charged to `memory`. At the limit of connections, one that waits for its caller
+/// is closed for a new one.
+///
 /// # Errors
 ///
 /// Returns an error if the listener fails.
@@ -171,6 +188,7 @@
     listener: TcpListener,
     limits: Limits,
     shutdown: Shutdown,
+    memory: Memory,
     may_start_early: impl Fn(&Request<Body>) -> bool + 'static,
     handler: H,
 ) -> io::Result<()>
@@ -183,37 +201,58 @@
     let start: pipeline::StartEarly = rc::Rc::new(move |req, peer| {
         may_start_early(&req).then(|| compio::runtime::spawn(early(req, peer)))
     });
-    accept(listener, limits, shutdown, move |stream, peer| {
-        let pipeline_state = pipeline::PipelineState::new(peer, limits.header_count, start.clone());
-        let io = pipeline::PipelinedIo::new(Io::new(stream), pipeline_state.clone());
-        let handler = handler.clone();
-        let pipeline = pipeline_state.clone();
-        let may_close = move || !pipeline.has_early_requests();
-        let respond = move |req: Request<Incoming>| {
-            let (pipeline_state, handler) = (pipeline_state.clone(), handler.clone());
-            async move {
-                let early = pipeline_state.take_early(req.method(), req.uri()).await;
-                let mut response = match early {
-                    Some(response) => response,
-                    None => handler(req.map(Body::Incoming), peer).await,
-                };
-                if pipeline_state.has_early_requests() {
-                    response.headers_mut().remove(hyper::header::CONNECTION);
+    let admit = move |is_full| match is_full {
+        true => {
+            memory.replace_connection();
+            None
+        }
+        false => memory.open_connection(),
+    };
+    accept(
+        listener,
+        limits,
+        shutdown,
+        admit,
+        move |stream, peer, holder| {
+            let occupancy = Occupancy::new(holder);
+            let pipeline_state =
+                pipeline::PipelineState::new(peer, limits.header_count, start.clone(), occupancy);
+            let io = pipeline::PipelinedIo::new(Io::new(stream), pipeline_state.clone());
+            let connection = pipeline_state.clone();
+            let evicted = async move { connection.occupancy.evicted().await };
+            let handler = handler.clone();
+            let pipeline = pipeline_state.clone();
+            let may_close = move || !pipeline.has_early_requests();
+            let respond = move |req: Request<Incoming>| {
+                let (pipeline_state, handler) = (pipeline_state.clone(), handler.clone());
+                async move {
+                    let guard = RequestGuard::new(&pipeline_state);
+                    let early = pipeline_state.take_early(req.method(), req.uri()).await;
+                    let mut response = match early {
+                        Some(response) => response,
+                        None => handler(req.map(Body::Incoming), peer).await,
+                    };
+                    if pipeline_state.has_early_requests() {
+                        response.headers_mut().remove(hyper::header::CONNECTION);
+                    }
+                    pipeline_state.response_ready();
+                    guard.attach(response)
                 }
-                pipeline_state.response_ready();
-                response
-            }
-        };
-        serve_connection(io, limits, stopping.clone(), may_close, respond)
-    })
+            };
+            serve_connection(io, limits, stopping.clone(), may_close, evicted, respond)
+        },
+    )
     .await
 }
 
-async fn accept<C>(
+/// Accepts connections. `admit` returns what a connection needs, or `None` while there is no room
+/// for one; it is told whether the limit of connections is reached.
+async fn accept<T, C>(
     listener: TcpListener,
     limits: Limits,
     shutdown: Shutdown,
-    serve_connection: impl Fn(TcpStream, net::SocketAddr) -> C,
+    admit: impl Fn(bool) -> Option<T>,
+    serve_connection: impl Fn(TcpStream, net::SocketAddr, T) -> C,
 ) -> io::Result<()>
 where
     C: Future<Output = ()> + 'static,
@@ -222,13 +261,15 @@
     let _listening = shutdown.track_connection();
     let mut closing_since: Option<time::Instant> = None;
     loop {
-        if shutdown.open_connections() >= limits.connections {
+        let is_full = shutdown.open_connections() >= limits.connections;
+        let admitted = admit(is_full).filter(|_| !is_full);
+        let Some(admitted) = admitted else {
             compio::time::sleep(time::Duration::from_millis(1)).await;
             if shutdown.is_started() {
                 return Ok(());
             }
             continue;
-        }
+        };
         let accepted = if let Some(since) = closing_since {
             if since.elapsed() >= LAST_ACCEPT_LIMIT {
                 return Ok(());
@@ -260,7 +301,7 @@
                 let guard = shutdown.track_connection();
                 shutdown.prune_start_waiters();
                 // Boxed, because a future that awaits another one by value takes its size twice.
-                let task = Box::pin(serve_connection(stream, peer));
+                let task = Box::pin(serve_connection(stream, peer, admitted));
                 compio::runtime::spawn(async move {
                     let _guard = guard;
                     task.await;
@@ -301,12 +342,13 @@
 const LAST_ACCEPT_LIMIT: time::Duration = time::Duration::from_millis(100);
 
 /// Serves a connection until it ends or, after the start of the shutdown, until `may_close` and the
-/// request in progress has its response.
+/// request in progress has its response. It is closed at once when `evicted` returns.
 async fn serve_connection<S, H, F>(
     io: S,
     limits: Limits,
     shutdown: Shutdown,
     may_close: impl Fn() -> bool + Clone + 'static,
+    evicted: impl Future<Output = ()>,
     handler: H,
 ) where
     S: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
@@ -348,12 +390,13 @@
             compio::time::sleep(CLOSE_CHECK_INTERVAL).await;
         }
     };
-    pin_mut!(stop);
-    match future_util::select(conn.as_mut(), stop).await {
-        future_util::Either::Left(_) => {}
-        future_util::Either::Right(_) => {
+    pin_mut!(stop, evicted);
+    match future_util::select(conn.as_mut(), future_util::select(stop, evicted.as_mut())).await {
+        future_util::Either::Left(_)
+        | future_util::Either::Right((future_util::Either::Right(_), _)) => {}
+        future_util::Either::Right((future_util::Either::Left(_), _)) => {
             conn.as_mut().graceful_shutdown();
-            let _: Result<(), hyper::Error> = conn.await;
+            future_util::select(conn, evicted).await;
         }
     }
 }
