--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod measure;
+pub mod memory;
 pub mod outcome;
 pub mod placement;
 pub mod reach;
