Load shedding by what the loss of a call costs its caller

Cause: under more load than targets take, and with targets that refuse half of their calls, the queue went by priority and arrival, the retry budget to whoever came first, and Retry-After was random. Kinds of calls lost alike, whatever their loss costs. After a start, calls left one after the other behind probes, since there were no load reports.

Change: core::shedding decides the order of the queue, which waiting calls are displaced, who gets tokens of a short retry budget, hedges and Retry-After; entry::calls::shed uses it where the configuration has workspaces or with Limits::shed_by_value (default false). Without a report, a VM sends at most its part of the slots. Targets that have stopped to report get nothing, and a call that a target has lost by its own reports is hedged once it is overdue.

Not run on a whole system.

--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -122,4 +122,7 @@
     PathChanged = 134, Warn, "path to the targets lost or regained";
     StateSent = 135, Info, "state or missing commands sent to a VM";
     StateReceived = 136, Info, "state received from a VM";
+    CapacityShort = 150, Warn, "slots of a service short or sufficient again";
+    RetriesShort = 151, Warn, "retry budget of a service short or sufficient again";
+    CallShed = 152, Debug, "call refused to shed load";
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod replication;
 pub mod retry;
 pub mod routing;
+pub mod shedding;
 pub mod state_machine;
 pub mod storage;
 pub mod time;
--- a/core/src/placement/hedge.rs
+++ b/core/src/placement/hedge.rs
@@ -30,6 +30,11 @@
 }
 
 impl InFlight {
+    /// Returns whether the response takes longer than was expected of the target.
+    pub fn is_overdue(&self, now: core_time::Instant) -> bool {
+        self.overdue_at(OVERDUE_FACTOR) <= now
+    }
+
     fn overdue_at(&self, factor: f64) -> core_time::Instant {
         self.sent + self.expected_latency.mul_f64(factor)
     }
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -13,6 +13,7 @@
 mod hedge;
 mod probe_rate;
 mod queue;
+mod room;
 mod search;
 mod target;
 
@@ -27,6 +28,7 @@
 pub use self::hedge::{Hedge, InFlight, hedge};
 pub use self::probe_rate::ProbeRate;
 pub use self::queue::{Queue, Ticket};
+pub use self::room::Unreported;
 pub use self::search::{Search, SearchConfig, Step};
 use self::target::Target;
 use crate::{fleet, time as core_time, types};
--- /dev/null
+++ b/core/src/placement/room.rs
@@ -0,0 +1,58 @@
+//! What this VM knows of targets beside their load: the room at targets without a report, and calls
+//! that a target has lost.
+
+use std::time;
+
+use super::Placement;
+use crate::{time as core_time, types};
+
+/// Time for which the reports of a target must show fewer calls than this VM has there before one of
+/// them counts as lost: several reports and round trips, in which a response may be on its way.
+const LOST_AFTER: time::Duration = time::Duration::from_millis(100);
+
+/// Slots of the targets of a service that have reported no load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Unreported {
+    /// Slots that these targets announce.
+    pub slots: u32,
+    /// This VM's calls in flight at them.
+    pub in_flight: u32,
+    /// Whether another target of the service has reported its load.
+    pub others_reported: bool,
+}
+
+impl Unreported {
+    /// Returns whether this VM, one of `vms`, may send one more call to these targets. Without a
+    /// report it knows nothing of the calls of the other VMs, so that it keeps to its part of the
+    /// slots, or to one call where there are fewer slots than VMs.
+    pub fn has_room(&self, vms: usize) -> bool {
+        let vms = u32::try_from(vms.max(1)).unwrap_or(u32::MAX);
+        self.in_flight < (self.slots / vms).max(1)
+    }
+}
+
+impl Placement {
+    /// Returns whether a target has lost calls of this VM: for some time its reports have shown fewer
+    /// calls than this VM has there. Some targets never answer a call that finds their queue full.
+    pub fn has_lost_calls(&self, now: core_time::Instant, target: &types::TargetId) -> bool {
+        let since = self
+            .target(target)
+            .and_then(|target| target.unexplained_since());
+        since.is_some_and(|since| now.since(since) >= LOST_AFTER)
+    }
+
+    /// Returns what is known of the targets of a service that have reported no load.
+    pub fn unreported(&self, service: &types::ServiceName) -> Unreported {
+        let mut unreported = Unreported::default();
+        let targets = self.services.get(service).map(|service| &service.targets);
+        for target in targets.into_iter().flat_map(|targets| targets.values()) {
+            if target.has_report() || !target.reports_load {
+                unreported.others_reported = true;
+                continue;
+            }
+            unreported.slots += target.slots();
+            unreported.in_flight += target.in_flight;
+        }
+        unreported
+    }
+}
--- a/core/src/placement/target.rs
+++ b/core/src/placement/target.rs
@@ -28,6 +28,8 @@
     slots: u32,
     warmup_ends_at: core_time::Instant,
     last_report: Option<TimedReport>,
+    /// Since when each report has shown fewer calls than this VM has at the target.
+    unexplained_since: Option<core_time::Instant>,
     consecutive_failures: u32,
     ejected_until: Option<core_time::Instant>,
 }
@@ -48,6 +50,7 @@
             slots: estimate::bounded_slots(announcement.slots),
             warmup_ends_at: now + announcement.warmup_left,
             last_report: None,
+            unexplained_since: None,
             consecutive_failures: 0,
             ejected_until: None,
         }
@@ -70,6 +73,13 @@
         self.slow_until = None;
         let own_in_flight = self.in_flight;
         let load = *load;
+        // Calls that were sent since the previous report may be on their way.
+        let earlier_own = self.last_report.map_or(0, |report| report.own_in_flight);
+        self.unexplained_since = match load.running + load.waiting < earlier_own.min(own_in_flight)
+        {
+            true => self.unexplained_since.or(Some(at)),
+            false => None,
+        };
         self.last_report = Some(TimedReport {
             load,
             at,
@@ -78,6 +88,18 @@
         true
     }
 
+    pub fn has_report(&self) -> bool {
+        self.last_report.is_some()
+    }
+
+    pub fn unexplained_since(&self) -> Option<core_time::Instant> {
+        self.unexplained_since
+    }
+
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
     pub fn last_slowness(&self) -> f64 {
         let percent = self
             .last_report
--- a/core/src/retry/mod.rs
+++ b/core/src/retry/mod.rs
@@ -129,6 +129,11 @@
         true
     }
 
+    /// Returns the number of tokens that can be taken.
+    pub fn available(&self) -> u64 {
+        self.tokens / UNITS_PER_TOKEN
+    }
+
     /// Returns whether there is a token to take.
     pub fn has_tokens(&self) -> bool {
         self.tokens >= UNITS_PER_TOKEN
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -18,6 +18,7 @@
             budget, crash,
             failure::Failure,
             relay::{self, RelayOutcome, RelayedCall},
+            shed::CallShedding,
             target_search,
             work::ServiceTime,
         },
@@ -59,6 +60,8 @@
     pub arrival: core_time::Instant,
     /// Set if another VM relays the call to this one.
     relayed: Option<RelayedCall>,
+    /// Set if load is shed by value.
+    pub(super) shedding: Option<CallShedding>,
     /// Whether the call was sent to a relay that may run it, with all attempts that were left.
     is_at_relay: cell::Cell<bool>,
     /// Targets that the call was sent to.
@@ -67,7 +70,7 @@
     /// choice.
     choices: cell::RefCell<Vec<(placement::Choice, time::Duration)>>,
     /// Latest attempt that was sent.
-    in_flight: cell::Cell<Option<placement::InFlight>>,
+    pub(super) in_flight: cell::Cell<Option<placement::InFlight>>,
 }
 
 /// Why an attempt is made.
@@ -139,6 +142,8 @@
     ) -> rc::Rc<Call> {
         let workspace = request.workspace.as_ref();
         let workspace_priority = workspace.and_then(|call| call.workspace.1.priority);
+        let shedding =
+            CallShedding::new(&state, &named_route.0, &service, &request, arrival, relayed);
         rc::Rc::new(Call {
             state,
             priority: workspace_priority.unwrap_or(named_route.1.priority),
@@ -148,6 +153,7 @@
             request,
             arrival,
             relayed,
+            shedding,
             is_at_relay: cell::Cell::new(false),
             tried: cell::RefCell::default(),
             choices: cell::RefCell::default(),
@@ -259,6 +265,7 @@
                 budget::retries(limits, inner, &self.service).count_call();
             }
             budget::probes(limits, inner, &self.service).count_call();
+            self.record_earned(inner);
         });
     }
 
@@ -321,12 +328,20 @@
         if purpose == Purpose::Reroute {
             self.wait_for_path_check().await;
         }
+        let grant = match self.reserve_retry(purpose == Purpose::Retry && !self.uses_relay()) {
+            Ok(grant) => grant,
+            Err(reason) => return AttemptResult::NotSent(reason),
+        };
         let choice = match target_search::find_target(&self, self.search()).await {
             Ok(choice) => choice,
-            Err(_) if self.uses_relay() => return self.run_relayed(purpose, attempts_left).await,
+            Err(_) if self.uses_relay() => {
+                drop(grant);
+                return self.run_relayed(purpose, attempts_left).await;
+            }
             Err(reason) => return AttemptResult::NotSent(reason),
         };
         let to = &choice.target;
+        drop(grant);
         if let Some(reason) = self.check_extra_attempt(purpose, choice.expected_latency, to) {
             return AttemptResult::NotSent(reason);
         }
@@ -553,22 +568,6 @@
         })
     }
 
-    /// Waits until a hedged attempt is worthwhile; never returns for calls that may not have one.
-    async fn wait_for_hedge(self: &rc::Rc<Self>) {
-        if !self.request.repeatable || self.route.max_attempts <= 1 {
-            return future::pending().await;
-        }
-        let clock = self.state.clock;
-        let objective = self.arrival + self.route.objective;
-        loop {
-            let now = clock.now();
-            match placement::hedge(now, objective, self.service_time(), self.in_flight.get()) {
-                placement::Hedge::Now => return,
-                placement::Hedge::Later(at) => clock.sleep_until(at).await,
-            }
-        }
-    }
-
     /// Returns the delay for `Retry-After` of a call that is refused for this reason.
     pub fn retry_after(&self, reason: Failure) -> time::Duration {
         if reason == Failure::Stopping {
@@ -576,6 +575,9 @@
         }
         let share = self.state.rng.borrow_mut().random_range(RETRY_AFTER_SHARE);
         let time_left = self.request.caller_deadline.since(self.state.clock.now());
+        if let Some(delay) = self.planned_return(time_left) {
+            return delay;
+        }
         time_left.mul_f64(share * MAX_RETRY_AFTER_SHARE)
     }
 }
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -254,6 +254,7 @@
 
 /// Builds the response to a call and records its result.
 fn finish_call(state: &state::State, call: &Call, outcome: CallOutcome) -> Response<http::Body> {
+    let served = matches!(outcome, CallOutcome::Response(_));
     let (response, outcome) = match outcome {
         CallOutcome::Response(response) => {
             let mut response = call::build_response(response);
@@ -264,25 +265,30 @@
             let not_run = reason.status() == hyper::StatusCode::SERVICE_UNAVAILABLE;
             let may_retry = not_run && reason != Failure::CrashesTargets;
             let retry_after = may_retry.then(|| call.retry_after(reason));
+            call.record_shed(retry_after);
             let response = failed_response(reason, retry_after, call.is_relayed());
             (response, reason.to_string())
         }
     };
+    call.record_served(served);
     let version = state.with(|inner| inner.machine.table.version());
-    record_finished(
-        state,
-        call.arrival,
-        response.status().as_u16(),
-        &[
-            ("request", &call.request_id_text()),
-            ("outcome", &outcome),
-            ("route", &call.route_name),
-            ("service", &call.service),
-            ("relayed", &call.is_relayed()),
-            ("choices", &call.format_choices()),
-            ("version", &version),
-        ],
-    );
+    let (request, relayed) = (call.request_id_text(), call.is_relayed());
+    let choices = call.format_choices();
+    let shed = call.shed_text();
+    let mut fields: Vec<(&'static str, &dyn std::fmt::Display)> = vec![
+        ("request", &request),
+        ("outcome", &outcome),
+        ("route", &call.route_name),
+        ("service", &call.service),
+        ("relayed", &relayed),
+        ("choices", &choices),
+        ("version", &version),
+    ];
+    if let Some(shed) = &shed {
+        fields.push(("shed", shed));
+    }
+    let status = response.status().as_u16();
+    record_finished(state, call.arrival, status, &fields);
     response
 }
 
--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -4,8 +4,9 @@
 //! `target_search` finds a target with capacity, and `attempt` sends the call to it. `pool` keeps
 //! idle connections, `probe` requests the load of targets, `crash` detects targets that crash
 //! during a call, `budget` limits retries and probes, `work` estimates the service time of a route,
-//! and `failure` builds error responses. `relay` sends calls to another VM while this one has lost its
-//! path to the targets.
+//! and `failure` builds error responses. `shed` refuses calls by what their loss costs callers, and
+//! `hedging` decides when a slow call gets a second attempt. `relay` sends calls to another VM while
+//! this one has lost its path to the targets.
 
 mod attempt;
 mod budget;
@@ -13,10 +14,12 @@
 mod crash;
 mod failure;
 mod handler;
+mod hedging;
 mod pool;
 mod probe;
 mod relay;
 mod response;
+mod shed;
 mod target_search;
 mod work;
 
--- a/wagtailshunt/src/entry/calls/target_search.rs
+++ b/wagtailshunt/src/entry/calls/target_search.rs
@@ -4,23 +4,38 @@
 //! probes reach the search as load reports in the shared state.
 
 use futures_util::{StreamExt, stream};
-use wagtailshunt_core::{placement, types};
+use wagtailshunt_core::{placement, shedding, time as core_time, types};
 
 use crate::entry::calls::{budget, call::Call, failure::Failure, probe};
 
+/// Place of a call in the queue of its service.
+#[derive(Clone, Copy)]
+enum Ticket {
+    /// In the queue by arrival.
+    Plain(placement::Ticket),
+    /// In the queue of the shedder, where load is shed by value.
+    Shedder(shedding::Ticket),
+}
+
 /// An entry in the queue of a service; dropping it removes the call from the queue.
 struct QueueEntry<'a> {
     call: &'a Call,
-    ticket: placement::Ticket,
+    ticket: Ticket,
     late: bool,
 }
 
 impl<'a> QueueEntry<'a> {
     fn join(call: &'a Call, search: &placement::Search) -> QueueEntry<'a> {
         let now = call.state.clock.now();
-        let slack = search.slack(now, call.service_time());
-        let priority = call.priority;
-        let ticket = call.with_queue(|queue| queue.push(now, priority, slack));
+        let ticket = match call.join_shedder(now) {
+            Some(ticket) => Ticket::Shedder(ticket),
+            None => {
+                let slack = search.slack(now, call.service_time());
+                let priority = call.priority;
+                let ticket = call.with_queue(|queue| queue.push(now, priority, slack));
+                Ticket::Plain(ticket)
+            }
+        };
         QueueEntry {
             call,
             ticket,
@@ -29,16 +44,38 @@
     }
 
     fn set_late(&mut self, late: bool) {
-        if late && !self.late {
+        if late
+            && !self.late
+            && let Ticket::Plain(ticket) = self.ticket
+        {
             self.late = true;
-            self.call.with_queue(|queue| queue.set_late(self.ticket));
+            self.call.with_queue(|queue| queue.set_late(ticket));
+        }
+    }
+
+    /// Returns whether the call is the next to be served.
+    fn is_next(&self, now: core_time::Instant) -> Result<bool, Failure> {
+        match self.ticket {
+            Ticket::Plain(ticket) => Ok(self.call.with_queue(|queue| queue.is_next(now, ticket))),
+            Ticket::Shedder(ticket) => self.call.is_next(now, ticket),
+        }
+    }
+
+    /// Removes the call, which is sent to a target.
+    fn dispatched(&self, now: core_time::Instant) {
+        match self.ticket {
+            Ticket::Plain(ticket) => self.call.with_queue(|queue| queue.dispatched(now, ticket)),
+            Ticket::Shedder(ticket) => self.call.shedder_dispatched(now, ticket),
         }
     }
 }
 
 impl Drop for QueueEntry<'_> {
     fn drop(&mut self) {
-        self.call.with_queue(|queue| queue.remove(self.ticket));
+        match self.ticket {
+            Ticket::Plain(ticket) => self.call.with_queue(|queue| queue.remove(ticket)),
+            Ticket::Shedder(ticket) => self.call.leave_shedder(ticket),
+        }
     }
 }
 
@@ -56,17 +93,19 @@
     if call.state.is_path_lost() {
         return Err(Failure::Unreachable);
     }
-    call.check_queue_wait()?;
+    if call.shedding.is_none() {
+        call.check_queue_wait()?;
+    }
     let mut queue_entry = QueueEntry::join(call, &search);
     let choice = loop {
         if call.state.is_path_lost() {
             return Err(Failure::Unreachable);
         }
         let now = call.state.clock.now();
-        let is_head = call.with_queue(|queue| queue.is_next(now, queue_entry.ticket));
+        let is_head = queue_entry.is_next(now)?;
         match call.step(&mut search, is_head) {
             placement::Step::Send(choice) => break choice,
-            placement::Step::Overloaded => return Err(Failure::Overloaded),
+            placement::Step::Overloaded => return Err(call.shed(shedding::Reason::Waited)),
             placement::Step::NoTarget => return Err(Failure::NoTarget),
             placement::Step::Wait { pause, late } => {
                 queue_entry.set_late(late);
@@ -80,7 +119,7 @@
         }
     };
     let now = call.state.clock.now();
-    call.with_queue(|queue| queue.dispatched(now, queue_entry.ticket));
+    queue_entry.dispatched(now);
     Ok(choice)
 }
 
@@ -115,9 +154,20 @@
             tried: &tried,
         };
         self.state.with(|inner| {
+            if is_head && let Some(choice) = self.choose_unreported(inner, now, &demand) {
+                return placement::Step::Send(choice);
+            }
             let limits = &self.state.cfg.limits;
             let may_probe = budget::probes(limits, inner, &self.service).has_tokens();
             let step = search.step(now, &mut inner.placement, &demand, is_head, may_probe);
+            if let placement::Step::Send(choice) = &step
+                && !self.has_room_at(inner, choice)
+            {
+                return placement::Step::Wait {
+                    pause: self.state.cfg.search.pause,
+                    late: search.is_late(now, demand.work),
+                };
+            }
             if let placement::Step::Probe(targets) = &step {
                 targets.iter().for_each(|_| {
                     budget::probes(limits, inner, &self.service).try_spend();
--- a/wagtailshunt/src/entry/metrics.rs
+++ b/wagtailshunt/src/entry/metrics.rs
@@ -9,6 +9,8 @@
     registry: Registry,
     /// Calls by outcome.
     pub calls: IntCounterVec,
+    /// Calls refused to shed load, by reason and priority.
+    pub shed: IntCounterVec,
     /// Attempts at targets by result.
     pub attempts: IntCounterVec,
     /// Time of calls from the request head to the response, by outcome, in seconds.
@@ -50,6 +52,12 @@
         }
         Metrics {
             calls: metrics::counter_vec(&registry, "calls_total", "Calls by outcome.", "outcome"),
+            shed: metrics::counter_vec2(
+                &registry,
+                "shed_total",
+                "Calls refused to shed load, by reason and priority.",
+                ["reason", "priority"],
+            ),
             attempts: metrics::counter_vec(
                 &registry,
                 "attempts_total",
--- a/wagtailshunt/src/entry/settings.rs
+++ b/wagtailshunt/src/entry/settings.rs
@@ -108,6 +108,9 @@
     pub key_revocation: Option<time::Duration>,
     /// Bound on the calls of workspaces over all VMs.
     pub allowance: AllowanceBound,
+    /// Whether calls are shed by what their loss costs callers although the configuration has no
+    /// workspaces; with workspaces they always are.
+    pub shed_by_value: bool,
     /// Factor on the configured rate of calls to a cold target up to which the bound still holds.
     pub warmup_overage: f64,
     /// Calls to a cold target in any second that the bound allows beyond the rate.
@@ -168,6 +171,7 @@
             max_open_files: None,
             key_revocation: None,
             allowance: AllowanceBound::default(),
+            shed_by_value: false,
             warmup_overage: 1.5,
             warmup_slack: 8.0,
         }
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -7,7 +7,7 @@
 use rand::{SeedableRng, rngs};
 use wagtailshunt_core::{
     catch_up, containment, drain, fleet, formation, placement, reach, relay, replication, retry,
-    routing, state_machine, time as core_time, types,
+    routing, shedding, state_machine, time as core_time, types,
 };
 
 use crate::{
@@ -103,6 +103,8 @@
     pub(crate) probe_rate: placement::ProbeRate,
     /// Calls that wait for a target, by service.
     pub queues: collections::BTreeMap<types::ServiceName, placement::Queue>,
+    /// Decisions on the calls of each service where load is shed by value.
+    pub shedders: collections::BTreeMap<types::ServiceName, shedding::Shedder>,
     /// Requests during which targets crashed.
     pub(crate) crashes: containment::CrashCounter,
     /// How far each service of a traffic split is behind its weight, in calls, by route.
@@ -189,6 +191,7 @@
                 probe_budgets: collections::BTreeMap::new(),
                 probe_rate: placement::ProbeRate::default(),
                 queues: collections::BTreeMap::new(),
+                shedders: collections::BTreeMap::new(),
                 crashes: containment::CrashCounter::default(),
                 split_credits: collections::BTreeMap::new(),
                 service_times: collections::BTreeMap::new(),
--- a/wagtailshunt/src/metrics/mod.rs
+++ b/wagtailshunt/src/metrics/mod.rs
@@ -32,6 +32,18 @@
     vec
 }
 
+/// Registers a counter vector with two labels.
+pub fn counter_vec2(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: [&str; 2],
+) -> IntCounterVec {
+    let vec = IntCounterVec::new(Opts::new(name, help), &labels).expect("constant name is valid");
+    register(registry, Box::new(vec.clone()));
+    vec
+}
+
 fn register(registry: &Registry, collector: Box<dyn prometheus::core::Collector>) {
     if let Err(err) = registry.register(collector) {
         log::warn!("cannot register metric: {err}; it is not exported");
