Load shedding: room after a start, returns, classes of the retry budget

Cause: a refused caller came back after a part of its time although slots were free and targets refuse calls whatever their load; right after a start only the head of the queue was sent although all had room; returning callers of one kind went before urgent calls of another.

Change: Retry-After within the time of one call where targets refuse and no call waits; callers that come back take the first places of their kind and a class of their own in the retry budget; all waiting calls go at once while they fit into the VM's part of the slots without reports.

--- a/core/src/placement/room.rs
+++ b/core/src/placement/room.rs
@@ -22,12 +22,12 @@
 }
 
 impl Unreported {
-    /// Returns whether this VM, one of `vms`, may send one more call to these targets. Without a
-    /// report it knows nothing of the calls of the other VMs, so that it keeps to its part of the
-    /// slots, or to one call where there are fewer slots than VMs.
-    pub fn has_room(&self, vms: usize) -> bool {
-        let vms = u32::try_from(vms.max(1)).unwrap_or(u32::MAX);
-        self.in_flight < (self.slots / vms).max(1)
+    /// Returns how many more calls this VM, one of `vms`, may send to these targets. Without a report
+    /// it knows nothing of the calls of the other VMs, so that it keeps to its part of the slots, or
+    /// to one call where there are fewer slots than VMs.
+    pub fn room(&self, vms: usize) -> usize {
+        let part = (self.slots as usize / vms.max(1)).max(1);
+        part.saturating_sub(self.in_flight as usize)
     }
 }
 
--- a/core/src/shedding/mod.rs
+++ b/core/src/shedding/mod.rs
@@ -26,11 +26,11 @@
 use derive_more::Display;
 
 pub use self::queue::{Queue, Ticket, Verdict};
-pub use self::returns::Returns;
+pub use self::returns::{Returns, Room};
 pub use self::share::Shares;
 use self::shortage::Shortage;
 pub use self::shortage::{Change, Resource};
-pub use self::tokens::TokenGate;
+pub use self::tokens::{Class, TokenGate};
 pub use self::usual_time::UsualTime;
 use crate::time as core_time;
 
@@ -133,7 +133,7 @@
 
     /// Returns what a waiting call does now.
     pub fn verdict(&mut self, now: core_time::Instant, ticket: Ticket) -> Verdict {
-        self.queue.verdict(now, ticket, &mut self.shares)
+        self.queue.verdict(now, ticket, &self.shares)
     }
 
     /// Removes a call that is sent to a target.
@@ -151,22 +151,15 @@
         self.shares.finished(now, caller, served);
     }
 
-    /// Records that calls have added `tokens` to the retry budget.
+    /// Records that a call has added `tokens` to the retry budget.
     pub fn earned(&mut self, now: core_time::Instant, tokens: f64) {
         self.tokens.earned(now, tokens);
     }
 
     /// Returns whether a call that failed at a target may take one of the `tokens` of the retry
-    /// budget. `in_time` is whether it can still meet its latency objective. The token is kept for it
-    /// until [`Shedder::settle_retry`].
-    pub fn may_retry(
-        &mut self,
-        now: core_time::Instant,
-        priority: u32,
-        in_time: bool,
-        tokens: u64,
-    ) -> bool {
-        self.tokens.ask(now, priority, in_time, tokens)
+    /// budget. The token is kept for it until [`Shedder::settle_retry`].
+    pub fn may_retry(&mut self, now: core_time::Instant, class: Class, tokens: u64) -> bool {
+        self.tokens.ask(now, class, tokens)
     }
 
     /// Records that the token of a call is taken from the budget now, or not needed.
@@ -180,17 +173,23 @@
         self.queue.is_empty() && !self.tokens.is_short(now)
     }
 
-    /// Returns the delay after which a refused caller has a chance. `time_left` is the time that
-    /// the caller has left; `random` in 0..1 spreads callers that are refused together.
+    /// Returns the delay after which a refused caller has a chance. `by_target` is whether a target
+    /// refused it; `time_left` is the time that the caller has left; `random` in 0..1 spreads callers
+    /// that are refused together.
     pub fn retry_after(
         &mut self,
         now: core_time::Instant,
         caller: &Caller,
+        by_target: bool,
         time_left: time::Duration,
         random: f64,
     ) -> time::Duration {
-        let backlog = self.queue.backlog(now, caller.priority);
-        self.returns.delay(now, caller, time_left, backlog, random)
+        let room = match by_target && self.queue.is_empty() {
+            true if self.tokens.is_return_worthwhile(now) => Room::Free,
+            true => Room::Unknown,
+            false => self.queue.room(now, caller.priority),
+        };
+        self.returns.delay(now, caller, time_left, room, random)
     }
 
     /// Returns the next change of the shortages of slots and of the retry budget, for the log.
--- a/core/src/shedding/queue.rs
+++ b/core/src/shedding/queue.rs
@@ -8,7 +8,7 @@
 
 use std::{collections, time};
 
-use super::{Caller, FadingSum, Reason, Shares, Times, returns::Backlog};
+use super::{Caller, FadingSum, Reason, Room, Shares, Times};
 use crate::time as core_time;
 
 /// Identifies a waiting call. Tickets rise in order of arrival.
@@ -196,23 +196,20 @@
         !self.is_empty() && rate.is_some_and(|rate| arriving > rate * GROWTH_MARGIN)
     }
 
-    /// Returns the work of the waiting calls that are at least as urgent as a call of this priority;
-    /// `None` when the rate is not known.
-    pub fn backlog(&mut self, now: core_time::Instant, priority: u32) -> Option<Backlog> {
-        let rate = self.rate(now)?;
+    /// Returns when a call of this priority finds room: behind the waiting calls that are at least as
+    /// urgent.
+    pub fn room(&mut self, now: core_time::Instant, priority: u32) -> Room {
+        let Some(rate) = self.rate(now).filter(|_| !self.is_empty()) else {
+            return Room::Unknown;
+        };
         let before = self.waiting.values().map(|waiting| &waiting.caller);
         let before = before.filter(|caller| caller.priority <= priority);
         let work = before.map(|caller| caller.work).sum();
-        Some(Backlog { work, rate })
+        Room::Behind { work, rate }
     }
 
     /// Returns what a call does now. A call that is not in the queue waits.
-    pub fn verdict(
-        &mut self,
-        now: core_time::Instant,
-        ticket: Ticket,
-        shares: &mut Shares,
-    ) -> Verdict {
+    pub fn verdict(&mut self, now: core_time::Instant, ticket: Ticket, shares: &Shares) -> Verdict {
         let current = self.plan.take();
         let current = current.filter(|plan| now.since(plan.made_at) < PLAN_AGE);
         let plan = current.unwrap_or_else(|| self.make_plan(now, shares));
@@ -225,10 +222,9 @@
         verdict
     }
 
-    fn make_plan(&mut self, now: core_time::Instant, shares: &mut Shares) -> Plan {
+    fn make_plan(&mut self, now: core_time::Instant, shares: &Shares) -> Plan {
         let rate = self.rate(now);
         let growing = self.is_growing(now);
-        shares.remove_old(now);
         let mut waiting: Vec<(&Ticket, &Waiting)> = self.waiting.iter().collect();
         waiting.sort_by_key(|(_, waiting)| (!waiting.caller.returning, waiting.times.in_time));
         let owed = shares.owed(now, waiting.iter().map(|(_, waiting)| &waiting.caller));
--- a/core/src/shedding/returns.rs
+++ b/core/src/shedding/returns.rs
@@ -16,13 +16,20 @@
 /// Time for which a refused class of calls counts when the delays of the others are drawn.
 const CLASS_AGE: time::Duration = time::Duration::from_secs(2);
 
-/// Work of waiting calls, and the rate at which it is done.
+/// When a refused caller finds room.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Backlog {
-    /// Work of the waiting calls that go first.
-    pub work: time::Duration,
-    /// Work that is done in each second: the number of slots that this VM gets.
-    pub rate: f64,
+pub enum Room {
+    /// Calls wait for slots.
+    Behind {
+        /// Work of the waiting calls that go first.
+        work: time::Duration,
+        /// Work that is done in each second: the number of slots that this VM gets.
+        rate: f64,
+    },
+    /// Slots are free, and targets refuse a part of the calls for other reasons.
+    Free,
+    /// Not known.
+    Unknown,
 }
 
 /// A refused class of calls.
@@ -40,14 +47,13 @@
 }
 
 impl Returns {
-    /// Returns the delay for a refused caller and keeps room for its return. `backlog` is `None`
-    /// when the rate is not known.
+    /// Returns the delay for a refused caller and keeps room for its return.
     pub fn delay(
         &mut self,
         now: core_time::Instant,
         caller: &Caller,
         time_left: time::Duration,
-        backlog: Option<Backlog>,
+        room: Room,
         random: f64,
     ) -> time::Duration {
         self.classes
@@ -59,18 +65,24 @@
         })
         .last_refusal = now;
         let longest = self.longest_delay(caller, time_left);
-        let Some(backlog) = backlog.filter(|backlog| backlog.rate > 0.0) else {
-            return longest.mul_f64(self.drawn_part(caller.priority, random));
+        let position = self.position(caller.priority, random);
+        let drawn = longest.mul_f64(DRAWN.start + (DRAWN.end - DRAWN.start) * position);
+        let (work, rate) = match room {
+            Room::Behind { work, rate } => (work, rate),
+            // A target may take the call now as well as later, and now it may still be in time.
+            // Callers refused together come back within the time of one call.
+            Room::Free => return longest.min(caller.work.mul_f64(position)),
+            Room::Unknown => return drawn,
         };
-        let seconds = |work: time::Duration| work.div_f64(backlog.rate.max(0.01));
+        let seconds = |work: time::Duration| work.div_f64(rate.max(0.01));
         // Callers of more urgent classes were promised the room before.
         let promised = self.classes.range(..=caller.priority);
         let promised = promised.map(|(_, class)| class.room_from).max();
-        let start = (now + seconds(backlog.work)).max(promised.unwrap_or(now));
+        let start = (now + seconds(work)).max(promised.unwrap_or(now));
         let delay = start.since(now);
         if delay > longest {
             // There is no room while the caller still waits. It comes as late as it may.
-            return longest.mul_f64(self.drawn_part(caller.priority, random));
+            return drawn;
         }
         if let Some(class) = self.classes.get_mut(&caller.priority) {
             class.room_from = start + seconds(caller.work);
@@ -88,12 +100,11 @@
         }
     }
 
-    /// Returns a part of the longest delay: the range is divided among the classes that are refused
-    /// at this time, the most urgent first.
-    fn drawn_part(&self, priority: u32, random: f64) -> f64 {
+    /// Returns a position in a range of delays, from 0 to 1: the range is divided among the classes
+    /// that are refused at this time, the most urgent first.
+    fn position(&self, priority: u32, random: f64) -> f64 {
         let count = self.classes.len().max(1) as f64;
         let rank = self.classes.range(..priority).count() as f64;
-        let position = (rank + random.clamp(0.0, 1.0)) / count;
-        DRAWN.start + (DRAWN.end - DRAWN.start) * position
+        (rank + random.clamp(0.0, 1.0)) / count
     }
 }
--- a/core/src/shedding/share.rs
+++ b/core/src/shedding/share.rs
@@ -57,11 +57,16 @@
     total: Ended,
     kinds: collections::BTreeMap<String, Ended>,
     workspaces: collections::BTreeMap<String, Ended>,
+    cleaned_at: core_time::Instant,
 }
 
 impl Shares {
     /// Records the end of a call.
     pub fn finished(&mut self, now: core_time::Instant, caller: &Caller, served: bool) {
+        if now.since(self.cleaned_at) >= KIND_FADE {
+            self.cleaned_at = now;
+            self.remove_old(now);
+        }
         self.total.record(now, KIND_FADE, served);
         let kind = self.kinds.entry(caller.kind.clone()).or_default();
         kind.record(now, KIND_FADE, served);
@@ -72,7 +77,7 @@
     }
 
     /// Removes kinds and workspaces without recent calls.
-    pub fn remove_old(&mut self, now: core_time::Instant) {
+    fn remove_old(&mut self, now: core_time::Instant) {
         self.kinds
             .retain(|_, ended| ended.all.get(now, KIND_FADE) > NEGLIGIBLE);
         self.workspaces
--- a/core/src/shedding/tokens.rs
+++ b/core/src/shedding/tokens.rs
@@ -20,8 +20,21 @@
 /// Largest number of requests that a class can save up.
 const MAX_CREDIT: f64 = 2.0;
 
-/// Calls of equal value: by priority, those that can meet their latency objective before late ones.
-type Class = (u32, bool);
+/// Share of the calls that targets refuse up to which a caller has a fair chance when it comes back at
+/// once. With more, most callers that come back once are lost, and a later return may find targets
+/// that have recovered.
+const MAX_REFUSED: f64 = 0.75;
+
+/// Calls of equal value, the highest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Class {
+    /// Priority of the call; 0 is the highest.
+    pub priority: u32,
+    /// Whether the caller comes for the first time, so that it may come back.
+    pub first_time: bool,
+    /// Whether the call can no longer meet its latency objective.
+    pub late: bool,
+}
 
 /// Requests of a class for tokens.
 #[derive(Clone, Copy, Debug)]
@@ -45,27 +58,23 @@
 #[derive(Clone, Debug, Default)]
 pub struct TokenGate {
     earned: FadingSum,
+    /// Calls that have earned them.
+    calls: FadingSum,
     /// Granted requests whose token is still in the budget.
     pending: u64,
     classes: collections::BTreeMap<Class, Asked>,
 }
 
 impl TokenGate {
-    /// Records that calls have added `tokens` to the budget.
+    /// Records that a call has added `tokens` to the budget.
     pub fn earned(&mut self, now: core_time::Instant, tokens: f64) {
         self.earned.add(now, FADE, tokens);
+        self.calls.add(now, FADE, 1.0);
     }
 
     /// Returns whether a call gets one of the tokens that the budget has. If it does, its token is
     /// kept for it until [`TokenGate::settle`], when it is taken from the budget or not needed.
-    pub fn ask(
-        &mut self,
-        now: core_time::Instant,
-        priority: u32,
-        in_time: bool,
-        tokens: u64,
-    ) -> bool {
-        let class = (priority, !in_time);
+    pub fn ask(&mut self, now: core_time::Instant, class: Class, tokens: u64) -> bool {
         let asked = self.classes.entry(class).or_default();
         asked.requests.add(now, FADE, 1.0);
         let part = self.part(now, class);
@@ -107,6 +116,13 @@
         (left / own.max(f64::MIN_POSITIVE)).clamp(floor, 1.0)
     }
 
+    /// Returns whether targets take enough of the calls for a refused caller to come back at once.
+    pub fn is_return_worthwhile(&self, now: core_time::Instant) -> bool {
+        let requests = |asked: &Asked| asked.requests.get(now, FADE);
+        let refused: f64 = self.classes.values().map(requests).sum();
+        refused <= self.calls.get(now, FADE) * MAX_REFUSED
+    }
+
     /// Returns whether calls ask for more tokens than the budget earns.
     pub fn is_short(&self, now: core_time::Instant) -> bool {
         let requests = |asked: &Asked| asked.requests.get(now, FADE);
--- a/core/tests/shedding.rs
+++ b/core/tests/shedding.rs
@@ -4,11 +4,15 @@
 
 #[path = "support/load_model.rs"]
 mod load_model;
+#[path = "support/loads.rs"]
+mod loads;
 
 use std::time;
 
-use load_model::{Load, Result, Way};
-use wagtailshunt_core::{shedding, time as core_time};
+use load_model::{Result, Way};
+use loads::Load;
+use rand::{SeedableRng, rngs};
+use wagtailshunt_core::{fleet, placement, shedding, time as core_time, types};
 
 const SEEDS: [u64; 5] = [11, 12, 13, 14, 15];
 
@@ -53,8 +57,8 @@
     }
 }
 
-fn print_row(load: &Load, way: Way, results: &[Result]) {
-    let mean = |f: &dyn Fn(&Result) -> f64| {
+fn print_row(load: &Load, way: Way, results: &[Result<'_>]) {
+    let mean = |f: &dyn Fn(&Result<'_>) -> f64| {
         let sum: f64 = results.iter().map(f).sum();
         sum / results.len() as f64
     };
@@ -63,15 +67,15 @@
     println!(
         "{}, {way:?} | {:.3} | {:.3} | {:.3} | {kinds:.2?} | {:.3}",
         load.name,
-        mean(&Result::in_time),
-        mean(&Result::answered),
-        mean(&Result::worst_second),
+        mean(&|result| result.in_time()),
+        mean(&|result| result.answered()),
+        mean(&|result| result.worst_second()),
         // A tenth of the twenty workspaces.
         mean(&|result| result.workspaces()[..2].iter().sum::<f64>() / 2.0),
     );
 }
 
-fn check_terms(result: &Result, run: &str) {
+fn check_terms(result: &Result<'_>, run: &str) {
     let kinds = result.kinds();
     for pair in kinds.windows(2) {
         assert!(pair[0] >= pair[1] - 0.05, "{run}: {kinds:?}");
@@ -99,15 +103,15 @@
 /// for the first time.
 #[test]
 fn returning_caller_goes_before_new_ones() {
-    let (mut queue, mut shares) = queue_with_rate();
+    let (mut queue, shares) = queue_with_rate();
     let now = at(1200);
     let new: Vec<_> = (0..4)
         .map(|_| queue.push(now, caller("a", 1, false), times(now)))
         .collect();
     let returning = queue.push(now, caller("a", 1, true), times(now));
-    let verdict = queue.verdict(now, returning, &mut shares);
+    let verdict = queue.verdict(now, returning, &shares);
     assert_eq!(verdict, shedding::Verdict::Next);
-    let last = queue.verdict(now, new[3], &mut shares);
+    let last = queue.verdict(now, new[3], &shares);
     let displaced = shedding::Verdict::Refuse(shedding::Reason::Displaced);
     assert_eq!(last, displaced, "refused at once");
 }
@@ -115,7 +119,7 @@
 /// Guards against the loss of a more urgent call while a less urgent one is kept.
 #[test]
 fn least_urgent_call_is_displaced() {
-    let (mut queue, mut shares) = queue_with_rate();
+    let (mut queue, shares) = queue_with_rate();
     let now = at(1200);
     let calls: Vec<_> = [2, 2, 2, 0]
         .iter()
@@ -123,7 +127,7 @@
         .collect();
     let verdicts: Vec<_> = calls
         .iter()
-        .map(|ticket| queue.verdict(now, *ticket, &mut shares))
+        .map(|ticket| queue.verdict(now, *ticket, &shares))
         .collect();
     let displaced = shedding::Verdict::Refuse(shedding::Reason::Displaced);
     assert!(verdicts.contains(&displaced), "{verdicts:?}");
@@ -149,9 +153,82 @@
 fn more_urgent_callers_return_first() {
     let mut returns = shedding::Returns::default();
     let mut delay = |priority, random| {
-        returns.delay(at(0), &caller("a", priority, false), ms(1500), None, random)
+        returns.delay(
+            at(0),
+            &caller("a", priority, false),
+            ms(1500),
+            shedding::Room::Unknown,
+            random,
+        )
     };
     delay(0, 0.0);
     assert!(delay(2, 0.0) > delay(0, 0.99));
     assert!(delay(2, 0.99) <= ms(500), "honoured");
 }
+
+fn placement_with(targets: u16) -> placement::Placement {
+    let domain = types::FailureDomain::from("d");
+    let rng = rngs::SmallRng::seed_from_u64(1);
+    let mut placement =
+        placement::Placement::new(placement::Config::default(), domain.clone(), rng);
+    for i in 0..targets {
+        let announcement = fleet::Announcement {
+            target: types::TargetId(format!("t{i}")),
+            service: types::ServiceName::from("s"),
+            address: ([10, 0, 0, 1], i).into(),
+            failure_domain: domain.clone(),
+            slots: 6,
+            born: core_time::UnixMillis(1),
+            sequence: 1,
+            warmup_left: time::Duration::ZERO,
+        };
+        placement.add(at(0), &announcement);
+    }
+    placement
+}
+
+/// Guards against VMs that together send more calls than there are slots right after a start, when
+/// none of them has a load report.
+#[test]
+fn without_reports_a_vm_keeps_to_its_part_of_the_slots() {
+    let service = types::ServiceName::from("s");
+    for (vms, targets) in [(44_usize, 155_u16), (149, 156), (3, 13)] {
+        let mut sent = 0;
+        let mut placement = placement_with(targets);
+        while placement.unreported(&service).room(vms) > 0 {
+            let demand = placement::Demand {
+                service: &service,
+                work: ms(200),
+                tried: &[],
+            };
+            let choice = placement.choose(at(0), &demand).unwrap();
+            placement.started(&choice.target);
+            sent += 1;
+        }
+        assert!(sent > 0 && sent * vms <= usize::from(targets) * 6);
+    }
+}
+
+/// Guards against a call that waits until its deadline at a target that never answers it, although
+/// the reports of the target show that it doesn't have the call.
+#[test]
+fn reports_show_that_a_target_has_lost_a_call() {
+    let target = types::TargetId("t0".to_owned());
+    let mut placement = placement_with(1);
+    let report = |placement: &mut placement::Placement, now, running| {
+        let load = placement::LoadReport {
+            running,
+            waiting: 0,
+            slots: 6,
+            slowness_percent: None,
+        };
+        placement.reported(at(now), &target, &load);
+        placement.has_lost_calls(at(now), &target)
+    };
+    placement.started(&target);
+    assert!(!report(&mut placement, 0, 0), "perhaps on its way");
+    assert!(!report(&mut placement, 20, 0));
+    assert!(!report(&mut placement, 60, 1), "arrived");
+    assert!(!report(&mut placement, 200, 0), "answered by now");
+    assert!(report(&mut placement, 320, 0));
+}
--- a/core/tests/support/load_model.rs
+++ b/core/tests/support/load_model.rs
@@ -6,6 +6,8 @@
 use rand::{Rng, SeedableRng, rngs};
 use wagtailshunt_core::{shedding, time as core_time};
 
+use crate::loads::{Kind, Load};
+
 const STEP_MS: u64 = 5;
 
 /// Share of its time for which a call may wait.
@@ -14,92 +16,6 @@
 /// Workspaces; the first one sends a third of all calls.
 const WORKSPACES: usize = 20;
 
-/// A kind of call.
-#[derive(Clone)]
-pub struct Kind {
-    name: &'static str,
-    priority: u32,
-    work: u64,
-    objective: u64,
-    deadline: u64,
-    /// Share of all calls.
-    share: f64,
-}
-
-/// A load; times in ms.
-#[derive(Clone)]
-pub struct Load {
-    pub name: &'static str,
-    kinds: Vec<Kind>,
-    slots: usize,
-    calls_per_second: f64,
-    /// From when to when there are how many times more calls.
-    burst: (u64, u64, f64),
-    /// Whether neighbours make a quarter of the slots seven times slower for half a second each.
-    noisy: bool,
-    /// From when to when targets refuse this share of the calls.
-    refusing: (u64, u64, f64),
-    /// Callers that have waited for up to a second arrive within the first 100 ms.
-    backlog: bool,
-    /// When the calls are counted that the table shows.
-    counted: (u64, u64),
-}
-
-fn kind(name: &'static str, priority: u32, times: [u64; 3], share: f64) -> Kind {
-    let [work, objective, deadline] = times;
-    Kind {
-        name,
-        priority,
-        work,
-        objective,
-        deadline,
-        share,
-    }
-}
-
-impl Load {
-    pub fn all() -> [Load; 3] {
-        let a = Load {
-            name: "a",
-            kinds: vec![
-                kind("lookup", 0, [200, 500, 2000], 0.5),
-                kind("booking", 1, [260, 600, 2500], 0.35),
-                kind("download", 2, [160, 1500, 2000], 0.15),
-            ],
-            slots: 24,
-            calls_per_second: 65.0,
-            burst: (3000, 8000, 2.0),
-            noisy: true,
-            refusing: (0, 0, 0.0),
-            backlog: false,
-            counted: (3000, 9000),
-        };
-        let b = Load {
-            name: "b",
-            kinds: vec![
-                kind("toggle", 1, [200, 600, 2000], 0.25),
-                kind("flag", 2, [160, 500, 1500], 0.75),
-            ],
-            slots: 60,
-            calls_per_second: 80.0,
-            burst: (0, 0, 1.0),
-            noisy: false,
-            refusing: (3000, 9000, 0.55),
-            ..a.clone()
-        };
-        let c = Load {
-            name: "c",
-            kinds: a.kinds.clone(),
-            slots: 24,
-            refusing: (0, 0, 0.0),
-            backlog: true,
-            counted: (0, 2000),
-            ..b.clone()
-        };
-        [a, b, c]
-    }
-}
-
 /// A way to decide.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
@@ -121,8 +37,8 @@
 }
 
 /// A call and what became of it.
-struct Call {
-    kind: usize,
+pub struct Call<'a> {
+    kind: &'a Kind,
     workspace: usize,
     born: u64,
     arrival: u64,
@@ -136,57 +52,45 @@
 }
 
 /// Results of a run.
-pub struct Result {
-    calls: Vec<Call>,
-    kinds: Vec<(u64, u64)>,
+pub struct Result<'a> {
+    load: &'a Load,
+    calls: Vec<Call<'a>>,
     /// Calls refused on their first arrival so late that a retry can't succeed.
     pub refused_without_retry: usize,
 }
 
-impl Result {
-    fn share(&self, filter: impl Fn(&Call) -> bool, limit: impl Fn(&Call) -> u64) -> f64 {
+impl Result<'_> {
+    fn share(&self, filter: impl Fn(&Call) -> bool, limit: impl Fn(&Kind) -> u64) -> f64 {
         let all: Vec<&Call> = self.calls.iter().filter(|call| filter(call)).collect();
-        let good = |call: &&&Call| {
-            call.answered
-                .is_some_and(|at| at <= call.born + limit(call))
-        };
+        let latest = |call: &Call| call.born + limit(call.kind);
+        let good = |call: &&&Call| call.answered.is_some_and(|at| at <= latest(call));
         all.iter().filter(good).count() as f64 / all.len().max(1) as f64
     }
 
-    fn answered_of(&self, filter: impl Fn(&Call) -> bool) -> f64 {
-        self.share(filter, |call| self.kinds[call.kind].1)
-    }
-
     pub fn in_time(&self) -> f64 {
-        self.share(|_| true, |call| self.kinds[call.kind].0)
+        self.share(|_| true, |kind| kind.objective)
     }
 
     pub fn answered(&self) -> f64 {
-        self.answered_of(|_| true)
+        self.share(|_| true, |kind| kind.deadline)
     }
 
     /// Returns the share of calls that were answered in time, of those of the worst second.
     pub fn worst_second(&self) -> f64 {
-        let seconds: collections::BTreeSet<u64> =
-            self.calls.iter().map(|call| call.born / 1000).collect();
-        let share = |second: u64| {
-            let limit = |call: &Call| self.kinds[call.kind].0;
-            self.share(|call| call.born / 1000 == second, limit)
-        };
-        seconds.into_iter().map(share).fold(1.0, f64::min)
+        let seconds = self.calls.iter().map(|call| call.born / 1000);
+        let share = |s| self.share(|call| call.born / 1000 == s, |kind| kind.objective);
+        seconds.map(share).fold(1.0, f64::min)
     }
 
     /// Returns the share of answered calls for each kind, the most urgent first.
     pub fn kinds(&self) -> Vec<f64> {
-        let kinds = 0..self.kinds.len();
-        kinds
-            .map(|i| self.answered_of(|call| call.kind == i))
-            .collect()
+        let of = |name| self.share(|call| call.kind.name == name, |kind| kind.deadline);
+        self.load.kinds.iter().map(|kind| of(kind.name)).collect()
     }
 
     /// Returns the share of answered calls for each workspace, the lowest first.
     pub fn workspaces(&self) -> Vec<f64> {
-        let share = |i| self.answered_of(|call| call.workspace == i);
+        let share = |i| self.share(|call| call.workspace == i, |kind| kind.deadline);
         let mut shares: Vec<f64> = (0..WORKSPACES).map(share).collect();
         shares.sort_by(f64::total_cmp);
         shares
@@ -205,18 +109,19 @@
     way: Way,
     rng: rngs::SmallRng,
     now: u64,
-    calls: Vec<Call>,
+    calls: Vec<Call<'a>>,
     waiting: Vec<usize>,
     /// Callers that come back, by time.
     returning: Vec<(u64, usize)>,
     tokens: f64,
     shedder: shedding::Shedder,
-    served: Vec<f64>,
+    /// Work that was sent, by kind.
+    served: collections::BTreeMap<&'a str, f64>,
     refused_without_retry: usize,
 }
 
 /// Runs a load under a way to decide.
-pub fn run(load: &Load, way: Way, seed: u64) -> Result {
+pub fn run(load: &Load, way: Way, seed: u64) -> Result<'_> {
     let mut model = Model {
         load,
         way,
@@ -227,7 +132,7 @@
         returning: Vec::new(),
         tokens: 0.0,
         shedder: shedding::Shedder::default(),
-        served: vec![0.0; load.kinds.len()],
+        served: collections::BTreeMap::new(),
         refused_without_retry: 0,
     };
     model.run();
@@ -237,26 +142,18 @@
     let mut calls = model.calls;
     // With a backlog, the callers that have waited count as well.
     calls.retain(|call| counted(call) || load.backlog && call.born < offset);
-    let kinds = load
-        .kinds
-        .iter()
-        .map(|kind| (kind.objective, kind.deadline));
     Result {
+        load,
         calls,
-        kinds: kinds.collect(),
         refused_without_retry: model.refused_without_retry,
     }
 }
 
-impl Model<'_> {
-    fn instant(&self, ms: u64) -> core_time::Instant {
-        core_time::Instant(ms * 1000)
-    }
-
-    fn kind(&self, call: usize) -> &Kind {
-        &self.load.kinds[self.calls[call].kind]
-    }
+fn instant(ms: u64) -> core_time::Instant {
+    core_time::Instant(ms * 1000)
+}
 
+impl Model<'_> {
     fn run(&mut self) {
         // Times start at 1 s, so that callers of the backlog are born at positive times.
         let start = 1000;
@@ -300,7 +197,7 @@
             false => self.rng.random_range(0..WORKSPACES),
         };
         self.calls.push(Call {
-            kind: kind.unwrap_or(0),
+            kind: &self.load.kinds[kind.unwrap_or(0)],
             workspace,
             born,
             arrival,
@@ -324,7 +221,7 @@
                 && let Some(call) = slot.call.take()
             {
                 self.calls[call].answered = Some(self.now);
-                let in_time = self.now <= self.calls[call].born + self.kind(call).deadline;
+                let in_time = self.now <= self.calls[call].born + self.calls[call].kind.deadline;
                 self.end(call, in_time);
             }
         }
@@ -341,29 +238,22 @@
             self.new_call(self.now, self.now);
         }
         let now = self.now;
-        let due: Vec<usize> = self
-            .returning
-            .iter()
-            .filter(|r| r.0 <= now)
-            .map(|r| r.1)
-            .collect();
-        self.returning.retain(|r| r.0 > now);
-        for call in due {
-            self.calls[call].arrival = now;
-            self.calls[call].attempts = 0;
+        let is_due = |caller: &mut (u64, usize)| caller.0 <= now;
+        let due: Vec<_> = self.returning.extract_if(.., is_due).collect();
+        for (_, id) in due {
             self.tokens = (self.tokens + 0.2).min(5.0);
-            let now = self.instant(now);
-            self.shedder.earned(now, 0.2);
-            let kind = self.kind(call);
-            let deadline = self.instant(self.calls[call].born + kind.deadline);
-            let name = kind.name;
-            self.calls[call].recognised = self.shedder.arrived(name, deadline.since(now));
-            self.wait(call);
+            self.shedder.earned(instant(now), 0.2);
+            let call = &mut self.calls[id];
+            call.arrival = now;
+            call.attempts = 0;
+            let left = instant(call.born + call.kind.deadline).since(instant(now));
+            call.recognised = self.shedder.arrived(call.kind.name, left);
+            self.wait(id);
         }
     }
 
-    fn caller(&mut self, call: usize) -> shedding::Caller {
-        let kind = self.kind(call);
+    fn caller(&self, call: usize) -> shedding::Caller {
+        let kind = self.calls[call].kind;
         shedding::Caller {
             kind: kind.name.to_owned(),
             workspace: Some(format!("w{}", self.calls[call].workspace)),
@@ -379,45 +269,49 @@
             return;
         }
         let caller = self.caller(call);
-        let now = self.instant(self.now);
-        let kind = self.kind(call);
-        let born = self.calls[call].born;
-        let deadline = self.instant(born + kind.deadline);
-        let objective = self.instant(self.calls[call].arrival + kind.objective);
+        let now = instant(self.now);
+        let Call {
+            kind,
+            born,
+            arrival,
+            ..
+        } = self.calls[call];
+        let deadline = instant(born + kind.deadline);
+        let objective = instant(arrival + kind.objective);
         let times = shedding::Times::new(now, objective, deadline, caller.work, WAIT_SHARE);
         self.calls[call].ticket = Some(self.shedder.push(now, caller, times));
     }
 
     fn end(&mut self, call: usize, served: bool) {
         let caller = self.caller(call);
-        let now = self.instant(self.now);
+        let now = instant(self.now);
         self.shedder.finished(now, &caller, served);
     }
 
     /// Refuses calls; a caller comes back once.
-    fn refuse_call(&mut self, call: usize) {
+    fn refuse_call(&mut self, call: usize, by_target: bool) {
         let caller = self.caller(call);
         self.end(call, false);
-        let deadline = self.calls[call].born + self.kind(call).deadline;
-        let left = deadline.saturating_sub(self.now);
-        let first = !self.calls[call].came_back;
-        let is_new = self.calls[call].born == self.calls[call].arrival;
-        if first && is_new && left as f64 * 2.0 / 3.0 < self.kind(call).work as f64 * 1.3 {
-            self.refused_without_retry += 1;
-        }
         let random = self.rng.random_range(0.0..1.0);
+        let id = call;
+        let call = &mut self.calls[id];
+        let left = (call.born + call.kind.deadline).saturating_sub(self.now);
+        let left = time::Duration::from_millis(left);
         let delay = match self.way {
             Way::Chosen => {
-                let (now, left) = (self.instant(self.now), time::Duration::from_millis(left));
-                self.shedder
-                    .retry_after(now, &caller, left, random)
-                    .as_millis() as u64
+                let now = instant(self.now);
+                let shedder = &mut self.shedder;
+                shedder.retry_after(now, &caller, by_target, left, random)
             }
-            _ => (left as f64 / 3.0 * (0.4 + 0.6 * random)) as u64,
+            _ => left.mul_f64((0.4 + 0.6 * random) / 3.0),
         };
-        if first {
-            self.calls[call].came_back = true;
-            self.returning.push((self.now + delay, call));
+        if !std::mem::replace(&mut call.came_back, true) {
+            let needed = caller.work.mul_f64(1.3);
+            if call.born == call.arrival && left.mul_f64(2.0 / 3.0) < needed {
+                self.refused_without_retry += 1;
+            }
+            let at = self.now + delay.as_millis() as u64;
+            self.returning.push((at, id));
         }
     }
 
@@ -425,15 +319,15 @@
         for call in self.waiting.clone() {
             let refused = match self.calls[call].ticket {
                 Some(ticket) => {
-                    let verdict = self.shedder.verdict(self.instant(self.now), ticket);
+                    let verdict = self.shedder.verdict(instant(self.now), ticket);
                     matches!(verdict, shedding::Verdict::Refuse(_))
                 }
                 None => {
-                    let kind = self.kind(call);
-                    let (arrival, born) = (self.calls[call].arrival, self.calls[call].born);
-                    let deadline = born + kind.deadline;
-                    let may_wait = deadline.saturating_sub(arrival) as f64 * WAIT_SHARE;
-                    self.now >= arrival + may_wait as u64 || self.now + kind.work > deadline
+                    let call = &self.calls[call];
+                    let deadline = call.born + call.kind.deadline;
+                    let may_wait = deadline.saturating_sub(call.arrival) as f64 * WAIT_SHARE;
+                    let late = self.now + call.kind.work > deadline;
+                    late || self.now >= call.arrival + may_wait as u64
                 }
             };
             if refused {
@@ -441,7 +335,7 @@
                 if let Some(ticket) = self.calls[call].ticket.take() {
                     self.shedder.remove(ticket);
                 }
-                self.refuse_call(call);
+                self.refuse_call(call, false);
             }
         }
     }
@@ -449,34 +343,36 @@
     /// Returns the call that is sent next.
     fn next(&mut self) -> Option<usize> {
         let late = |call: usize| {
-            let kind = self.kind(call);
+            let kind = self.calls[call].kind;
             self.now + kind.work * 13 / 10 > self.calls[call].arrival + kind.objective
         };
         let calls = self.waiting.iter().copied();
         match self.way {
-            Way::StrictPriority => calls.min_by_key(|i| (late(*i), self.kind(*i).priority, *i)),
-            Way::EarliestDeadline => {
-                calls.min_by_key(|i| (late(*i), self.calls[*i].arrival + self.kind(*i).objective))
+            Way::StrictPriority => {
+                calls.min_by_key(|i| (late(*i), self.calls[*i].kind.priority, *i))
             }
+            Way::EarliestDeadline => calls.min_by_key(|i| {
+                (
+                    late(*i),
+                    self.calls[*i].arrival + self.calls[*i].kind.objective,
+                )
+            }),
             Way::ValuePerSlotSecond => calls.min_by_key(|i| {
-                let kind = self.kind(*i);
+                let kind = self.calls[*i].kind;
                 let value = 0.5_f64.powi(kind.priority as i32) * if late(*i) { 0.5 } else { 1.0 };
                 ((-value / kind.work as f64 * 1e9) as i64, *i)
             }),
             Way::WeightedShares => calls.min_by_key(|i| {
-                let weight = 0.5_f64.powi(self.kind(*i).priority as i32);
-                let served = self.served[self.calls[*i].kind] / weight;
+                let weight = 0.5_f64.powi(self.calls[*i].kind.priority as i32);
+                let served = self.served.get(self.calls[*i].kind.name).unwrap_or(&0.0) / weight;
                 ((served * 1e3) as u64, *i)
             }),
             Way::Chosen => {
-                let now = self.instant(self.now);
-                let waiting = self.waiting.clone();
-                waiting.into_iter().find(|call| {
-                    let ticket = self.calls[*call].ticket;
-                    ticket.is_some_and(|ticket| {
-                        self.shedder.verdict(now, ticket) == shedding::Verdict::Next
-                    })
-                })
+                let now = instant(self.now);
+                let shedder = &mut self.shedder;
+                let mut is_next = |t| shedder.verdict(now, t) == shedding::Verdict::Next;
+                let mut calls = calls;
+                calls.find(|call| self.calls[*call].ticket.is_some_and(&mut is_next))
             }
         }
     }
@@ -489,7 +385,7 @@
                 };
                 self.waiting.retain(|other| *other != call);
                 if let Some(ticket) = self.calls[call].ticket.take() {
-                    self.shedder.dispatched(self.instant(self.now), ticket);
+                    self.shedder.dispatched(instant(self.now), ticket);
                 }
                 self.calls[call].attempts += 1;
                 let (from, to, share) = self.load.refusing;
@@ -497,22 +393,26 @@
                     self.refused_by_target(call);
                     continue;
                 }
-                self.served[self.calls[call].kind] += self.kind(call).work as f64;
+                let kind = self.calls[call].kind;
+                *self.served.entry(kind.name).or_default() += kind.work as f64;
                 slot.call = Some(call);
-                slot.work_left = self.kind(call).work as f64 * self.rng.random_range(0.7..1.3);
+                slot.work_left = kind.work as f64 * self.rng.random_range(0.7..1.3);
             }
         }
     }
 
     fn refused_by_target(&mut self, call: usize) {
         let tokens = self.tokens as u64;
-        let kind = self.kind(call);
-        let priority = kind.priority;
-        let in_time = self.now + kind.work <= self.calls[call].born + kind.objective;
-        let now = self.instant(self.now);
-        let granted = self.calls[call].attempts < 2
+        let now = instant(self.now);
+        let failed = &self.calls[call];
+        let class = shedding::Class {
+            priority: failed.kind.priority,
+            first_time: !failed.recognised,
+            late: self.now + failed.kind.work > failed.arrival + failed.kind.objective,
+        };
+        let granted = failed.attempts < 2
             && match self.way {
-                Way::Chosen => self.shedder.may_retry(now, priority, in_time, tokens),
+                Way::Chosen => self.shedder.may_retry(now, class, tokens),
                 _ => tokens > 0,
             };
         if granted {
@@ -522,7 +422,7 @@
             }
             self.wait(call);
         } else {
-            self.refuse_call(call);
+            self.refuse_call(call, true);
         }
     }
 }
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -575,7 +575,7 @@
         }
         let share = self.state.rng.borrow_mut().random_range(RETRY_AFTER_SHARE);
         let time_left = self.request.caller_deadline.since(self.state.clock.now());
-        if let Some(delay) = self.planned_return(time_left) {
+        if let Some(delay) = self.planned_return(reason, time_left) {
             return delay;
         }
         time_left.mul_f64(share * MAX_RETRY_AFTER_SHARE)
--- a/wagtailshunt/src/entry/calls/shed.rs
+++ b/wagtailshunt/src/entry/calls/shed.rs
@@ -151,16 +151,20 @@
     ///
     /// The failure of a call that gets no token.
     pub(super) fn reserve_retry(&self, is_retry: bool) -> Result<Option<RetryGrant>, Failure> {
-        if self.shedding.is_none() || !is_retry {
+        let Some(own) = self.shedding.as_ref().filter(|_| is_retry) else {
             return Ok(None);
-        }
+        };
         let now = self.state.clock.now();
-        let in_time = now + self.service_time() <= self.arrival + self.route.objective;
+        let class = shedding::Class {
+            priority: self.priority,
+            first_time: !own.returning,
+            late: now + self.service_time() > self.arrival + self.route.objective,
+        };
         let granted = self.state.with(|inner| {
             let limits = &self.state.cfg.limits;
             let tokens = budget::retries(limits, inner, &self.service).available();
             let shedder = inner.shedders.entry(self.service.clone()).or_default();
-            shedder.may_retry(now, self.priority, in_time, tokens)
+            shedder.may_retry(now, class, tokens)
         });
         match granted {
             true => Ok(Some(RetryGrant {
@@ -173,12 +177,19 @@
 
     /// Returns the delay after which the caller of the refused call has a chance; `None` if load is
     /// not shed by value.
-    pub(super) fn planned_return(&self, time_left: time::Duration) -> Option<time::Duration> {
+    pub(super) fn planned_return(
+        &self,
+        reason: Failure,
+        time_left: time::Duration,
+    ) -> Option<time::Duration> {
+        let by_target = reason == Failure::RefusedByTargets;
         let own = self.shedding.as_ref()?;
         let now = self.state.clock.now();
         let caller = self.caller(own);
         let random = self.state.rng.borrow_mut().random_range(0.0..1.0);
-        Some(self.with_shedder(|shedder| shedder.retry_after(now, &caller, time_left, random)))
+        Some(self.with_shedder(|shedder| {
+            shedder.retry_after(now, &caller, by_target, time_left, random)
+        }))
     }
 
     /// Logs and counts a call that was refused to shed load.
@@ -241,7 +252,7 @@
         }
     }
 
-    /// Returns a target for the next call of the queue while no target of the service has reported
+    /// Returns a target for a call of the queue while no target of the service has reported
     /// its load, as long as this VM uses less than its part of the slots. Right after a start, the
     /// first calls would otherwise wait for probes one after the other.
     pub(super) fn choose_unreported(
@@ -249,10 +260,15 @@
         inner: &mut state::Inner,
         now: core_time::Instant,
         demand: &placement::Demand<'_>,
+        is_next: bool,
     ) -> Option<placement::Choice> {
         self.shedding.as_ref()?;
         let unreported = inner.placement.unreported(&self.service);
-        if unreported.others_reported || !unreported.has_room(inner.roster.vms().count()) {
+        let room = unreported.room(inner.roster.vms().count());
+        let shedder = inner.shedders.get(&self.service);
+        // With room for all waiting calls, none waits for its turn.
+        let all_fit = shedder.is_some_and(|shedder| shedder.waiting() <= room);
+        if unreported.others_reported || room == 0 || !is_next && !all_fit {
             return None;
         }
         let ranked = inner.placement.ranked(now, demand);
@@ -279,6 +295,6 @@
             return !has_probes || age <= MAX_REPORT_AGE;
         }
         let unreported = inner.placement.unreported(&self.service);
-        unreported.has_room(inner.roster.vms().count())
+        unreported.room(inner.roster.vms().count()) > 0
     }
 }
--- a/wagtailshunt/src/entry/calls/target_search.rs
+++ b/wagtailshunt/src/entry/calls/target_search.rs
@@ -154,7 +154,7 @@
             tried: &tried,
         };
         self.state.with(|inner| {
-            if is_head && let Some(choice) = self.choose_unreported(inner, now, &demand) {
+            if let Some(choice) = self.choose_unreported(inner, now, &demand, is_head) {
                 return placement::Step::Send(choice);
             }
             let limits = &self.state.cfg.limits;
