Targets that can't queue: VMs share the free slots that they all see

Cause: all VMs that learn of a freed slot within 4 ms sent a call to it, and a VM with several probes on their way sent one for each, because it took its own call for one that the report already shows. With 44 VMs that always have a call to send, 3,803 calls found the queue of their target full within 1.6 s; some targets never answer these.

Change, where load is shed by value: one call for each report of a target; calls sent less than a round trip before a report count as missing in it; while slots are scarce, a VM takes its part of the free slots that reports show, and always the slot that its own call has left.

--- a/core/src/placement/estimate.rs
+++ b/core/src/placement/estimate.rs
@@ -57,6 +57,9 @@
     pub slowness: f64,
     /// Further factor on the service time, from the calls that already run on the target.
     pub contention: f64,
+    /// Whether this VM may take one more of the slots that the last load report has shown as free,
+    /// which other VMs see as well.
+    pub takes_one_more: bool,
     /// Age of the target's last load report; `None` without a report.
     pub age: Option<time::Duration>,
 }
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -128,6 +128,10 @@
     services: collections::BTreeMap<types::ServiceName, Service>,
     domain_position: Position,
     system_position: Position,
+    /// Whether free slots are shared with other VMs that learn of them at the same time.
+    shares_slots: bool,
+    /// Time of the latest ranking, after which calls are sent.
+    ranked_at: core_time::Instant,
     rng: rngs::SmallRng,
 }
 
@@ -200,6 +204,8 @@
             services: collections::BTreeMap::new(),
             domain_position: Position::default(),
             system_position: Position::default(),
+            shares_slots: false,
+            ranked_at: core_time::Instant(0),
             rng,
         }
     }
@@ -289,7 +295,11 @@
             return;
         };
         let load = load.bounded();
-        if !known.reported(at, &load) {
+        let part = service
+            .means
+            .part_of_free_slots(&load, self.system_position.count);
+        let takes_one_more = !self.shares_slots || self.rng.random_bool(part);
+        if !known.reported(at, &load, self.shares_slots, takes_one_more) {
             return;
         }
         let means = &mut service.means;
@@ -301,8 +311,9 @@
 
     /// Records that a call is sent to a target.
     pub fn started(&mut self, target: &types::TargetId) {
+        let now = self.ranked_at;
         if let Some(target) = self.target_mut(target) {
-            target.in_flight += 1;
+            target.started(now);
         }
     }
 
@@ -329,6 +340,7 @@
     /// rising cost, at most [`MAX_CANDIDATES`]. The cost is the expected latency with penalties;
     /// ejected targets are last.
     pub fn ranked(&mut self, now: core_time::Instant, demand: &Demand<'_>) -> Vec<Choice> {
+        self.ranked_at = self.ranked_at.max(now);
         let Some(service) = self.services.get(demand.service) else {
             return Vec::new();
         };
--- a/core/src/placement/room.rs
+++ b/core/src/placement/room.rs
@@ -31,7 +31,39 @@
     }
 }
 
+/// Share of the slots that are taken on average from which on slots are scarce: many VMs then wait for
+/// the same ones.
+const SCARCE: f64 = 0.75;
+
+/// Number of VMs that may take each free slot while slots are scarce, if all of them learn of it at
+/// the same time. The shortest queues of targets are four times their slots, so that three calls
+/// for each slot leave room. The VM whose call has left the slot may take it in any case.
+const VMS_FOR_EACH_SLOT: f64 = 3.0;
+
+impl super::ServiceMeans {
+    /// Returns the probability with which this VM, one of `vms`, takes one of the slots that a report
+    /// shows as free.
+    pub(super) fn part_of_free_slots(&self, load: &super::LoadReport, vms: usize) -> f64 {
+        let slots = f64::from(load.slots);
+        if self.occupancy < slots * SCARCE {
+            return 1.0;
+        }
+        let free = slots - f64::from(load.running + load.waiting);
+        (free.max(0.0) * VMS_FOR_EACH_SLOT / vms.max(1) as f64).min(1.0)
+    }
+}
+
 impl Placement {
+    /// Shares the free slots of a target with the other VMs that learn of them at the same time.
+    ///
+    /// Calls that were sent right before a report count as missing in it: reports that are made
+    /// before the calls arrive would otherwise show the same free slot again and again. While slots
+    /// are scarce, this VM takes only a part of those that reports show. Searches have to ask for it
+    /// by [`super::Search::with_shared_slots`].
+    pub fn share_slots(&mut self) {
+        self.shares_slots = true;
+    }
+
     /// Returns whether a target has lost calls of this VM: for some time its reports have shown fewer
     /// calls than this VM has there. Some targets never answer a call that finds their queue full.
     pub fn has_lost_calls(&self, now: core_time::Instant, target: &types::TargetId) -> bool {
--- a/core/src/placement/search.rs
+++ b/core/src/placement/search.rs
@@ -84,6 +84,8 @@
     deadline: core_time::Instant,
     /// Time until which the call may wait.
     wait_until: core_time::Instant,
+    /// Whether a target gets at most one call for each of its reports.
+    shares_slots: bool,
     /// When this call last probed each target.
     probed_at: collections::BTreeMap<types::TargetId, core_time::Instant>,
 }
@@ -102,10 +104,26 @@
             objective,
             deadline,
             wait_until,
+            shares_slots: false,
             probed_at: collections::BTreeMap::new(),
         }
     }
 
+    /// Lets a target get at most one call for each of its reports, and while slots are scarce only from
+    /// some of the VMs that learn of a free one at the same time.
+    pub fn with_shared_slots(self) -> Search {
+        Search {
+            shares_slots: true,
+            ..self
+        }
+    }
+
+    fn may_send(&self, choice: &Choice) -> bool {
+        let estimate = &choice.estimate;
+        let is_shared = !self.shares_slots || estimate.takes_one_more;
+        is_shared && estimate.has_capacity()
+    }
+
     /// Returns whether a call with service time `work` that starts now misses its latency
     /// objective.
     pub fn is_late(&self, now: core_time::Instant, work: time::Duration) -> bool {
@@ -209,12 +227,12 @@
         let estimate = &choice.estimate;
         let fresh = estimate.age.is_some_and(|age| age <= self.cfg.fresh);
         let usual_speed = estimate.slowness <= self.cfg.good_slowness;
-        fresh && usual_speed && estimate.has_capacity() && !choice.ejected
+        fresh && usual_speed && self.may_send(choice) && !choice.ejected
     }
 
     /// Returns whether a late call can be sent to a target: it has capacity and is expected to
     /// respond before the deadline.
     fn meets_deadline(&self, now: core_time::Instant, choice: &Choice) -> bool {
-        choice.estimate.has_capacity() && now + choice.expected_latency <= self.deadline
+        self.may_send(choice) && now + choice.expected_latency <= self.deadline
     }
 }
--- a/core/src/placement/target.rs
+++ b/core/src/placement/target.rs
@@ -1,11 +1,15 @@
 //! State of one target as this VM knows it: the last load report, own calls in flight, and recent
 //! failures. Gives the estimate that targets are compared by.
 
-use std::time;
+use std::{collections, time};
 
 use super::{Config, Estimate, LoadReport, Outcome, ServiceMeans, estimate};
 use crate::{fleet, time as core_time, types};
 
+/// Longest time from the sending of a call to the arrival of a report that may have been made before
+/// the call arrived: a round trip between failure domains, of up to 5.4 ms each way.
+const REPORT_DELAY: time::Duration = time::Duration::from_millis(11);
+
 /// The last load report of a target.
 #[derive(Clone, Copy, Debug)]
 struct TimedReport {
@@ -28,6 +32,10 @@
     slots: u32,
     warmup_ends_at: core_time::Instant,
     last_report: Option<TimedReport>,
+    /// When the latest calls were sent.
+    recent_calls: collections::VecDeque<core_time::Instant>,
+    /// Whether this VM may take one of the slots that the last report has shown as free.
+    takes_one_more: bool,
     /// Since when each report has shown fewer calls than this VM has at the target.
     unexplained_since: Option<core_time::Instant>,
     consecutive_failures: u32,
@@ -50,6 +58,8 @@
             slots: estimate::bounded_slots(announcement.slots),
             warmup_ends_at: now + announcement.warmup_left,
             last_report: None,
+            recent_calls: collections::VecDeque::new(),
+            takes_one_more: true,
             unexplained_since: None,
             consecutive_failures: 0,
             ejected_until: None,
@@ -62,7 +72,15 @@
     }
 
     /// Records a load report; returns false and ignores it when a newer one is known.
-    pub fn reported(&mut self, at: core_time::Instant, load: &LoadReport) -> bool {
+    ///
+    /// With `shares_slots`, calls sent less than a round trip before count as missing in it.
+    pub fn reported(
+        &mut self,
+        at: core_time::Instant,
+        load: &LoadReport,
+        shares_slots: bool,
+        takes_one_more: bool,
+    ) -> bool {
         if self
             .last_report
             .is_some_and(|last_report| last_report.at > at)
@@ -71,7 +89,13 @@
         }
         self.reports_load = true;
         self.slow_until = None;
-        let own_in_flight = self.in_flight;
+        let mut own_in_flight = self.in_flight;
+        if shares_slots {
+            let is_recent = |sent: &&core_time::Instant| at.since(**sent) < REPORT_DELAY;
+            let recent = self.recent_calls.iter().filter(is_recent).count();
+            own_in_flight = own_in_flight.saturating_sub(u32::try_from(recent).unwrap_or(u32::MAX));
+        }
+        self.takes_one_more = takes_one_more;
         let load = *load;
         // Calls that were sent since the previous report may be on their way.
         let earlier_own = self.last_report.map_or(0, |report| report.own_in_flight);
@@ -88,6 +112,14 @@
         true
     }
 
+    pub fn started(&mut self, now: core_time::Instant) {
+        self.in_flight += 1;
+        self.takes_one_more = false;
+        let is_old = |at: &core_time::Instant| now.since(*at) >= REPORT_DELAY;
+        while self.recent_calls.pop_front_if(|at| is_old(at)).is_some() {}
+        self.recent_calls.push_back(now);
+    }
+
     pub fn has_report(&self) -> bool {
         self.last_report.is_some()
     }
@@ -111,6 +143,8 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         match outcome {
             Outcome::Answered | Outcome::Shed => {
+                // The slot that this VM has used is free for its next call.
+                self.takes_one_more |= outcome == Outcome::Answered;
                 self.consecutive_failures = 0;
                 self.ejected_until = None;
                 false
@@ -148,6 +182,7 @@
             best_concurrency: service.contention.best_concurrency(self.slots),
             slowness: service.slowness,
             contention: 1.0,
+            takes_one_more: self.takes_one_more,
             age: None,
         };
         if let Some(last_report) = self.last_report {
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -400,7 +400,11 @@
         let objective = self.arrival + self.route.objective;
         let cfg = self.state.cfg.search.clone();
         let now = self.state.clock.now();
-        placement::Search::new(cfg, now, objective, self.request.deadline)
+        let search = placement::Search::new(cfg, now, objective, self.request.deadline);
+        match self.shedding {
+            Some(_) => search.with_shared_slots(),
+            None => search,
+        }
     }
 
     /// Returns why a retry or hedged attempt must not go to a target. Otherwise spends one token of
--- a/wagtailshunt/src/entry/calls/shed.rs
+++ b/wagtailshunt/src/entry/calls/shed.rs
@@ -40,6 +40,7 @@
             if !state.cfg.limits.shed_by_value && !inner.routes.has_workspaces() {
                 return None;
             }
+            inner.placement.share_slots();
             let time_left = call_request.caller_deadline.since(arrival);
             let shedder = inner.shedders.entry(service.clone()).or_default();
             // A relayed call has spent time at the VM that sent it.
