Load shedding: estimates of work longer than callers wait; hedge rechecks

Cause: the first estimate of a call's work is a share of its latency objective. Where the objective is longer than callers wait, each call counted as too late and was refused, so that none was ever measured. And each repeatable call woke up every 50 ms to see whether its target has lost it, also before it was overdue.

Change: the expected work that the decision counts with is at most a quarter of the time with which callers of the route come; the recheck starts when the attempt is overdue.

--- a/core/src/placement/hedge.rs
+++ b/core/src/placement/hedge.rs
@@ -30,9 +30,9 @@
 }
 
 impl InFlight {
-    /// Returns whether the response takes longer than was expected of the target.
-    pub fn is_overdue(&self, now: core_time::Instant) -> bool {
-        self.overdue_at(OVERDUE_FACTOR) <= now
+    /// Returns the time from which on the response takes longer than was expected of the target.
+    pub fn overdue_from(&self) -> core_time::Instant {
+        self.overdue_at(OVERDUE_FACTOR)
     }
 
     fn overdue_at(&self, factor: f64) -> core_time::Instant {
--- a/core/src/shedding/mod.rs
+++ b/core/src/shedding/mod.rs
@@ -80,6 +80,9 @@
 /// Multiple of the expected work that a call needs: service times vary by about a third.
 pub const WORK_MARGIN: f64 = 1.3;
 
+/// Share of the time of a first-time caller that the expected work of its call may take.
+const MAX_WORK_SHARE: f64 = 0.25;
+
 impl Times {
     /// Returns the times of a call that arrives at `now` and may wait for `wait_share` of its time.
     pub fn new(
@@ -126,6 +129,14 @@
         }
     }
 
+    /// Returns the largest expected work to count with for a call of this kind, which arrives with
+    /// `time_left`. The first estimate comes from the latency objective, which operators set to any
+    /// value: with work longer than callers wait, no call would ever be sent and measured.
+    pub fn max_work(&self, kind: &str, time_left: time::Duration) -> time::Duration {
+        let usual = self.usual_times.get(kind).and_then(UsualTime::usual);
+        usual.unwrap_or(time_left).mul_f64(MAX_WORK_SHARE)
+    }
+
     /// Adds a call to the queue.
     pub fn push(&mut self, now: core_time::Instant, caller: Caller, times: Times) -> Ticket {
         self.queue.push(now, caller, times)
--- a/core/src/shedding/usual_time.rs
+++ b/core/src/shedding/usual_time.rs
@@ -36,7 +36,7 @@
 
     /// Returns the remaining time with which callers usually come first; `None` with too few
     /// arrivals, and where callers state such different times that a short one tells nothing.
-    fn usual(&self) -> Option<time::Duration> {
+    pub fn usual(&self) -> Option<time::Duration> {
         if self.recent.len() < MIN_SAMPLES {
             return None;
         }
--- a/wagtailshunt/src/entry/calls/hedging.rs
+++ b/wagtailshunt/src/entry/calls/hedging.rs
@@ -30,7 +30,13 @@
                 placement::Hedge::Later(at) if self.shedding.is_none() => {
                     clock.sleep_until(at).await;
                 }
-                _ => clock.sleep_until(now + HEDGE_RECHECK).await,
+                placement::Hedge::Later(at) => {
+                    // No report shows that a call is lost before it is overdue.
+                    let recheck = now + HEDGE_RECHECK;
+                    let overdue = in_flight.map_or(recheck, |attempt| attempt.overdue_from());
+                    clock.sleep_until(overdue.min(at).max(recheck)).await;
+                }
+                placement::Hedge::Now => clock.sleep_until(now + HEDGE_RECHECK).await,
             }
         }
     }
@@ -46,7 +52,7 @@
         now: core_time::Instant,
         in_flight: Option<placement::InFlight>,
     ) -> bool {
-        let overdue = in_flight.is_some_and(|in_flight| in_flight.is_overdue(now));
+        let overdue = in_flight.is_some_and(|in_flight| in_flight.overdue_from() <= now);
         if self.shedding.is_none() || !overdue {
             return false;
         }
--- a/wagtailshunt/src/entry/calls/shed.rs
+++ b/wagtailshunt/src/entry/calls/shed.rs
@@ -22,6 +22,8 @@
 pub struct CallShedding {
     /// Whether the caller was refused before and comes back.
     returning: bool,
+    /// Largest expected work to count with.
+    max_work: time::Duration,
     /// Why the call was refused.
     refused: cell::Cell<Option<shedding::Reason>>,
 }
@@ -36,7 +38,7 @@
         arrival: core_time::Instant,
         relayed: Option<RelayedCall>,
     ) -> Option<CallShedding> {
-        let returning = state.with(|inner| {
+        let (returning, max_work) = state.with(|inner| {
             if !state.cfg.limits.shed_by_value && !inner.routes.has_workspaces() {
                 return None;
             }
@@ -44,10 +46,12 @@
             let time_left = call_request.caller_deadline.since(arrival);
             let shedder = inner.shedders.entry(service.clone()).or_default();
             // A relayed call has spent time at the VM that sent it.
-            Some(relayed.is_none() && shedder.arrived(route_name, time_left))
+            let returning = relayed.is_none() && shedder.arrived(route_name, time_left);
+            Some((returning, shedder.max_work(route_name, time_left)))
         })?;
         Some(CallShedding {
             returning,
+            max_work,
             refused: cell::Cell::new(None),
         })
     }
@@ -83,7 +87,7 @@
             workspace: workspace.map(|call| call.workspace.0.clone()),
             priority: self.priority,
             returning: own.returning,
-            work: self.service_time(),
+            work: self.service_time().min(own.max_work),
         }
     }
 
