--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -135,4 +135,7 @@
     ColdTargetReported = 147, Info, "cold target reported to all VMs";
     ColdTargetsHeld = 148, Info, "number of cold targets held by this VM changed";
     ColdTargetsAssumed = 149, Info, "targets counted as cold after an evacuation";
+    CapacityShort = 150, Warn, "slots of a service short or sufficient again";
+    RetriesShort = 151, Warn, "retry budget of a service short or sufficient again";
+    CallShed = 152, Debug, "call refused to shed load";
 }
--- a/core/src/placement/hedge.rs
+++ b/core/src/placement/hedge.rs
@@ -30,6 +30,11 @@
 }
 
 impl InFlight {
+    /// Returns the time from which on the response takes longer than was expected of the target.
+    pub fn overdue_from(&self) -> core_time::Instant {
+        self.overdue_at(OVERDUE_FACTOR)
+    }
+
     fn overdue_at(&self, factor: f64) -> core_time::Instant {
         self.sent + self.expected_latency.mul_f64(factor)
     }
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -14,6 +14,7 @@
 mod hedge;
 mod probe_rate;
 mod queue;
+mod room;
 mod search;
 mod target;
 
@@ -28,6 +29,7 @@
 pub use self::hedge::{Hedge, InFlight, hedge};
 pub use self::probe_rate::ProbeRate;
 pub use self::queue::{Queue, Ticket};
+pub use self::room::Unreported;
 pub use self::search::{Search, SearchConfig, Step};
 use self::target::Target;
 use crate::{evacuation, fleet, time as core_time, types, warmup};
@@ -130,6 +132,10 @@
     evacuated: evacuation::Evacuations,
     /// Cold targets, and the calls that this VM may send to them.
     pub cold: warmup::ColdTargets,
+    /// Whether free slots are shared with other VMs that learn of them at the same time.
+    shares_slots: bool,
+    /// Time of the latest ranking, after which calls are sent.
+    ranked_at: core_time::Instant,
     rng: rngs::SmallRng,
 }
 
@@ -204,6 +210,8 @@
             system_position: Position::default(),
             evacuated: evacuation::Evacuations::default(),
             cold: warmup::ColdTargets::default(),
+            shares_slots: false,
+            ranked_at: core_time::Instant(0),
             rng,
         }
     }
@@ -306,7 +314,11 @@
             return;
         };
         let load = load.bounded();
-        if !known.reported(at, &load) {
+        let part = service
+            .means
+            .part_of_free_slots(&load, self.system_position.count);
+        let takes_one_more = !self.shares_slots || self.rng.random_bool(part);
+        if !known.reported(at, &load, self.shares_slots, takes_one_more) {
             return;
         }
         let means = &mut service.means;
@@ -318,8 +330,9 @@
 
     /// Records that a call is sent to a target.
     pub fn started(&mut self, target: &types::TargetId) {
+        let now = self.ranked_at;
         if let Some(target) = self.target_mut(target) {
-            target.in_flight += 1;
+            target.started(now);
         }
     }
 
@@ -347,6 +360,7 @@
     /// which this VM may send no call now. The cost is the expected latency with penalties; ejected
     /// targets are last.
     pub fn ranked(&mut self, now: core_time::Instant, demand: &Demand<'_>) -> Vec<Choice> {
+        self.ranked_at = self.ranked_at.max(now);
         let Some(service) = self.services.get(demand.service) else {
             return Vec::new();
         };
