Cold targets: requests for tokens go through a third VM, and begin with different targets

Cause: with 149 VMs few calls arrive at VMs that are connected to a holder without a disk; and VMs with few calls requested their one token for the same target first.

Change: a VM with a disk passes on the requests of a fifth of the calls whose VM has no connection to the holder; VMs begin with different targets of a service. The wait for a token is 30 ms at most.

--- a/core/src/warmup/mod.rs
+++ b/core/src/warmup/mod.rs
@@ -30,6 +30,11 @@
 /// Pause between two requests of a VM for a token of the same target.
 const REQUEST_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
+/// Share of the calls that may request a token through a third VM, from a holder that their VM is not
+/// connected to. With many VMs, few calls arrive at those that are connected to a holder without a
+/// disk; a fifth of all others is more, and the VMs with disks pass on no more requests than needed.
+pub const INDIRECT_SHARE: f64 = 0.2;
+
 /// Difference of the end of the cold state from which other VMs are told. Announcements state the
 /// remaining time, which is rounded and delayed.
 const MIN_REPORTED_CHANGE: time::Duration = time::Duration::from_millis(500);
@@ -301,7 +306,12 @@
                 holder,
             ))
         });
-        let (id, _, holder) = held_elsewhere.min_by_key(|(_, requested_at, _)| *requested_at)?;
+        let mut candidates: Vec<_> = held_elsewhere.collect();
+        // VMs with few calls request one token each; without the rotation, all for the same target.
+        let first = self.own.0 as usize % candidates.len().max(1);
+        candidates.rotate_left(first);
+        let candidates = candidates.into_iter();
+        let (id, _, holder) = candidates.min_by_key(|(_, requested_at, _)| *requested_at)?;
         let id = id.clone();
         self.targets.get_mut(&id)?.requested_at = Some(now);
         Some((id, holder))
--- a/wagtailshunt/src/entry/calls/cold_target.rs
+++ b/wagtailshunt/src/entry/calls/cold_target.rs
@@ -1,7 +1,8 @@
 //! Calls to cold targets: those that are due for a call are preferred, with a token of this VM or of
 //! the VM that they announce themselves to.
 
-use wagtailshunt_core::placement;
+use rand::Rng;
+use wagtailshunt_core::{placement, warmup};
 
 use crate::entry::{calls::call::Call, cold_targets, state};
 
@@ -37,10 +38,16 @@
         let now = self.state.clock.now();
         let tried = self.tried.borrow().clone();
         let demand = self.demand(&tried);
-        let is_connected = |vm| self.state.peers.is_connected(vm);
+        let may_ask_third = urgent
+            || self
+                .state
+                .rng
+                .borrow_mut()
+                .random_bool(warmup::INDIRECT_SHARE);
+        let is_reachable = |vm| may_ask_third || self.state.peers.is_connected(vm);
         let (target, holder) = self.state.with(|inner| {
             let placement = &mut inner.placement;
-            let lender = placement.next_lender(now, &demand, urgent, is_connected)?;
+            let lender = placement.next_lender(now, &demand, urgent, is_reachable)?;
             // No token is requested for a call that the target could not answer in time.
             placement.choice_of(now, &demand, &lender.0, self.request.deadline)?;
             Some(lender)
--- a/wagtailshunt/src/entry/cold_targets.rs
+++ b/wagtailshunt/src/entry/cold_targets.rs
@@ -6,6 +6,7 @@
 use std::{rc, time};
 
 use futures_channel::oneshot;
+use rand::seq::IteratorRandom;
 use wagtailshunt_core::{event, fleet as core_fleet, time as core_time, types, warmup};
 use wagtailshunt_wire::{
     self as wire,
@@ -14,9 +15,9 @@
 
 use crate::entry::{peers, state};
 
-/// Longest time that a call waits for a token of another VM: a few round trips between failure
-/// domains.
-const TOKEN_TIMEOUT: time::Duration = time::Duration::from_millis(20);
+/// Longest time that a call waits for a token of another VM: two round trips between failure domains
+/// and the time to handle the messages.
+const TOKEN_TIMEOUT: time::Duration = time::Duration::from_millis(30);
 
 // A token that arrives in time is still valid.
 const _: () = assert!(TOKEN_TIMEOUT.as_millis() < warmup::LENT_TOKEN_VALIDITY.as_millis());
@@ -159,13 +160,22 @@
     encoded
 }
 
-/// Requests a token for a call to a cold target from the VM that holds it; returns whether it came in
-/// time. Builds before this one do not answer.
+/// Requests a token for a call to a cold target from the VM that holds it, through a VM with a disk if
+/// there is no connection to it; returns whether it came in time. Builds before this one do not
+/// answer.
 pub async fn request_token(
     state: &rc::Rc<state::State>,
     holder: types::VmId,
     target: &types::TargetId,
 ) -> bool {
+    let via = match state.peers.is_connected(holder) {
+        true => Some(holder),
+        false => random_vm_with_disk(state),
+    };
+    let Some(via) = via else {
+        return false;
+    };
+    let passed_on_to = if via == holder { 0 } else { holder.0 };
     let requested_at = state.clock.now();
     let (tx, rx) = oneshot::channel();
     let request = state.register_request(tx);
@@ -173,15 +183,28 @@
         target: target.0.clone(),
         is_reply: false,
         granted: false,
+        holder: passed_on_to,
     };
     let body = peers::fleet_body(Fleet::CallToken(message));
-    let granted = state.peers.send(holder, request, body)
+    let granted = state.peers.send(via, request, body)
         && matches!(compio::time::timeout(TOKEN_TIMEOUT, rx).await, Ok(Ok(())));
     state.cancel_request(request);
     // After a pause of this process, the reply may have waited longer than the timer.
     granted && state.clock.now().since(requested_at) < warmup::LENT_TOKEN_VALIDITY
 }
 
+/// Returns one of the connected VMs with disks, which are connected to all others.
+fn random_vm_with_disk(state: &state::State) -> Option<types::VmId> {
+    let eligible = state.with(|inner| {
+        let eligible = inner.roster.eligible().into_iter();
+        eligible.map(|vm| vm.id).collect::<Vec<_>>()
+    });
+    let connected = eligible
+        .into_iter()
+        .filter(|vm| state.peers.is_connected(*vm));
+    connected.choose(&mut *state.rng.borrow_mut())
+}
+
 /// Handles a request for a token, or the reply to one.
 pub fn token_received(
     state: &rc::Rc<state::State>,
@@ -196,16 +219,39 @@
         }
         return;
     }
-    let now = state.clock.now();
     let target = types::TargetId(token.target);
-    let granted = state.with(|inner| inner.placement.cold.lend(now, &target));
+    let holder = types::VmId(token.holder);
+    if holder.0 == 0 || holder == state.vm {
+        let now = state.clock.now();
+        let granted = state.with(|inner| inner.placement.cold.lend(now, &target));
+        reply(state, from, request, target, granted);
+    } else if state.peers.is_connected(holder) {
+        let state = state.clone();
+        compio::runtime::spawn(async move {
+            let granted = request_token(&state, holder, &target).await;
+            reply(&state, from, request, target, granted);
+        })
+        .detach();
+    } else {
+        reply(state, from, request, target, false);
+    }
+}
+
+fn reply(
+    state: &state::State,
+    to: types::VmId,
+    request: u64,
+    target: types::TargetId,
+    granted: bool,
+) {
     let reply = fleet::CallToken {
         target: target.0,
         is_reply: true,
         granted,
+        holder: 0,
     };
     let body = peers::fleet_body(Fleet::CallToken(reply));
-    state.peers.send(from, request, body);
+    state.peers.send(to, request, body);
 }
 
 /// Updates the metrics and logs how many cold targets this VM holds.
