--- a/core/src/allowance/mod.rs
+++ b/core/src/allowance/mod.rs
@@ -9,7 +9,7 @@
 //! keep the bound on the calls of all VMs together.
 //!
 //! The I/O layer asks a leader only, and lets the leader grant only while a quorum confirms it
-//! ([`crate::replication::Node::lease_valid_until`]), so that the grants of two leaders never overlap
+//! ([`crate::replication::Node::lease_begin`]), so that the grants of two leaders never overlap
 //! in time.
 
 mod account;
