--- a/core/src/placement/room.rs
+++ b/core/src/placement/room.rs
@@ -44,7 +44,7 @@
     /// Returns the probability with which this VM, one of `vms`, takes one of the slots that a report
     /// shows as free.
     pub(super) fn part_of_free_slots(&self, load: &super::LoadReport, vms: usize) -> f64 {
-        let slots = f64::from(load.slots);
+        let slots = f64::from(self.contention.best_concurrency(load.slots));
         if self.occupancy < slots * SCARCE {
             return 1.0;
         }
--- a/core/tests/full_targets.rs
+++ b/core/tests/full_targets.rs
@@ -25,26 +25,17 @@
     types::TargetId(format!("t{i:03}"))
 }
 
-/// What happens at a time.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+/// What happens at a time, with the numbers of the VM and of the target.
+#[derive(Clone, Copy)]
 enum Event {
-    /// The call or, without one, the probe of a VM arrives at a target.
-    Arrives {
-        vm: usize,
-        target: usize,
-        call: bool,
-    },
+    /// A call (true) or a probe arrives at a target.
+    Arrives(usize, usize, bool),
     /// A target ends a call.
-    Ends { vm: usize, target: usize },
-    /// The response to a call or a probe arrives at a VM, with the running and waiting calls.
-    Answered {
-        vm: usize,
-        target: usize,
-        call: bool,
-        load: (u32, u32),
-    },
+    Ends(usize, usize),
+    /// The response to a call (true) or a probe arrives, with the running and waiting calls.
+    Answered(usize, usize, bool, (u32, u32)),
     /// The head of a VM's queue decides.
-    Steps { vm: usize },
+    Steps(usize),
 }
 
 #[derive(Clone, Default)]
@@ -102,7 +93,7 @@
         let mut rng = rngs::SmallRng::seed_from_u64(7);
         let mut all: Vec<Vm> = (0..vms).map(|i| new_vm(i, vms)).collect();
         let mut targets = vec![Target::default(); TARGETS];
-        let steps = (0..vms).map(|vm| (rng.random_range(0..5), Event::Steps { vm }));
+        let steps = (0..vms).map(|vm| (rng.random_range(0..5), Event::Steps(vm)));
         let mut events: collections::BTreeMap<u64, Vec<Event>> = collections::BTreeMap::new();
         steps.for_each(|(time, event)| events.entry(time).or_default().push(event));
         while let Some((now, due)) = events.pop_first().filter(|(now, _)| *now < END) {
@@ -137,22 +128,14 @@
     later: &mut Vec<(u64, Event)>,
 ) {
     match event {
-        Event::Arrives { vm, target, call } => {
+        Event::Arrives(vm, target, call) => {
             let state = &mut targets[target];
             if !call {
                 let load = (state.running, state.waiting.len() as u32);
-                later.push((
-                    ONE_WAY_MS,
-                    Event::Answered {
-                        vm,
-                        target,
-                        call,
-                        load,
-                    },
-                ));
+                later.push((ONE_WAY_MS, Event::Answered(vm, target, call, load)));
             } else if state.running < SLOTS {
                 state.running += 1;
-                later.push((run_time(now, target), Event::Ends { vm, target }));
+                later.push((run_time(now, target), Event::Ends(vm, target)));
             } else if (state.waiting.len() as u32) < QUEUE {
                 state.waiting.push_back(vm);
             } else {
@@ -160,34 +143,21 @@
             }
             state.most = state.most.max(state.running + state.waiting.len() as u32);
         }
-        Event::Ends { .. } if HANG.contains(&now) && is_hanging(&event) => {
+        Event::Ends(_, target) if HANG.contains(&now) && target % 10 == 0 => {
             later.push((HANG.end - now, event));
         }
-        Event::Ends { vm, target } => {
+        Event::Ends(vm, target) => {
             let state = &mut targets[target];
             state.running -= 1;
             if let Some(next) = state.waiting.pop_front() {
                 state.running += 1;
-                later.push((run_time(now, target), Event::Ends { vm: next, target }));
+                later.push((run_time(now, target), Event::Ends(next, target)));
             }
             let load = (state.running, state.waiting.len() as u32);
             let call = true;
-            later.push((
-                ONE_WAY_MS,
-                Event::Answered {
-                    vm,
-                    target,
-                    call,
-                    load,
-                },
-            ));
+            later.push((ONE_WAY_MS, Event::Answered(vm, target, call, load)));
         }
-        Event::Answered {
-            vm,
-            target,
-            call,
-            load,
-        } => {
+        Event::Answered(vm, target, call, load) => {
             if call {
                 let placement = &mut vms[vm].placement;
                 placement.finished(at(now), &id(target), placement::Outcome::Answered);
@@ -204,9 +174,9 @@
                 step(now, vm, &mut vms[vm], later);
             }
         }
-        Event::Steps { vm } => {
+        Event::Steps(vm) => {
             step(now, vm, &mut vms[vm], later);
-            later.push((5, Event::Steps { vm }));
+            later.push((5, Event::Steps(vm)));
         }
     }
 }
@@ -217,10 +187,6 @@
     rng.random_range(RUN_MS)
 }
 
-fn is_hanging(event: &Event) -> bool {
-    matches!(event, Event::Ends { target, .. } if target % 10 == 0)
-}
-
 /// Makes the next step of the call at the head of a VM's queue.
 fn step(now: u64, i: usize, vm: &mut Vm, later: &mut Vec<(u64, Event)>) {
     let demand = placement::Demand {
@@ -234,14 +200,7 @@
         .step(at(now), &mut vm.placement, &demand, true, true);
     let mut arrives = |target: &types::TargetId, call| {
         let target = number(target);
-        later.push((
-            ONE_WAY_MS,
-            Event::Arrives {
-                vm: i,
-                target,
-                call,
-            },
-        ));
+        later.push((ONE_WAY_MS, Event::Arrives(i, target, call)));
     };
     match step {
         placement::Step::Send(choice) => {
