A hedge that misses the objective doesn't use up the call's only one

Cause: with load shed by value, a hedge was considered again between its latest start and the objective. It was due when the attempt became overdue in that time, found that it misses the objective, and was given up; the call then waited for the silent target until its deadline (504).

Change: in that time the hedge waits for the objective. A call that the reports of its target contradict counts as overdue by the usual service time; the slowness of the target is no reason for it.

--- a/core/src/placement/hedge.rs
+++ b/core/src/placement/hedge.rs
@@ -30,9 +30,10 @@
 }
 
 impl InFlight {
-    /// Returns the time from which on the response takes longer than was expected of the target.
-    pub fn overdue_from(&self) -> core_time::Instant {
-        self.overdue_at(OVERDUE_FACTOR)
+    /// Returns the time from which on a target of usual speed would have responded to a call with
+    /// service time `work`.
+    pub fn overdue_from(&self, work: time::Duration) -> core_time::Instant {
+        self.sent + work.mul_f64(OVERDUE_FACTOR)
     }
 
     fn overdue_at(&self, factor: f64) -> core_time::Instant {
--- a/wagtailshunt/src/entry/calls/hedging.rs
+++ b/wagtailshunt/src/entry/calls/hedging.rs
@@ -23,9 +23,15 @@
         loop {
             let now = clock.now();
             let in_flight = self.in_flight.get();
-            let hedge = placement::hedge(now, objective, self.service_time(), in_flight);
+            let work = self.service_time();
+            let hedge = placement::hedge(now, objective, work, in_flight);
             let due = hedge == placement::Hedge::Now || self.is_lost_at_target(now, in_flight);
+            // Such an attempt would be given up when its target is chosen, and it is the only one.
+            let misses_objective = now < objective && now + work > objective;
             match hedge {
+                _ if self.shedding.is_some() && misses_objective => {
+                    clock.sleep_until(objective).await;
+                }
                 _ if due && self.may_hedge(now) => return,
                 placement::Hedge::Later(at) if self.shedding.is_none() => {
                     clock.sleep_until(at).await;
@@ -33,7 +39,7 @@
                 placement::Hedge::Later(at) => {
                     // No report shows that a call is lost before it is overdue.
                     let recheck = now + HEDGE_RECHECK;
-                    let overdue = in_flight.map_or(recheck, |attempt| attempt.overdue_from());
+                    let overdue = in_flight.map_or(recheck, |attempt| attempt.overdue_from(work));
                     clock.sleep_until(overdue.min(at).max(recheck)).await;
                 }
                 placement::Hedge::Now => clock.sleep_until(now + HEDGE_RECHECK).await,
@@ -52,7 +58,9 @@
         now: core_time::Instant,
         in_flight: Option<placement::InFlight>,
     ) -> bool {
-        let overdue = in_flight.is_some_and(|in_flight| in_flight.overdue_from() <= now);
+        // The reports show that the target doesn't have the call, so that its slowness is no reason.
+        let work = self.service_time();
+        let overdue = in_flight.is_some_and(|attempt| attempt.overdue_from(work) <= now);
         if self.shedding.is_none() || !overdue {
             return false;
         }
