Review findings: smaller futures of calls, no walk over warm targets

The reviews found a walk over all targets for each call, also where nothing is limited, and a read of the boot clock for each call.

--- a/core/src/key_lease/holder.rs
+++ b/core/src/key_lease/holder.rs
@@ -10,7 +10,7 @@
 
 /// Unanswered requests in a row from which the VM also sends them to the leader by way of another
 /// VM, since its own connection to the leader may be silent.
-const DETOUR_AFTER: u32 = 2;
+const FORWARD_AFTER: u32 = 2;
 
 /// What a VM learns from a reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,7 +98,7 @@
     }
 
     /// Returns whether requests should also go to the leader by way of another VM.
-    pub fn needs_detour(&self) -> bool {
+    pub fn needs_forwarding(&self) -> bool {
         self.is_leader_silent
     }
 
@@ -111,7 +111,7 @@
         }
         self.open.push_back((number, now));
         self.last_request = Some(now);
-        self.is_leader_silent |= self.unanswered >= DETOUR_AFTER;
+        self.is_leader_silent |= self.unanswered >= FORWARD_AFTER;
         self.unanswered = self.unanswered.saturating_add(1);
         Request {
             number,
--- a/core/src/warmup/mod.rs
+++ b/core/src/warmup/mod.rs
@@ -363,7 +363,8 @@
         service: &types::ServiceName,
     ) -> impl Iterator<Item = (&types::TargetId, &Target)> {
         let is_limited = now < self.any_cold_until && self.rates.contains_key(service);
-        let targets = self.targets.iter().filter(move |_| is_limited);
+        let targets = is_limited.then(|| self.targets.iter());
+        let targets = targets.into_iter().flatten();
         targets.filter(move |(_, target)| target.service == *service && target.is_cold(now))
     }
 
--- a/core/tests/warmup/main.rs
+++ b/core/tests/warmup/main.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use wagtailshunt_core::{placement, types};
-use world::{COLD, MAX_GAP_MS, Plan, World, at, chill_domain, id};
+use world::{COLD, MAX_GAP_MS, Plan, World, at, id, make_domain_cold};
 
 /// Guards against a failure domain of cold targets that gets more calls than it bears when all VMs find
 /// it idle, and against cold targets that get none because their one VM has few calls.
@@ -15,7 +15,7 @@
     let plans = [Plan::of_44(), Plan::of_44(), Plan::of_59(), Plan::of_149()];
     for (seed, plan) in (1..).zip(plans) {
         let mut world = World::new(&plan, seed);
-        let cold = chill_domain(&mut world);
+        let cold = make_domain_cold(&mut world);
         let most = world.worst(&cold, COLD);
         assert!(
             most <= plan.bound(),
@@ -39,7 +39,7 @@
             ..plan
         };
         let mut world = World::new(&plan, 4);
-        let cold = chill_domain(&mut world);
+        let cold = make_domain_cold(&mut world);
         let most = world.worst(&cold, COLD);
         assert!(most <= plan.bound(), "{most} calls in a second");
         let unlimited = Plan {
@@ -47,7 +47,7 @@
             ..plan
         };
         let mut world = World::new(&unlimited, 4);
-        let cold = chill_domain(&mut world);
+        let cold = make_domain_cold(&mut world);
         let most = world.worst(&cold, COLD);
         assert!(
             most > unlimited.bound(),
@@ -75,7 +75,7 @@
             ..plan
         };
         let mut world = World::new(&plan, seed);
-        let cold = chill_domain(&mut world);
+        let cold = make_domain_cold(&mut world);
         let most = world.worst(&cold, COLD);
         assert!(
             most <= plan.bound(),
@@ -98,7 +98,7 @@
             .iter()
             .all(|vm| vm.cold.counts(at(2000)) == (0, 0))
     );
-    world.chill(0, 5000);
+    world.make_cold(0, 5000);
     world.targets[0].next_announcement = 2000;
     world.run(2000..2100);
     assert!(world.vms.iter().all(|vm| vm.cold.is_cold(at(2100), &id(0))));
@@ -143,7 +143,7 @@
     assert!(!world.vms[6].cold.may_send(at(2130), &id(0)));
     // All but this first target are cold, and announce it only up to 1.5 s later.
     let cold = &in_domain[1..];
-    cold.iter().for_each(|i| world.chill(*i, 12_000));
+    cold.iter().for_each(|i| world.make_cold(*i, 12_000));
     world.run(2000..4500);
     assert!(world.worst(cold, 2000..4500) <= plan.bound());
 }
--- a/core/tests/warmup/world.rs
+++ b/core/tests/warmup/world.rs
@@ -188,7 +188,7 @@
     }
 
     /// Makes a target cold; its next announcement says so.
-    pub fn chill(&mut self, i: usize, until: u64) {
+    pub fn make_cold(&mut self, i: usize, until: u64) {
         self.targets[i].cold_until = until;
     }
 
@@ -393,17 +393,17 @@
     }
 }
 
-/// Time in which the targets of [`chill_domain`] are cold and have announced it.
+/// Time in which the targets of [`make_domain_cold`] are cold and have announced it.
 pub const COLD: ops::Range<u64> = 2400..12_000;
 
 /// Makes all targets of a failure domain cold from 2 s on, until 12 s; returns them.
-pub fn chill_domain(world: &mut World) -> Vec<usize> {
+pub fn make_domain_cold(world: &mut World) -> Vec<usize> {
     world.run(0..2000);
     let cold: Vec<usize> = (0..world.targets.len())
         .filter(|i| world.targets[*i].domain == 0)
         .collect();
     for i in &cold {
-        world.chill(*i, 12_000);
+        world.make_cold(*i, 12_000);
         // They start at the same time, and announce themselves within one interval.
         world.targets[*i].next_announcement = 2000 + world.rng.random_range(0..300);
     }
--- a/wagtailshunt/src/entry/allowance.rs
+++ b/wagtailshunt/src/entry/allowance.rs
@@ -134,7 +134,8 @@
     let decision = match decision {
         Decision::Wait(ticket) => {
             let limit = MAX_WAIT.min(time_left.mul_f64(WAIT_SHARE));
-            wait(state, id, ticket, limit).await
+            // Boxed, so that calls that don't wait need no memory for it.
+            Box::pin(wait(state, id, ticket, limit)).await
         }
         decision => decision,
     };
--- a/wagtailshunt/src/entry/calls/cold_target.rs
+++ b/wagtailshunt/src/entry/calls/cold_target.rs
@@ -28,7 +28,8 @@
         });
         match own {
             Some(choice) => Some(choice),
-            None => self.borrowed_cold_target(false).await,
+            // Boxed, so that calls without cold targets need no memory for it.
+            None => Box::pin(self.borrowed_cold_target(false)).await,
         }
     }
 
--- a/wagtailshunt/src/entry/calls/key_check.rs
+++ b/wagtailshunt/src/entry/calls/key_check.rs
@@ -71,7 +71,12 @@
             key_lease::count_refused(state);
             return Err(Failure::KeysUnconfirmed);
         }
-        key_lease::wait_for_confirmation(state, give_up_at.since(now)).await;
+        // Boxed, so that calls that don't wait need no memory for it.
+        Box::pin(key_lease::wait_for_confirmation(
+            state,
+            give_up_at.since(now),
+        ))
+        .await;
     }
 }
 
--- a/wagtailshunt/src/entry/calls/target_search.rs
+++ b/wagtailshunt/src/entry/calls/target_search.rs
@@ -8,7 +8,10 @@
 use futures_util::{StreamExt, stream};
 use wagtailshunt_core::{placement, shedding, time as core_time, types};
 
-use crate::entry::calls::{budget, call::Call, failure::Failure, probe};
+use crate::entry::{
+    calls::{budget, call::Call, failure::Failure, probe},
+    state,
+};
 
 /// Pause of a call whose cold target got another call in the meantime.
 const TOKEN_PAUSE: time::Duration = time::Duration::from_millis(5);
@@ -115,7 +118,7 @@
             placement::Step::Send(choice) if call.take_token(&choice) => break choice,
             placement::Step::Send(_) => compio::time::sleep(TOKEN_PAUSE).await,
             placement::Step::Overloaded => return Err(call.shed(shedding::Reason::Waited)),
-            placement::Step::NoTarget => match call.borrowed_cold_target(true).await {
+            placement::Step::NoTarget => match Box::pin(call.borrowed_cold_target(true)).await {
                 Some(choice) => break choice,
                 None => return Err(call.no_target_failure()),
             },
@@ -200,11 +203,8 @@
     /// now, or there are none.
     fn no_target_failure(&self) -> Failure {
         let now = self.state.clock.now();
-        let cold = &self.service;
-        match self
-            .state
-            .with(|inner| inner.placement.cold.has_cold(now, cold))
-        {
+        let has_cold = |inner: &mut state::Inner| inner.placement.cold.has_cold(now, &self.service);
+        match self.state.with(has_cold) {
             true => Failure::Overloaded,
             false => Failure::NoTarget,
         }
--- a/wagtailshunt/src/entry/key_lease.rs
+++ b/wagtailshunt/src/entry/key_lease.rs
@@ -88,15 +88,17 @@
 
 /// Returns whether this VM may rely on the keys of its configuration now.
 pub fn is_held(state: &state::State) -> bool {
-    let now = state.clock.boot();
-    needed_holder(state).is_none_or(|holder| holder.borrow().is_held(now))
+    needed_holder(state).is_none_or(|holder| holder.borrow().is_held(state.clock.boot()))
 }
 
 /// Returns whether a key that the configuration does not have exists nowhere.
 pub fn proves_unknown_key(state: &state::State) -> bool {
-    let now = state.clock.boot();
     let limit = key_lease::UNKNOWN_KEY_CONFIRMATION;
-    needed_holder(state).is_none_or(|holder| holder.borrow().is_confirmed_within(now, limit))
+    needed_holder(state).is_none_or(|holder| {
+        holder
+            .borrow()
+            .is_confirmed_within(state.clock.boot(), limit)
+    })
 }
 
 /// Counts a call that is refused for lack of a lease.
@@ -210,25 +212,25 @@
         .reachable_leader()
         .filter(|leader| *leader != state.vm || state.is_leading());
     let now = state.clock.boot();
-    let detour = choose_detour(state, leader);
-    if leader.is_none() && detour.is_none() {
+    let forwarder = choose_forwarder(state, leader);
+    if leader.is_none() && forwarder.is_none() {
         return;
     }
     let request = holder.borrow_mut().request(now, urgent);
-    let needs_detour = leader.is_none() || holder.borrow().needs_detour();
-    let detour = detour.filter(|_| needs_detour);
+    let needs_forwarding = leader.is_none() || holder.borrow().needs_forwarding();
+    let forwarder = forwarder.filter(|_| needs_forwarding);
     if leader == Some(state.vm) {
         answer_later(state, state.vm, &request);
         return;
     }
     let body = Fleet::KeyLeaseRequest(wire::fleet::encode_key_lease_request(&request));
-    for to in [leader, detour].into_iter().flatten() {
+    for to in [leader, forwarder].into_iter().flatten() {
         state.peers.send_fleet(to, body.clone());
     }
 }
 
 /// Returns a random connected VM that may be connected to the leader, those that can vote first.
-fn choose_detour(state: &state::State, leader: Option<types::VmId>) -> Option<types::VmId> {
+fn choose_forwarder(state: &state::State, leader: Option<types::VmId>) -> Option<types::VmId> {
     let connected = state.peers.connected();
     let mut candidates: Vec<types::VmId> = state.with(|inner| {
         let eligible = inner.roster.eligible().into_iter().map(|vm| vm.id);
