--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -6,7 +6,8 @@
 //! during a call, `budget` limits retries and probes, `work` estimates the service time of a route,
 //! and `failure` builds error responses. `key_check` checks the API key of a call, `shed` refuses calls
 //! by what their loss costs callers, and `hedging` decides when a slow call gets a second attempt.
-//! `record` logs attempts and updates estimates. `relay` sends calls to another VM while this one has lost its path to the targets.
+//! `record` logs attempts and updates estimates. `relay` sends calls to another VM while this one has
+//! lost its path to the targets.
 
 mod attempt;
 mod budget;
