--- a/core/src/key_lease/holder.rs
+++ b/core/src/key_lease/holder.rs
@@ -14,7 +14,7 @@
 
 /// What a VM learns from a reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Receipt {
+pub enum ReplyOutcome {
     /// The lease was acquired or extended.
     Granted,
     /// The lease is granted once this VM has applied the leader's commands.
@@ -133,10 +133,10 @@
     }
 
     /// Handles a reply; `applied` is the index that this VM has applied.
-    pub fn reply(&mut self, reply: &Reply, applied: types::LogIndex) -> Receipt {
+    pub fn reply(&mut self, reply: &Reply, applied: types::LogIndex) -> ReplyOutcome {
         let position = self.open.iter().position(|open| open.0 == reply.number);
         let Some(position) = position else {
-            return Receipt::Ignored;
+            return ReplyOutcome::Ignored;
         };
         let (_, requested_at) = self.open[position];
         // Replies to earlier requests grant nothing that this one does not.
@@ -146,10 +146,10 @@
             let pending = self.behind.len().saturating_sub(MAX_OPEN_REQUESTS - 1);
             self.behind.drain(..pending);
             self.behind.push((reply.applied, requested_at));
-            return Receipt::Behind;
+            return ReplyOutcome::Behind;
         }
         self.confirm(requested_at);
-        Receipt::Granted
+        ReplyOutcome::Granted
     }
 
     /// Handles that this VM has applied the log up to `index`; returns whether the lease was acquired
--- a/core/src/key_lease/mod.rs
+++ b/core/src/key_lease/mod.rs
@@ -18,7 +18,7 @@
 
 use std::time;
 
-pub use self::holder::{Holder, Receipt};
+pub use self::holder::{Holder, ReplyOutcome};
 pub use self::rounds::{Answer, Pace, Rounds};
 pub use self::watch::{Change, Watch};
 use crate::types;
--- a/core/src/routing/mod.rs
+++ b/core/src/routing/mod.rs
@@ -86,19 +86,20 @@
     pub health_path: String,
     /// Maximum number of connections that a target accepts from all VMs together.
     pub max_connections: u32,
-    /// Limit on the calls of targets that are cold; `None` if cold targets bear any load.
+    /// Limit on the calls of targets that are cold; `None` if cold targets take any load.
     #[serde(default)]
     pub warmup: Option<Warmup>,
     /// The item's text as submitted, returned to operators unchanged.
     pub document: String,
 }
 
-/// What the targets of a service bear while they are cold.
+/// What the targets of a service tolerate while they are cold.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Warmup {
-    /// Time for which a target is cold after its start.
+    /// Time for which a target is cold after its start. Targets themselves tell how long they stay
+    /// cold; decisions go by that.
     pub duration: time::Duration,
-    /// Calls per second that a cold target bears, from all VMs together.
+    /// Calls per second that a cold target tolerates, from all VMs together.
     pub calls_per_second: f64,
 }
 
--- a/core/src/warmup/mod.rs
+++ b/core/src/warmup/mod.rs
@@ -1,6 +1,6 @@
 //! Limits the calls to cold targets over all VMs together.
 //!
-//! Load pattern: a target that has just started, or has lost its caches, bears only a few calls a
+//! Load pattern: a target that has just started, or has lost its caches, tolerates only a few calls a
 //! second for some seconds, and it is idle. Each of many VMs with a few calls a second would take it
 //! for the best target at the same time. A whole failure domain of such targets may come back at once.
 //!
--- a/core/src/warmup/rate.rs
+++ b/core/src/warmup/rate.rs
@@ -8,7 +8,7 @@
 /// the one that it came from, and one that was suspended, whose clock stood still meanwhile.
 const MAX_HOLDERS: f64 = 3.0;
 
-/// Share of the rate that a target bears which one VM uses.
+/// Share of the rate that a target tolerates which one VM uses.
 const RATE_SHARE: f64 = 0.7;
 
 /// Calls that may follow each other at once.
--- a/wagtailshunt/src/entry/allowance.rs
+++ b/wagtailshunt/src/entry/allowance.rs
@@ -24,7 +24,7 @@
 /// `Retry-After` of calls whose allowance is not known: an election takes about this long.
 const UNKNOWN_RETRY_AFTER: std::ops::Range<f64> = 0.4..0.8;
 
-/// Share by which `Retry-After` of calls over the allowance is spread at least.
+/// Least time over which the `Retry-After` of calls over the allowance is spread.
 const MIN_SPREAD: time::Duration = time::Duration::from_millis(50);
 
 /// Difference between two clocks above which the VM was suspended in between. Reading both takes
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -51,8 +51,8 @@
 /// random number between 0.5 and 1.5, so that callers refused together do not return together.
 const MEMORY_RETRY_AFTER: std::time::Duration = std::time::Duration::from_millis(400);
 
-/// Memory of a call in progress beside its head and its body: 4 KiB in a trial with 2,400 calls, and a
-/// connection to a target, which takes as much as one of a caller.
+/// Memory of a call in progress beside its head and its body: its tasks, and a connection to a target,
+/// which takes as much as a connection of a caller.
 const CALL_BYTES: u64 = 24 * 1024;
 
 /// Interval at which a relayed call checks for the version of the sender's configuration.
--- a/wagtailshunt/src/entry/calls/hedging.rs
+++ b/wagtailshunt/src/entry/calls/hedging.rs
@@ -26,7 +26,7 @@
             let work = self.service_time();
             let hedge = placement::hedge(now, objective, work, in_flight);
             let due = hedge == placement::Hedge::Now || self.is_lost_at_target(now, in_flight);
-            // Such an attempt would be given up when its target is chosen, and it is the only one.
+            // `check_extra_attempt` would drop such a hedge, and a call gets only one.
             let misses_objective = now < objective && now + work > objective;
             match hedge {
                 _ if self.shedding.is_some() && misses_objective => {
--- a/wagtailshunt/src/entry/key_lease.rs
+++ b/wagtailshunt/src/entry/key_lease.rs
@@ -13,7 +13,7 @@
 use futures_channel::oneshot;
 use rand::{Rng, SeedableRng, rngs};
 use wagtailshunt_core::{
-    event, key_lease, key_lease::Change, key_lease::Pace, key_lease::Receipt, types,
+    event, key_lease, key_lease::Change, key_lease::Pace, key_lease::ReplyOutcome, types,
 };
 use wagtailshunt_wire::{self as wire, generated::fleet::fleet_message::Body as Fleet};
 
@@ -334,11 +334,11 @@
     let applied = state.with(|inner| inner.applied);
     let receipt = holder.borrow_mut().reply(reply, applied);
     match receipt {
-        Receipt::Granted => granted(state),
+        ReplyOutcome::Granted => granted(state),
         // A member gets the commands by replication.
-        Receipt::Behind if !state.with(|inner| inner.is_member(state.vm)) => {
+        ReplyOutcome::Behind if !state.with(|inner| inner.is_member(state.vm)) => {
             state_transfer::request_state_unless_pending(state, from);
         }
-        Receipt::Behind | Receipt::Ignored => {}
+        ReplyOutcome::Behind | ReplyOutcome::Ignored => {}
     }
 }
--- a/wagtailshunt/src/http/memory.rs
+++ b/wagtailshunt/src/http/memory.rs
@@ -210,7 +210,7 @@
         }
         let clock = self.inner.memory.clock;
         let give_up_at = clock.now() + wait;
-        // Its client is not to blame for the time in which nothing is read from it.
+        // Time in which nothing is read from the client doesn't count as a stall.
         self.set_waiting(Waiting::No);
         loop {
             let left = give_up_at.since(clock.now());
