Start of many VMs: lists of targets, messages encoded once, requests to a new leader spread

Cause: with 300 VMs and 3,000 targets, the leader sent each target that joined to each VM in a message of its own, encoded for each connection, and all VMs asked each new leader for all targets at once; digests and buckets were computed from all targets each time.

--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -138,4 +138,5 @@
     CapacityShort = 150, Warn, "slots of a service short or sufficient again";
     RetriesShort = 151, Warn, "retry budget of a service short or sufficient again";
     CallShed = 152, Debug, "call refused to shed load";
+    RosterChanged = 153, Info, "peer VMs learned";
 }
--- a/core/src/fleet/digest.rs
+++ b/core/src/fleet/digest.rs
@@ -12,7 +12,7 @@
 pub const BUCKETS: usize = 32;
 
 /// Digests of the buckets of one directory.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Digests([u64; BUCKETS]);
 
 impl Digests {
@@ -26,6 +26,11 @@
         &self.0
     }
 
+    /// Adds a target that isn't included, or removes one that is.
+    pub(super) fn toggle(&mut self, target: Summary) {
+        self.0[target.bucket] ^= target.digest;
+    }
+
     /// Returns one digest over all buckets; never 0.
     pub fn total(&self) -> u64 {
         let mut hash = Fnv::default();
@@ -44,18 +49,30 @@
 impl Directory {
     /// Returns the digests of the registered targets.
     pub fn digests(&self) -> Digests {
-        let mut digests = [0; BUCKETS];
-        for entry in self.targets() {
-            let announcement = &entry.announcement;
-            digests[bucket(&announcement.target)] ^= digest(announcement);
-        }
-        Digests(digests)
+        self.digests
     }
 
     /// Returns the registered targets of a bucket.
     pub fn in_bucket(&self, index: usize) -> impl Iterator<Item = &TargetEntry> {
         self.targets()
-            .filter(move |entry| bucket(&entry.announcement.target) == index)
+            .filter(move |entry| entry.summary.bucket == index)
+    }
+}
+
+/// Bucket and digest of a registered target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Summary {
+    bucket: usize,
+    digest: u64,
+}
+
+impl Summary {
+    /// Computes the summary of an announcement.
+    pub(super) fn new(announcement: &Announcement) -> Summary {
+        Summary {
+            bucket: bucket(&announcement.target),
+            digest: digest(announcement),
+        }
     }
 }
 
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -74,12 +74,17 @@
     pub last_seen: core_time::Instant,
     /// When this incarnation was registered on this VM.
     pub joined_at: core_time::Instant,
+    /// Bucket and digest of the target, by which directories are compared.
+    summary: digest::Summary,
 }
 
 /// Registered targets, and the incarnations that were deregistered lately.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     targets: collections::BTreeMap<types::TargetId, TargetEntry>,
+    /// Digests of `targets`, kept up to date with each change: VMs compare them every second, and all
+    /// VMs request them from a new leader at the same time.
+    digests: Digests,
     /// The target at each address of `targets`.
     by_address: collections::BTreeMap<net::SocketAddr, types::TargetId>,
     deregistered: collections::VecDeque<TargetIncarnation>,
@@ -121,10 +126,13 @@
         let target = announcement.target.clone();
         self.remove_entry(&target);
         self.by_address.insert(announcement.address, target.clone());
+        let summary = digest::Summary::new(&announcement);
+        self.digests.toggle(summary);
         let entry = TargetEntry {
             announcement,
             last_seen: now,
             joined_at,
+            summary,
         };
         self.targets.insert(target, entry);
         RegistrationResult::Joined
@@ -150,6 +158,7 @@
     fn remove_entry(&mut self, target: &types::TargetId) {
         if let Some(entry) = self.targets.remove(target) {
             self.by_address.remove(&entry.announcement.address);
+            self.digests.toggle(entry.summary);
         }
     }
 
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -114,6 +114,15 @@
     let sent = differing.iter().flat_map(|i| here.in_bucket(*i)).count();
     assert!(sent < 100, "{sent} of 700 targets are sent");
     assert_ne!(here.digests().total(), there.digests().total());
+    // The digests follow restarts, removals and addresses that another target takes over.
+    there.register(NOW, announcement("t9", 9, 200, 1));
+    there.register(NOW, announcement("t3", 3, 100, 1));
+    assert_eq!(here.digests(), there.digests());
+    here.register(NOW, announcement("t5", 7, 300, 1));
+    assert_ne!(here.digests(), there.digests());
+    there.remove(&fleet::incarnation_of(&announcement("t7", 7, 100, 1)));
+    there.register(NOW, announcement("t5", 7, 300, 1));
+    assert_eq!(here.digests(), there.digests());
 }
 
 /// Guards against a leader that was suspended and, when it wakes, takes the silence of all targets
--- a/wagtailshunt/src/entry/calls/crash.rs
+++ b/wagtailshunt/src/entry/calls/crash.rs
@@ -122,7 +122,7 @@
         return;
     }
     let crash = wire::fleet::encode_crash(fingerprint, lost);
-    state.peers.broadcast(&Fleet::Crash(crash), from);
+    state.peers.broadcast(Fleet::Crash(crash), from);
     let blocked = counted == containment::RecordResult::Blocked;
     state.events.emit(
         event::Id::TargetLostWithCall,
--- a/wagtailshunt/src/entry/cold_targets.rs
+++ b/wagtailshunt/src/entry/cold_targets.rs
@@ -81,7 +81,7 @@
     );
     let message = Fleet::ColdTargets(wire::fleet::encode_cold_targets(&[report]));
     match state.with(|inner| inner.leader) {
-        Some((_, leader)) if leader == state.vm => state.peers.broadcast(&message, None),
+        Some((_, leader)) if leader == state.vm => state.peers.broadcast(message, None),
         Some((_, leader)) => {
             state.peers.send_fleet(leader, message);
         }
@@ -107,7 +107,7 @@
     });
     if leads && !news.is_empty() {
         let message = Fleet::ColdTargets(wire::fleet::encode_cold_targets(&news));
-        state.peers.broadcast(&message, Some(from));
+        state.peers.broadcast(message, Some(from));
     }
 }
 
--- a/wagtailshunt/src/entry/leader_sync.rs
+++ b/wagtailshunt/src/entry/leader_sync.rs
@@ -66,7 +66,7 @@
 /// Sends all VMs the term and applied index of this leader, so that they notice missing commands.
 pub fn announce_leadership(state: &rc::Rc<state::State>) {
     if let Some(leading) = leading_message(state) {
-        state.peers.broadcast(&leading, None);
+        state.peers.broadcast(leading, None);
     }
 }
 
@@ -120,7 +120,7 @@
         report_leader(state, leader, term);
     }
     if is_new && leader != state.vm {
-        state_transfer::request_state(state, leader);
+        state_transfer::request_from_new_leader(state, leader);
         targets::send_own_announcements(state, leader);
         allowance::ask(state);
         cold_targets::send_held(state, leader);
@@ -348,12 +348,10 @@
         let not_members = connected.into_iter().filter(|vm| !inner.is_member(*vm));
         not_members.collect()
     });
-    for vm in receivers {
-        let command = fleet::Command {
-            previous: previous.0,
-            index: index.0,
-            command: bytes.clone(),
-        };
-        state.peers.send_fleet(vm, Fleet::Command(command));
-    }
+    let command = fleet::Command {
+        previous: previous.0,
+        index: index.0,
+        command: bytes.clone(),
+    };
+    state.peers.send_to_all(&receivers, Fleet::Command(command));
 }
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -11,7 +11,7 @@
 
 use wagtailshunt_core::{event, formation, types};
 use wagtailshunt_wire::{
-    self as wire,
+    self as wire, codec,
     generated::{
         envelope::{self, envelope::Body},
         fleet::{self, fleet_message::Body as Fleet},
@@ -39,7 +39,7 @@
 impl Peers {
     /// Sends a frame on the newest open connection to a VM. Returns `false` and drops the frame
     /// when there is none.
-    pub fn send(&self, to: types::VmId, request: u64, body: Body) -> bool {
+    pub fn send(&self, to: types::VmId, request: u64, body: impl Into<transport::Payload>) -> bool {
         let connections = self.connections.borrow();
         let open = |handle: &&transport::Handle| handle.is_open();
         let newest = connections
@@ -54,11 +54,17 @@
     }
 
     /// Sends a fleet message to every connected VM except `except`.
-    pub fn broadcast(&self, body: &Fleet, except: Option<types::VmId>) {
-        for vm in self.connected() {
-            if Some(vm) != except {
-                self.send_fleet(vm, body.clone());
-            }
+    pub fn broadcast(&self, body: Fleet, except: Option<types::VmId>) {
+        let mut vms = self.connected();
+        vms.retain(|vm| Some(*vm) != except);
+        self.send_to_all(&vms, body);
+    }
+
+    /// Sends a fleet message, which is encoded once, to several VMs.
+    pub fn send_to_all(&self, vms: &[types::VmId], body: Fleet) {
+        let encoded = codec::EncodedBody::new(fleet_body(body));
+        for vm in vms {
+            self.send(*vm, 0, encoded.clone());
         }
     }
 
@@ -220,15 +226,19 @@
     match body {
         Fleet::Announce(announce) => {
             let vm = announce.vm.ok_or(wire::fleet::Error::Missing("a VM"))?;
-            learn_vm(state, vm, formation::Source::Announced)?;
+            let is_new = learn_vm(state, vm, formation::Source::Announced)?;
+            vms_learned(state, usize::from(is_new));
             send_roster(state, from, announce.roster_digest);
         }
         Fleet::Roster(roster) => {
+            let mut learned = 0;
             for vm in roster.vms {
-                if let Err(err) = learn_vm(state, vm, formation::Source::Forwarded) {
-                    log::warn!("VM in the roster of VM {from} skipped: {err}");
+                match learn_vm(state, vm, formation::Source::Forwarded) {
+                    Ok(is_new) => learned += usize::from(is_new),
+                    Err(err) => log::warn!("VM in the roster of VM {from} skipped: {err}"),
                 }
             }
+            vms_learned(state, learned);
         }
         Fleet::Founding(founding) => members::bootstrap_received(state, from, &founding.voters),
         Fleet::Leading(leading) => leader_sync::leadership_received(state, from, &leading),
@@ -239,7 +249,7 @@
         }
         Fleet::Command(command) => leader_sync::command_received(state, from, &command),
         Fleet::Report(report) => {
-            targets::announcement_received(state, from, wire::fleet::decode_announcement(report)?);
+            targets::announcement_received(state, wire::fleet::decode_announcement(report)?);
         }
         Fleet::Gone(life) => {
             targets::expiry_received(state, from, &wire::fleet::decode_incarnation(life))
@@ -275,36 +285,48 @@
     Ok(())
 }
 
-/// Adds a VM to the roster; if it is new, forwards it to the other VMs and connects to it where
-/// needed.
+/// Adds a VM to the roster; returns whether it is new. A new VM is forwarded to the other VMs.
 fn learn_vm(
     state: &rc::Rc<state::State>,
     vm: fleet::Vm,
     source: formation::Source,
-) -> Result<(), wire::fleet::Error> {
+) -> Result<bool, wire::fleet::Error> {
     let vm = wire::fleet::decode_vm(vm)?;
     if vm.peer_address == state.cfg.peer_address {
-        return Ok(());
+        return Ok(false);
     }
     let now = state.clock.now();
     if !state.with(|inner| inner.roster.learn(now, &vm, source)) {
-        return Ok(());
+        return Ok(false);
     }
-    state.events.emit(
-        event::Id::VmLearned,
-        &[
-            ("peer", &vm.id),
-            ("address", &vm.peer_address),
-            ("domain", &vm.failure_domain),
-            ("disk", &vm.has_disk),
-        ],
-    );
     if source == formation::Source::Announced || vm.has_disk {
+        state.events.emit(
+            event::Id::VmLearned,
+            &[
+                ("peer", &vm.id),
+                ("address", &vm.peer_address),
+                ("domain", &vm.failure_domain),
+                ("disk", &vm.has_disk),
+            ],
+        );
         schedule_forward(state, vm);
     }
+    Ok(true)
+}
+
+/// Connects to new VMs where needed, and logs how many one message has brought, since a line for each
+/// would take longer than the rest of the start of many VMs.
+fn vms_learned(state: &rc::Rc<state::State>, count: usize) {
+    if count == 0 {
+        return;
+    }
+    let known = state.with(|inner| inner.roster.vms().count());
+    state.events.emit(
+        event::Id::RosterChanged,
+        &[("learned", &count), ("known", &known)],
+    );
     members::roster_changed(state);
     dial_missing(state);
-    Ok(())
 }
 
 /// Forwards a VM to all connected VMs, together with others that are learned at the same time.
@@ -322,7 +344,7 @@
         let vms = state.with(|inner| std::mem::take(&mut inner.unforwarded_vms));
         let vms = vms.iter().map(wire::fleet::encode_vm).collect();
         let roster = Fleet::Roster(fleet::Roster { vms });
-        state.peers.broadcast(&roster, None);
+        state.peers.broadcast(roster, None);
     })
     .detach();
 }
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -9,6 +9,7 @@
     catch_up, containment, drain, fleet, formation, memory, placement, reach, relay, replication,
     retry, routing, shedding, state_machine, time as core_time, types, warmup,
 };
+use wagtailshunt_wire::generated;
 
 use crate::{
     clock,
@@ -87,6 +88,9 @@
     pub(crate) group: Vec<types::VmId>,
     /// VMs that were learned since the roster was last forwarded.
     pub(crate) unforwarded_vms: Vec<formation::Vm>,
+    /// Targets that have joined since the leader last sent such targets to all VMs; `None` if none was
+    /// sent within the delay for which they are collected.
+    pub(crate) unforwarded_targets: Option<Vec<generated::fleet::TargetReport>>,
     /// Targets whose renewed announcements were not sent to the leader yet.
     pub(crate) unsent_renewals: collections::BTreeSet<types::TargetId>,
     /// State that this VM is receiving.
@@ -190,6 +194,7 @@
                 bootstrapped: false,
                 group: Vec::new(),
                 unforwarded_vms: Vec::new(),
+                unforwarded_targets: None,
                 unsent_renewals: collections::BTreeSet::new(),
                 catch_up: catch_up::CatchUp::default(),
                 encoded_states: catch_up::EncodedStates::default(),
--- a/wagtailshunt/src/entry/state_transfer.rs
+++ b/wagtailshunt/src/entry/state_transfer.rs
@@ -3,7 +3,7 @@
 //!
 //! `catch_up` decides when a request is due and joins the parts of a state.
 
-use std::{collections, rc};
+use std::{collections, rc, time};
 
 use bytes::Bytes;
 use rand::Rng;
@@ -18,6 +18,13 @@
 /// Largest state that is sent in one message, with the targets; leaves room for the envelope.
 const MAX_WHOLE_STATE_BYTES: usize = codec::MAX_FRAME_BYTES - 1024;
 
+/// Requests that a new leader gets at once. Each reply may list all targets; with 300 VMs and 3,000
+/// targets, the replies held up the heartbeats of each new leader until the next election.
+const MAX_REQUESTS_AT_ONCE: usize = 64;
+
+/// Time over which each further request adds to the period in which VMs send them.
+const TIME_PER_REQUEST: time::Duration = time::Duration::from_millis(20);
+
 /// Requests the state from a VM if this VM has none, and if no other request is in progress.
 pub fn request_first_state(state: &rc::Rc<state::State>, from: types::VmId) {
     let now = state.clock.now();
@@ -75,6 +82,28 @@
     state.peers.send_fleet(to, Fleet::Subscribe(subscribe));
 }
 
+/// Requests what this VM lacks from a leader that it did not know before. Where there are many VMs,
+/// they distribute their requests over time; the leader's announcement tells whether commands are
+/// missing, which are requested at once.
+pub fn request_from_new_leader(state: &rc::Rc<state::State>, leader: types::VmId) {
+    let vms = state.with(|inner| inner.roster.vms().count());
+    let beyond = u32::try_from(vms.saturating_sub(MAX_REQUESTS_AT_ONCE)).unwrap_or(u32::MAX);
+    if beyond == 0 {
+        request_state(state, leader);
+        return;
+    }
+    let share = state.rng.borrow_mut().random_range(0.0..1.0);
+    let delay = (TIME_PER_REQUEST * beyond).mul_f64(share);
+    let state = state.clone();
+    compio::runtime::spawn(async move {
+        compio::time::sleep(delay).await;
+        if state.reachable_leader() == Some(leader) {
+            request_state_unless_pending(&state, leader);
+        }
+    })
+    .detach();
+}
+
 /// Requests what this VM lacks unless a reply may still come.
 pub fn request_state_unless_pending(state: &rc::Rc<state::State>, from: types::VmId) {
     let now = state.clock.now();
@@ -208,6 +237,7 @@
         snapshot: Bytes::new(),
         reports,
         complete_buckets,
+        forward_to: Vec::new(),
     };
     if let Missing::State(encoded) = missing
         && !subscribe.accepts_parts
@@ -279,7 +309,13 @@
 /// none. A target that cannot be decoded is skipped.
 pub fn state_received(state: &rc::Rc<state::State>, from: types::VmId, received: fleet::State) {
     let (leader, has_none) = state.with(|inner| (inner.leader, inner.applied.0 == 0));
-    if leader.is_none_or(|(_, leader)| leader != from) && !has_none {
+    let is_from_leader = leader.is_some_and(|(_, leader)| leader == from);
+    if is_from_leader {
+        targets::forward_list(state, &received);
+    }
+    // Targets alone may come from any VM, as single announcements do.
+    let only_targets = received.applied == 0 && received.complete_buckets.is_empty();
+    if !is_from_leader && !has_none && !only_targets {
         return;
     }
     let index = types::LogIndex(received.applied);
--- a/wagtailshunt/src/entry/targets.rs
+++ b/wagtailshunt/src/entry/targets.rs
@@ -23,6 +23,18 @@
 /// Delay of an announcement on its way to the leader that is tolerated in addition.
 const MAX_ANNOUNCEMENT_DELAY: time::Duration = time::Duration::from_millis(2500);
 
+/// Time for which targets that join are collected before the leader sends them to the other VMs.
+/// While many targets start, a message for each of them and each VM would fill the send queues and
+/// the processor of the leader: 300 VMs with 3,000 targets served nothing.
+const TARGET_FORWARD_DELAY: time::Duration = time::Duration::from_millis(20);
+
+/// Targets in one message to the other VMs, so that it fits in a frame.
+const MAX_FORWARDED_TARGETS: usize = 1000;
+
+/// Reports that the leader sends by itself for one list, summed over all VMs: about 1 MB, a tenth of
+/// a second on a link of 100 Mbit/s. Behind more, its heartbeats could be later than an election timeout.
+const MAX_DIRECT_REPORTS: usize = 10_000;
+
 /// Time for which reported loads are collected before they are sent to the group.
 const LOAD_SEND_DELAY: time::Duration = time::Duration::from_millis(20);
 
@@ -158,7 +170,7 @@
     });
     match leader {
         Some((_, leader)) if leader == state.vm => match result {
-            core_fleet::RegistrationResult::Joined => forward_to_all(state, &announcement, None),
+            core_fleet::RegistrationResult::Joined => forward_to_all(state, &announcement),
             core_fleet::RegistrationResult::Renewed | core_fleet::RegistrationResult::Stale => {}
         },
         Some((_, leader)) if result == core_fleet::RegistrationResult::Joined => {
@@ -193,25 +205,99 @@
 
 /// Handles an announcement forwarded by another VM: to the leader by any VM, or to all VMs by the
 /// leader.
-pub fn announcement_received(
-    state: &rc::Rc<state::State>,
-    from: types::VmId,
-    announcement: core_fleet::Announcement,
-) {
-    let result = register(state, announcement.clone());
-    let leads = state.with(|inner| inner.leading_since.is_some());
-    if leads && result == core_fleet::RegistrationResult::Joined {
-        forward_to_all(state, &announcement, Some(from));
+pub fn announcement_received(state: &rc::Rc<state::State>, announcement: core_fleet::Announcement) {
+    if state.with(|inner| inner.leading_since.is_none()) {
+        register(state, announcement);
+        return;
+    }
+    // The VM that the target announces itself to has logged it.
+    let result = register_quietly(state, announcement.clone());
+    if result == core_fleet::RegistrationResult::Joined {
+        forward_to_all(state, &announcement);
     }
 }
 
-fn forward_to_all(
-    state: &state::State,
-    announcement: &core_fleet::Announcement,
-    except: Option<types::VmId>,
-) {
-    let announcement = Fleet::Report(wire::fleet::encode_announcement(announcement));
-    state.peers.broadcast(&announcement, except);
+/// Sends all VMs a target that has joined: at once, or with the others that join within
+/// [`TARGET_FORWARD_DELAY`] after one that was sent at once.
+fn forward_to_all(state: &rc::Rc<state::State>, announcement: &core_fleet::Announcement) {
+    let report = wire::fleet::encode_announcement(announcement);
+    let is_first = state.with(|inner| match &mut inner.unforwarded_targets {
+        Some(collected) => {
+            collected.push(report.clone());
+            false
+        }
+        None => {
+            inner.unforwarded_targets = Some(Vec::new());
+            true
+        }
+    });
+    if !is_first {
+        return;
+    }
+    state.peers.broadcast(Fleet::Report(report), None);
+    let state = state.clone();
+    compio::runtime::spawn(async move {
+        loop {
+            compio::time::sleep(TARGET_FORWARD_DELAY).await;
+            let collected = state.with(|inner| {
+                let collected = inner.unforwarded_targets.as_mut().map(std::mem::take);
+                let collected = collected.unwrap_or_default();
+                if collected.is_empty() {
+                    inner.unforwarded_targets = None;
+                }
+                collected
+            });
+            if collected.is_empty() {
+                return;
+            }
+            for reports in collected.chunks(MAX_FORWARDED_TARGETS) {
+                send_list(&state, reports.to_vec());
+            }
+        }
+    })
+    .detach();
+}
+
+/// Sends a list of targets that have joined to all VMs. If it is long for their number, the other
+/// voters send it to a part of them each.
+fn send_list(state: &state::State, reports: Vec<fleet::TargetReport>) {
+    let connected = state.peers.connected();
+    let is_short = reports.len() * connected.len() <= MAX_DIRECT_REPORTS;
+    let mut list = fleet::State {
+        reports,
+        ..fleet::State::default()
+    };
+    let (voters, others): (Vec<types::VmId>, Vec<types::VmId>) =
+        state.with(|inner| connected.iter().partition(|vm| inner.is_member(**vm)));
+    if is_short || voters.is_empty() {
+        state.peers.send_to_all(&connected, Fleet::State(list));
+        return;
+    }
+    let part = |rank: usize| others.iter().skip(rank).step_by(voters.len() + 1);
+    for (rank, voter) in voters.iter().enumerate() {
+        list.forward_to = part(rank).map(|vm| vm.0).collect();
+        state.peers.send_fleet(*voter, Fleet::State(list.clone()));
+    }
+    list.forward_to.clear();
+    let own: Vec<types::VmId> = part(voters.len()).copied().collect();
+    state.peers.send_to_all(&own, Fleet::State(list));
+}
+
+/// Passes on a list of targets from the leader to the VMs that it names.
+pub fn forward_list(state: &state::State, received: &fleet::State) {
+    let vms: Vec<types::VmId> = received
+        .forward_to
+        .iter()
+        .copied()
+        .map(types::VmId)
+        .collect();
+    if !vms.is_empty() {
+        let list = fleet::State {
+            reports: received.reports.clone(),
+            ..fleet::State::default()
+        };
+        state.peers.send_to_all(&vms, Fleet::State(list));
+    }
 }
 
 fn silence_timeout(state: &state::State) -> time::Duration {
@@ -230,7 +316,7 @@
     for incarnation in silent {
         remove_silent(state, &incarnation);
         let gone = Fleet::Gone(wire::fleet::encode_incarnation(&incarnation));
-        state.peers.broadcast(&gone, None);
+        state.peers.broadcast(gone, None);
     }
 }
 
--- a/wagtailshunt/src/events/mod.rs
+++ b/wagtailshunt/src/events/mod.rs
@@ -38,6 +38,8 @@
     vm: types::VmId,
     role: types::Role,
     sequence: u64,
+    /// Maximum number of events in `kept`.
+    limit: usize,
     kept: collections::VecDeque<Event>,
 }
 
@@ -62,13 +64,22 @@
             vm,
             role,
             sequence: 0,
-            kept: collections::VecDeque::with_capacity(MAX_KEPT_EVENTS),
+            limit: MAX_KEPT_EVENTS,
+            kept: collections::VecDeque::new(),
         };
         EventLog {
             inner: rc::Rc::new(cell::RefCell::new(inner)),
         }
     }
 
+    /// Keeps no events in memory from now on, for processes that don't serve them: 4096 events take
+    /// several megabytes.
+    pub fn keep_none(&self) {
+        let mut inner = self.inner.borrow_mut();
+        inner.limit = 0;
+        inner.kept = collections::VecDeque::new();
+    }
+
     /// Stamps an event, writes it to the log and keeps it in memory.
     pub fn emit(&self, id: event::Id, fields: &[(&'static str, &dyn fmt::Display)]) {
         let mut inner = self.inner.borrow_mut();
@@ -82,6 +93,9 @@
             .map(|(name, value)| (*name, value.to_string()))
             .collect();
         write_log(level, id, stamp, inner.vm, entry.text, &fields);
+        if inner.limit == 0 {
+            return;
+        }
         let event = Event {
             stamp,
             vm: inner.vm,
@@ -91,7 +105,7 @@
             text: entry.text,
             fields,
         };
-        if inner.kept.len() == MAX_KEPT_EVENTS {
+        if inner.kept.len() >= inner.limit {
             inner.kept.pop_front();
         }
         inner.kept.push_back(event);
--- a/wagtailshunt/src/transport/connection.rs
+++ b/wagtailshunt/src/transport/connection.rs
@@ -56,8 +56,17 @@
     Dropped,
 }
 
+/// Body of a frame to send.
+#[derive(Clone, Debug, derive_more::From)]
+pub enum Payload {
+    /// Encoded when it is sent.
+    Body(Body),
+    /// Encoded before, for many connections.
+    Encoded(codec::EncodedBody),
+}
+
 /// Request id and body of a frame to send.
-pub type Outgoing = (u64, Body);
+pub type Outgoing = (u64, Payload);
 
 /// Sends frames on a connection, which ends when all clones of the handle are dropped.
 #[derive(Clone, Debug)]
@@ -88,11 +97,11 @@
 
 impl Handle {
     /// Queues a frame; returns false if the queue is full or the connection has ended.
-    pub fn send(&self, request: u64, body: Body) -> bool {
+    pub fn send(&self, request: u64, body: impl Into<Payload>) -> bool {
         if self.queued.get() >= MAX_QUEUED_FRAMES {
             return false;
         }
-        let sent = self.tx.unbounded_send((request, body)).is_ok();
+        let sent = self.tx.unbounded_send((request, body.into())).is_ok();
         if sent {
             self.queued.set(self.queued.get() + 1);
         }
@@ -222,7 +231,7 @@
             Some(first) => encode_batch(identity, &mut codec, &mut buf, first, &mut queue),
             None => {
                 let heartbeat = Body::Heartbeat(envelope::Heartbeat {});
-                encode(identity, &mut codec, &mut buf, (0, heartbeat));
+                encode(identity, &mut codec, &mut buf, (0, heartbeat.into()));
             }
         }
         let mut stream = stream;
@@ -259,9 +268,15 @@
     identity: &Identity,
     codec: &mut codec::EnvelopeCodec,
     buf: &mut BytesMut,
-    (request, body): Outgoing,
+    (request, payload): Outgoing,
 ) {
-    if let Err(err) = codec.encode(&identity.envelope(request, body), buf) {
+    let encoded = match payload {
+        Payload::Body(body) => codec.encode(&identity.envelope(request, Some(body)), buf),
+        Payload::Encoded(body) => {
+            codec.encode_with_body(&identity.envelope(request, None), &body, buf)
+        }
+    };
+    if let Err(err) = encoded {
         log::error!("frame to a peer dropped: {err}");
     }
 }
--- a/wagtailshunt/src/transport/identity.rs
+++ b/wagtailshunt/src/transport/identity.rs
@@ -42,14 +42,18 @@
 }
 
 impl Identity {
-    /// Returns an envelope from this process with the given body.
-    pub fn envelope(&self, request: u64, body: envelope::envelope::Body) -> envelope::Envelope {
+    /// Returns an envelope from this process with the given body, or without one that is encoded already.
+    pub fn envelope(
+        &self,
+        request: u64,
+        body: Option<envelope::envelope::Body>,
+    ) -> envelope::Envelope {
         envelope::Envelope {
             vm: self.vm.0,
             incarnation: self.incarnation.0,
             clock: self.events.stamp().0,
             request,
-            body: Some(body),
+            body,
         }
     }
 
@@ -62,7 +66,7 @@
             failure_domain: self.failure_domain.0.clone(),
             schema: self.schema,
         };
-        self.envelope(0, envelope::envelope::Body::Hello(hello))
+        self.envelope(0, Some(envelope::envelope::Body::Hello(hello)))
     }
 
     /// Checks the first frame of a peer and returns the peer's identity.
--- a/wagtailshunt/src/transport/mod.rs
+++ b/wagtailshunt/src/transport/mod.rs
@@ -9,7 +9,7 @@
 mod identity;
 mod listen;
 
-pub use connection::{Error, Handle, RECEIVE_TIMEOUT};
+pub use connection::{Error, Handle, Payload, RECEIVE_TIMEOUT};
 pub use dial::{Dialer, dial};
 pub use identity::{Identity, Peer};
 pub use listen::listen;
--- a/wire/src/codec.rs
+++ b/wire/src/codec.rs
@@ -1,6 +1,6 @@
 //! Framing of a byte stream between two processes: length-delimited frames with one envelope each.
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use prost::Message;
 use tokio_util::codec::{self, Decoder, Encoder};
 
@@ -20,6 +20,22 @@
     Envelope(#[from] prost::DecodeError),
 }
 
+/// Body of an envelope that is encoded once and sent on many connections.
+#[derive(Clone, Debug)]
+pub struct EncodedBody(Bytes);
+
+impl EncodedBody {
+    /// Encodes a body.
+    pub fn new(body: envelope::envelope::Body) -> EncodedBody {
+        let envelope = envelope::Envelope {
+            body: Some(body),
+            ..envelope::Envelope::default()
+        };
+        // Fields with default values are not encoded, so that this is the body alone.
+        EncodedBody(envelope.encode_to_vec().into())
+    }
+}
+
 /// Encodes and decodes envelopes in a byte stream.
 #[derive(Debug)]
 pub struct EnvelopeCodec {
@@ -46,11 +62,29 @@
         envelope: &envelope::Envelope,
         buf: &mut BytesMut,
     ) -> Result<(), Error> {
-        let payload = bytes::Bytes::from(envelope.encode_to_vec());
+        let payload = Bytes::from(envelope.encode_to_vec());
         self.frames.encode(payload, buf)?;
         Ok(())
     }
 
+    /// Appends an envelope with the fields of `header` and the given body to `buf` as one frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Frame`] if the envelope is longer than [`MAX_FRAME_BYTES`].
+    pub fn encode_with_body(
+        &mut self,
+        header: &envelope::Envelope,
+        body: &EncodedBody,
+        buf: &mut BytesMut,
+    ) -> Result<(), Error> {
+        // The encoding of a message is the concatenation of its fields.
+        let mut payload = header.encode_to_vec();
+        payload.extend_from_slice(&body.0);
+        self.frames.encode(Bytes::from(payload), buf)?;
+        Ok(())
+    }
+
     /// Removes the next complete envelope from `buf`. Returns `None` if more bytes are needed.
     ///
     /// # Errors
--- a/wire/tests/replication.rs
+++ b/wire/tests/replication.rs
@@ -118,6 +118,32 @@
     }
 }
 
+/// Guards against a frame with a body that was encoded once for many connections and that a receiver
+/// reads differently.
+#[test]
+fn body_that_was_encoded_before_gives_the_same_frame() {
+    let header = envelope::Envelope {
+        vm: 1,
+        incarnation: 2,
+        clock: 3,
+        request: 4,
+        body: None,
+    };
+    for msg in messages() {
+        let body = envelope::envelope::Body::Replication(replication::encode(GroupId(9), msg));
+        let whole = envelope::Envelope {
+            body: Some(body.clone()),
+            ..header.clone()
+        };
+        let (mut expected, mut frame) = (BytesMut::new(), BytesMut::new());
+        let mut codec = codec::EnvelopeCodec::default();
+        codec.encode(&whole, &mut expected).unwrap();
+        let body = codec::EncodedBody::new(body);
+        codec.encode_with_body(&header, &body, &mut frame).unwrap();
+        assert_eq!(frame, expected);
+    }
+}
+
 /// Guards against size limits of the core that exceed the frame limit, so that a connection closes.
 #[test]
 fn the_largest_message_fits_into_a_frame() {
