Read-ahead buffer of a connection is no longer zeroed

Each poll of a caller's connection reads until nothing is left and zeroed 8 KiB for each of these reads, most of which find nothing. The buffer is now uninitialised; only what was read is looked at.

--- a/wagtailshunt/src/http/pipeline.rs
+++ b/wagtailshunt/src/http/pipeline.rs
@@ -5,7 +5,7 @@
 //! behind it and starts those that are safe to repeat. Their responses are held back until hyper
 //! reaches the request, so they are sent in order.
 
-use std::{cell, collections, net, pin, rc, task};
+use std::{cell, collections, mem, net, pin, rc, task};
 
 use bytes::{Buf, Bytes, BytesMut};
 use compio::runtime;
@@ -365,8 +365,9 @@
             if ahead.eof || room == 0 || !self.state.occupancy.reserve_ahead(expected, cx) {
                 return Ok(());
             }
-            let mut chunk = [0; READ_CHUNK_BYTES];
-            let mut read = rt::ReadBuf::new(&mut chunk[..room]);
+            // Not zeroed: most reads find nothing, and zeroing costs more than they do.
+            let mut chunk = [mem::MaybeUninit::uninit(); READ_CHUNK_BYTES];
+            let mut read = rt::ReadBuf::uninit(&mut chunk[..room]);
             match pin::Pin::new(&mut self.inner).poll_read(cx, read.unfilled()) {
                 task::Poll::Pending => return Ok(()),
                 task::Poll::Ready(result) => result?,
