No table of header fields for an empty read-ahead buffer

Each poll of a caller's connection looks for a further request in the read-ahead buffer and allocated and filled a table for 100 header fields even when the buffer was empty. It is now checked first; parsing an empty buffer gave no head either.

--- a/wagtailshunt/src/http/pipeline.rs
+++ b/wagtailshunt/src/http/pipeline.rs
@@ -235,6 +235,10 @@
 ///
 /// An invalid head is returned without a body length, so that it is passed on and hyper rejects it.
 fn parse_head(bytes: &[u8], max_header_count: usize) -> Option<Head> {
+    // The usual case: each poll of a connection looks for a further request.
+    if bytes.is_empty() {
+        return None;
+    }
     let unreadable = || Head {
         len: bytes.len(),
         body: None,
