Eviction waker of a connection is registered only when it changes

Each poll of a caller's connection replaced its waker in the table of the memory budget by an equal one, which clones one waker and drops another. The registered waker is now kept if it wakes the same task. Whether the connection is evicted is still checked at each poll.

--- a/wagtailshunt/src/http/memory.rs
+++ b/wagtailshunt/src/http/memory.rs
@@ -292,6 +292,11 @@
             if shared.budget.is_evicted(*id) {
                 return task::Poll::Ready(());
             }
+            // A connection checks this at each of its polls, with the same waker.
+            let registered = shared.awaiting_eviction.get(id);
+            if registered.is_some_and(|waker| waker.will_wake(cx.waker())) {
+                return task::Poll::Pending;
+            }
             let earlier = shared.awaiting_eviction.insert(*id, cx.waker().clone());
             drop(shared);
             drop(earlier);
