Remaining time of a call is read from its header once

The time that the caller has left was parsed three times for each call since calls may wait for a key lease, also where there are no workspaces. It is now passed on.

--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -112,9 +112,11 @@
     let request_id = req.headers().get(&state.cfg.protocol.request_id).cloned();
     let host = req.headers().get(header::HOST).cloned();
     let uri = req.uri().clone();
-    let caller_deadline = arrival + caller_time_left(state, &req);
+    let time_left = caller_time_left(state, &req);
+    let caller_deadline = arrival + time_left;
     let retry_after = cell::Cell::new(None);
-    let mut response = match serve_call(state, req, relayed, arrival, &retry_after).await {
+    let served = serve_call(state, req, relayed, arrival, time_left, &retry_after).await;
+    let mut response = match served {
         Ok(response) => response,
         // These may be many and are counted only; events 143 to 145 tell when they begin and end.
         Err(reason @ Failure::OverAllowance) => {
@@ -221,6 +223,7 @@
     req: Request<http::Body>,
     relayed: Option<RelayedCall>,
     arrival: core_time::Instant,
+    time_left: std::time::Duration,
     retry_after: &cell::Cell<Option<std::time::Duration>>,
 ) -> Result<Response<http::Body>, Failure> {
     http::check_head(&req).map_err(|_| Failure::Malformed)?;
@@ -235,21 +238,21 @@
     }
     let named_route = match route(state, &req) {
         Err(Failure::NoConfiguration) => {
-            state.wait_until_configured(max_wait(state, &req)).await;
+            state.wait_until_configured(max_wait(time_left)).await;
             route(state, &req)?
         }
         named_route => named_route?,
     };
     let lease_wait = match relayed {
         // The sender can choose another relay.
-        Some(_) => max_wait(state, &req).min(relay::VERSION_WAIT),
-        None => max_wait(state, &req),
+        Some(_) => max_wait(time_left).min(relay::VERSION_WAIT),
+        None => max_wait(time_left),
     };
     let (workspace, has_workspaces) =
         key_check::workspace(state, &req, &named_route.1, lease_wait).await?;
     // The VM that relays a call has taken its token.
     if let Some(workspace) = workspace.as_ref().filter(|_| relayed.is_none()) {
-        let time_left = caller_time_left(state, &req).min(named_route.1.timeout);
+        let time_left = time_left.min(named_route.1.timeout);
         let taken = allowance::take(state, &workspace.workspace, time_left).await;
         taken.map_err(|(reason, after)| {
             retry_after.set(Some(after));
@@ -258,7 +261,7 @@
     }
     let limits = state.with(|inner| inner.machine.table.items().limits.clone());
     let limits = limits.unwrap_or_default();
-    let caller_deadline = arrival + caller_time_left(state, &req);
+    let caller_deadline = arrival + time_left;
     let deadline = caller_deadline.min(arrival + named_route.1.timeout);
     let (head, body) = req.into_parts();
     let body = read_body(state, &head, body, limits.body_bytes, deadline).await?;
@@ -369,9 +372,8 @@
 }
 
 /// Returns how long a call may wait for what this process lacks just after its start.
-fn max_wait(state: &state::State, req: &Request<http::Body>) -> std::time::Duration {
-    let share = caller_time_left(state, req).mul_f64(CONFIGURATION_WAIT_SHARE);
-    MAX_CONFIGURATION_WAIT.min(share)
+fn max_wait(time_left: std::time::Duration) -> std::time::Duration {
+    MAX_CONFIGURATION_WAIT.min(time_left.mul_f64(CONFIGURATION_WAIT_SHARE))
 }
 
 /// Reads the body of a call within the memory budget.
