A body that has arrived whole does not count as waiting

Reading a request body recorded in the memory budget that its call waits for the client, and afterwards that it does not, also when nothing had to be waited for. This takes a lock, a clock reading and a look-up each time. It is now recorded when a part of the body is not there yet, which is the only time at which a call can be evicted as stalled.

--- a/wagtailshunt/src/http/blocks.rs
+++ b/wagtailshunt/src/http/blocks.rs
@@ -123,15 +123,21 @@
         if body.size_hint().lower() > self.limit {
             return Err(ReadError::TooLong);
         }
-        self.holder.set_waiting(Waiting::Partial);
+        let mut has_waited = false;
         while !body.is_end_stream() {
-            let frame = {
-                let frame = body.frame().fuse();
-                let evicted = self.holder.evicted().fuse();
-                pin_mut!(frame, evicted);
-                select_biased! {
-                    frame = frame => frame,
-                    () = evicted => return Err(ReadError::NoMemory),
+            // Most bodies have arrived whole, so that their holders never wait for the client.
+            let frame = match body.frame().now_or_never() {
+                Some(frame) => frame,
+                None => {
+                    has_waited = true;
+                    self.holder.set_waiting(Waiting::Partial);
+                    let frame = body.frame().fuse();
+                    let evicted = self.holder.evicted().fuse();
+                    pin_mut!(frame, evicted);
+                    select_biased! {
+                        frame = frame => frame,
+                        () = evicted => return Err(ReadError::NoMemory),
+                    }
                 }
             };
             let Some(data) = next_data(frame)? else {
@@ -146,11 +152,12 @@
             while !self.fill_block(&mut data) {
                 let bytes = self.next_block_bytes(data.len(), body.size_hint().exact());
                 self.reserve(bytes as u64).await?;
-                self.holder.set_waiting(Waiting::Partial);
                 self.block = Vec::with_capacity(bytes);
             }
         }
-        self.holder.set_waiting(Waiting::No);
+        if has_waited {
+            self.holder.set_waiting(Waiting::No);
+        }
         Ok(())
     }
 
