--- a/wagtailshunt/src/http/pipeline.rs
+++ b/wagtailshunt/src/http/pipeline.rs
@@ -5,7 +5,7 @@
 //! behind it and starts those that are safe to repeat. Their responses are held back until hyper
 //! reaches the request, so they are sent in order.
 
-use std::{cell, collections, net, pin, rc, task};
+use std::{cell, collections, mem, net, pin, rc, task};
 
 use bytes::{Buf, Bytes, BytesMut};
 use compio::runtime;
@@ -235,6 +235,10 @@
 ///
 /// An invalid head is returned without a body length, so that it is passed on and hyper rejects it.
 fn parse_head(bytes: &[u8], max_header_count: usize) -> Option<Head> {
+    // The usual case: each poll of a connection looks for a further request.
+    if bytes.is_empty() {
+        return None;
+    }
     let unreadable = || Head {
         len: bytes.len(),
         body: None,
@@ -365,8 +369,9 @@
             if ahead.eof || room == 0 || !self.state.occupancy.reserve_ahead(expected, cx) {
                 return Ok(());
             }
-            let mut chunk = [0; READ_CHUNK_BYTES];
-            let mut read = rt::ReadBuf::new(&mut chunk[..room]);
+            // Not zeroed: most reads find nothing, and zeroing costs more than they do.
+            let mut chunk = [mem::MaybeUninit::uninit(); READ_CHUNK_BYTES];
+            let mut read = rt::ReadBuf::uninit(&mut chunk[..room]);
             match pin::Pin::new(&mut self.inner).poll_read(cx, read.unfilled()) {
                 task::Poll::Pending => return Ok(()),
                 task::Poll::Ready(result) => result?,
