A large response that stops halfway ends at the timeout of its route

Cause: a response of more than 256 KiB, and the rest of one that finds no memory, is passed through while it arrives. The call had ended by then, and with it its deadline, so that a target which stopped in the middle kept both connections open.

Change: such a body has the deadline of its call, at a relay and at the VM that sends to it. If it waits for its target then, it fails: the caller's connection is closed, the target's with it, and event 64 is written. What has arrived is still sent to a slow caller. A caller of HTTP/1.0 gets a reset, since the end of its connection may be the end of the response.

--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -240,7 +240,7 @@
     let OwnResponse { mut head, body } = response;
     let keep_alive = keep_alive_timeout(&head.headers);
     let closes = closes_connection(&head.headers);
-    let body = match buffer_body(state, body).await {
+    let body = match buffer_body(state, call_request, ("target", &destination.target), body).await {
         Ok(body) => body,
         Err(reason) => {
             flight.finish(placement::Outcome::Failed);
@@ -400,18 +400,42 @@
 }
 
 /// Reads a small body completely. A body of known larger size is forwarded as it arrives, and so is
-/// what there is no memory for.
-pub async fn buffer_body(state: &state::State, body: Incoming) -> Result<http::Body, String> {
+/// what there is no memory for; it fails if it isn't complete at the deadline of the call. `sender`
+/// is the target or the relay, as a field of the event for that case.
+pub async fn buffer_body(
+    state: &state::State,
+    call_request: &CallRequest,
+    sender: (&'static str, &dyn std::fmt::Display),
+    body: Incoming,
+) -> Result<http::Body, String> {
     let size = hyper::body::Body::size_hint(&body);
-    if size.lower() > MAX_BUFFERED_BYTES as u64 {
-        return Ok(http::Body::Incoming(body));
+    let body = match size.lower() > MAX_BUFFERED_BYTES as u64 {
+        true => http::Body::Incoming(body),
+        false => {
+            let limit = MAX_BUFFERED_BYTES as u64 * 16;
+            let read = http::buffer_response(&state.memory, body, limit).await;
+            read.map_err(|err| match err {
+                http::ReadError::TooLong => {
+                    "response of unknown length is too large to buffer".to_owned()
+                }
+                err => format!("response {err}"),
+            })?
+        }
+    };
+    if body.is_buffered() {
+        return Ok(body);
     }
-    let limit = MAX_BUFFERED_BYTES as u64 * 16;
-    let read = http::buffer_response(&state.memory, body, limit).await;
-    read.map_err(|err| match err {
-        http::ReadError::TooLong => "response of unknown length is too large to buffer".to_owned(),
-        err => format!("response {err}"),
-    })
+    let (clock, deadline) = (state.clock, call_request.deadline);
+    let (events, request_id) = (state.events.clone(), call_request.request_id.clone());
+    let (role, id) = (sender.0, sender.1.to_string());
+    Ok(body.with_deadline(async move {
+        clock.sleep_until(deadline).await;
+        let request = String::from_utf8_lossy(request_id.as_bytes());
+        let reason = http::BodyError::Deadline;
+        let fields: [(_, &dyn std::fmt::Display); 3] =
+            [("request", &request), (role, &id), ("reason", &reason)];
+        events.emit(wagtailshunt_core::event::Id::CallAborted, &fields);
+    }))
 }
 
 /// Reads the rest of a refusal in the background and returns the connection to the pool.
--- a/wagtailshunt/src/entry/calls/relay.rs
+++ b/wagtailshunt/src/entry/calls/relay.rs
@@ -252,7 +252,7 @@
     let failure = http::header_text(&head.headers, &FAILURE_HEADER).map(Failure::from_text);
     let keep_alive = attempt::keep_alive_timeout(&head.headers);
     let closes = attempt::closes_connection(&head.headers);
-    let body = match attempt::buffer_body(state, body).await {
+    let body = match attempt::buffer_body(state, call_request, ("relay", &vm), body).await {
         Ok(body) => body,
         Err(reason) => return (relay::Outcome::Failed, Some(RelayOutcome::Lost(reason))),
     };
--- a/wagtailshunt/src/http/body.rs
+++ b/wagtailshunt/src/http/body.rs
@@ -3,6 +3,7 @@
 use std::{pin, task, vec};
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use hyper::body::{Frame, Incoming, SizeHint};
 
 /// Errors that occur while a body is forwarded.
@@ -54,6 +55,49 @@
     pub fn is_buffered(&self) -> bool {
         matches!(self, Body::Full(_) | Body::Blocks { .. })
     }
+
+    /// Makes a body that is still being received fail when it has to wait for its peer after
+    /// `expired`. What has arrived by then is forwarded, also to a caller that reads slowly.
+    pub fn with_deadline(self, expired: impl Future<Output = ()> + 'static) -> Body {
+        match self.is_buffered() {
+            true => self,
+            false => Body::Stream(Box::pin(TimedBody {
+                body: self,
+                expired: Box::pin(expired.fuse()),
+            })),
+        }
+    }
+}
+
+/// A body with a deadline.
+struct TimedBody {
+    body: Body,
+    expired: pin::Pin<Box<dyn Future<Output = ()>>>,
+}
+
+impl hyper::body::Body for TimedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = self.get_mut();
+        let frame = pin::Pin::new(&mut this.body).poll_frame(cx);
+        if frame.is_pending() && this.expired.as_mut().poll(cx).is_ready() {
+            return task::Poll::Ready(Some(Err(BodyError::Deadline)));
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 impl hyper::body::Body for Body {
--- a/wagtailshunt/src/http/serve.rs
+++ b/wagtailshunt/src/http/serve.rs
@@ -168,8 +168,10 @@
             let handler = handler.clone();
             let respond = move |req| handler(req, peer);
             let evicted = future_util::pending();
+            let socket = stream.clone();
             let io = Io::new(stream);
-            serve_connection(io, limits, stopping.clone(), || true, evicted, respond)
+            let stopping = stopping.clone();
+            serve_connection(io, socket, limits, stopping, || true, evicted, respond)
         },
     )
     .await
@@ -217,6 +219,7 @@
             let occupancy = Occupancy::new(holder);
             let pipeline_state =
                 pipeline::PipelineState::new(peer, limits.header_count, start.clone(), occupancy);
+            let socket = stream.clone();
             let io = pipeline::PipelinedIo::new(Io::new(stream), pipeline_state.clone());
             let connection = pipeline_state.clone();
             let evicted = async move { connection.occupancy.evicted().await };
@@ -239,7 +242,8 @@
                     guard.attach(response)
                 }
             };
-            serve_connection(io, limits, stopping.clone(), may_close, evicted, respond)
+            let stopping = stopping.clone();
+            serve_connection(io, socket, limits, stopping, may_close, evicted, respond)
         },
     )
     .await
@@ -342,9 +346,11 @@
 const LAST_ACCEPT_LIMIT: time::Duration = time::Duration::from_millis(100);
 
 /// Serves a connection until it ends or, after the start of the shutdown, until `may_close` and the
-/// request in progress has its response. It is closed at once when `evicted` returns.
+/// request in progress has its response. It is closed at once when `evicted` returns. `socket` is
+/// that of `io`.
 async fn serve_connection<S, H, F>(
     io: S,
+    socket: TcpStream,
     limits: Limits,
     shutdown: Shutdown,
     may_close: impl Fn() -> bool + Clone + 'static,
@@ -359,8 +365,11 @@
     let close_allowed = may_close.clone();
     let has_request = rc::Rc::new(cell::Cell::new(false));
     let request_arrived = has_request.clone();
-    let service = service::service_fn(move |req| {
+    let is_http_1_0 = rc::Rc::new(cell::Cell::new(false));
+    let http_1_0 = is_http_1_0.clone();
+    let service = service::service_fn(move |req: Request<Incoming>| {
         request_arrived.set(true);
+        http_1_0.set(req.version() == hyper::Version::HTTP_10);
         let response = handler(req);
         let (stopping, close_allowed) = (stopping.clone(), close_allowed.clone());
         // Boxed, because hyper reserves memory for the future on idle connections as well.
@@ -391,12 +400,21 @@
         }
     };
     pin_mut!(stop, evicted);
-    match future_util::select(conn.as_mut(), future_util::select(stop, evicted.as_mut())).await {
-        future_util::Either::Left(_)
-        | future_util::Either::Right((future_util::Either::Right(_), _)) => {}
+    let stop = future_util::select(stop, evicted.as_mut());
+    let ended = match future_util::select(conn.as_mut(), stop).await {
+        future_util::Either::Left((ended, _)) => ended,
+        future_util::Either::Right((future_util::Either::Right(_), _)) => return,
         future_util::Either::Right((future_util::Either::Left(_), _)) => {
             conn.as_mut().graceful_shutdown();
-            future_util::select(conn, evicted).await;
+            match future_util::select(conn.as_mut(), evicted).await {
+                future_util::Either::Left((ended, _)) => ended,
+                future_util::Either::Right(_) => return,
+            }
         }
+    };
+    // A response to HTTP/1.0 may end with its connection. Without a reset, the part of it that was
+    // sent would look complete.
+    if is_http_1_0.get() && ended.is_err_and(|err| err.is_user()) {
+        let _ = socket.set_zero_linger();
     }
 }
