Bodies of operators and targets are part of the memory budget

Cause: the listener of operators and targets read bodies of up to 8 MiB without the budget and without a time limit. 24 unfinished ones took a process with limits.memory_mb=96 to 558 MiB.

Change: the bodies are read into the blocks of the budget, with eviction as for callers, and copied into one piece within it when they are longer than a block. They have 60 s (408), twice what 8 MiB take on the slowest link, and wait for memory for 2 s (503).

The 60 s and the reading of announcements without room have no test.

--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -404,7 +404,9 @@
         Ok(Ok(())) => Ok(reader.finish()),
         Ok(Err(http::ReadError::TooLong)) => Err(Failure::BodyTooLarge),
         Ok(Err(http::ReadError::NoMemory)) => Err(Failure::NoMemory),
-        Ok(Err(http::ReadError::BrokenOff)) | Err(_) => Err(Failure::BodyIncomplete),
+        Ok(Err(http::ReadError::BrokenOff | http::ReadError::TimedOut)) | Err(_) => {
+            Err(Failure::BodyIncomplete)
+        }
     }
 }
 
--- a/wagtailshunt/src/entry/operators.rs
+++ b/wagtailshunt/src/entry/operators.rs
@@ -1,11 +1,30 @@
 //! Configuration changes and reads requested by operators. Both are decided by the leader of the
 //! replicated group; other VMs redirect to it.
 
-use std::{net, rc};
+use std::{net, pin, rc, time};
 
+use bytes::Bytes;
+use futures_util::FutureExt;
+use hyper::body::Incoming;
 use wagtailshunt_core::{event, routing, state_machine};
 
-use crate::entry::{replica, state};
+use crate::{
+    entry::{replica, state},
+    http,
+};
+
+/// Time for the body of a request. A configuration of 8 MiB takes half of it on the slowest link
+/// (2.3 Mbit/s).
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+
+/// Longest time that a request waits for memory for its body, as for a call; calls in progress end
+/// within it.
+const MAX_MEMORY_WAIT: time::Duration = time::Duration::from_secs(2);
+
+/// Bodies up to this size are read even when the budget is exhausted: without its announcements, a
+/// target would be removed and calls take longer to end. Announcements have some hundred bytes; on
+/// the largest VM, all connections together hold 5 MiB of them.
+const ANNOUNCEMENT_BYTES: u64 = 4 * 1024;
 
 /// Outcome of a configuration change or read.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +46,31 @@
     pub items: routing::ConfigItems,
 }
 
+/// Reads the body of a request of an operator or a target within the memory budget. The result keeps
+/// its reservation until it is dropped.
+///
+/// # Errors
+///
+/// Returns why the body was not read. The request has not been handled then.
+pub async fn read_body(
+    state: &state::State,
+    body: Incoming,
+    limit: u64,
+) -> Result<Bytes, http::ReadError> {
+    let reader = http::BlockReader::new(&state.memory, limit, MAX_MEMORY_WAIT);
+    let mut reader = reader.always_read(ANNOUNCEMENT_BYTES);
+    let mut read = pin::pin!(async {
+        reader.read_request(http::Body::Incoming(body)).await?;
+        reader.finish_contiguous().await
+    });
+    // Most requests are complete already, and need no timer.
+    if let Some(result) = read.as_mut().now_or_never() {
+        return result;
+    }
+    let result = compio::time::timeout(BODY_TIMEOUT, read).await;
+    result.unwrap_or(Err(http::ReadError::TimedOut))
+}
+
 /// Returns a redirect to the leader, or why there is none.
 pub(super) fn redirect<T>(state: &state::State) -> Outcome<T> {
     let Some(leader) = state.reachable_leader() else {
--- a/wagtailshunt/src/http/blocks.rs
+++ b/wagtailshunt/src/http/blocks.rs
@@ -37,6 +37,9 @@
     /// The body broke off.
     #[error("body broke off")]
     BrokenOff,
+    /// The body was not complete in time.
+    #[error("body was not complete in time")]
+    TimedOut,
 }
 
 /// A body in memory, for any number of sendings.
@@ -78,6 +81,8 @@
     /// Longest wait for room for one block.
     wait: time::Duration,
     limit: u64,
+    /// Length of a body that is read whether there is room or not.
+    always_read: u64,
     parts: Vec<Bytes>,
     /// The block that is being filled.
     block: Vec<u8>,
@@ -93,6 +98,7 @@
             holder: memory.open_message(),
             wait,
             limit,
+            always_read: 0,
             parts: Vec::new(),
             block: Vec::new(),
             len: 0,
@@ -100,6 +106,15 @@
         }
     }
 
+    /// Makes the reader read bodies up to this length whether there is room or not. They are charged
+    /// like others.
+    pub fn always_read(self, bytes: u64) -> BlockReader {
+        BlockReader {
+            always_read: bytes,
+            ..self
+        }
+    }
+
     /// Reserves memory that is kept as long as the body, in addition to it.
     ///
     /// # Errors
@@ -145,7 +160,10 @@
             let mut data = &data[..];
             while !self.fill_block(&mut data) {
                 let bytes = self.next_block_bytes(data.len(), body.size_hint().exact());
-                self.reserve(bytes as u64).await?;
+                match self.parts.is_empty() && bytes as u64 <= self.always_read {
+                    true => self.holder.reserve_beyond(bytes as u64),
+                    false => self.reserve(bytes as u64).await?,
+                }
                 self.holder.set_waiting(Waiting::Partial);
                 self.block = Vec::with_capacity(bytes);
             }
@@ -236,6 +254,22 @@
     }
 }
 
+impl BlockReader {
+    /// Returns what was read in one piece, which is a copy if there are several blocks.
+    ///
+    /// # Errors
+    ///
+    /// [`ReadError::NoMemory`] if there is no room for the copy in time.
+    pub async fn finish_contiguous(mut self) -> Result<Bytes, ReadError> {
+        self.finish_block();
+        if self.parts.len() <= 1 {
+            return Ok(self.parts.pop().unwrap_or_default());
+        }
+        self.reserve(self.len).await?;
+        Ok(self.holder.share(self.parts.concat(), self.len))
+    }
+}
+
 /// Returns the data of a frame; `None` at the end of the body. Trailers are not forwarded.
 fn next_data<E>(frame: Option<Result<Frame<Bytes>, E>>) -> Result<Option<Bytes>, ReadError> {
     match frame {
