A new leader's buckets start with the tokens of the time without a leader

Cause: buckets of a new leader started empty, because it didn't know for how long no other leader had granted tokens. Calls within the allowance got 429 in the next seconds.

Change: a vote reply carries the time since the voter last acknowledged a leader's round, led or started. The shortest one, less the clock margin and the shortest election timeout, is the time for which no earlier leader held a lease; the buckets start with what they earn in it. Also: after an empty answer the waiting calls are asked for again 20 ms later; without a known leader calls don't wait; calls beyond what the bucket holds get 429; a removed workspace's period of refusals ends, and past refusals no longer delay callers; a faulty answer can't underflow.

--- a/core/src/allowance/holder.rs
+++ b/core/src/allowance/holder.rs
@@ -11,6 +11,10 @@
 /// Time after which a question without an answer is repeated, and calls use the reserve at once.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
+/// Time after an empty answer until the leader is asked again: a leader that has just been elected is
+/// confirmed after a round trip.
+const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
 /// Number of earlier questions whose answers are still accepted: as many as fit in the longest validity.
 const MAX_LATE_QUESTIONS: usize = 4;
 
@@ -61,6 +65,8 @@
     accounts: collections::HashMap<WorkspaceId, Account>,
     /// Workspaces with calls that wait and for which no question was sent yet.
     unasked: Vec<WorkspaceId>,
+    /// Until when no question is sent, because the last answer was empty.
+    paused_until: core_time::Instant,
     last_question: u64,
     /// The latest question, if it has no answer yet.
     sent: Option<SentQuestion>,
@@ -86,6 +92,7 @@
             bound,
             accounts: collections::HashMap::new(),
             unasked: Vec::new(),
+            paused_until: core_time::Instant::default(),
             last_question: first_question,
             sent: None,
             late: collections::VecDeque::new(),
@@ -117,7 +124,14 @@
             }
             self.accounts.insert(id, account);
         }
-        for removed in old.into_values() {
+        for mut removed in old.into_values() {
+            if let Some((refused, lasted)) = removed.refusals.finish() {
+                self.reports.push(Report::Ended {
+                    workspace: mem::take(&mut removed.name),
+                    refused,
+                    lasted,
+                });
+            }
             let granted = removed.waiting.into_iter();
             self.decisions
                 .extend(granted.map(|ticket| (ticket, Decision::Granted)));
@@ -171,17 +185,22 @@
             }
             return self.refuse(now, workspace);
         }
-        if (self.leader.is_none() || self.is_silent) && self.take_reserve(now, workspace) {
+        // The leader grants no more than its bucket holds, so that further calls would wait in vain.
+        let is_excess = account.waiting.len() as f64 >= account.numbers.capacity;
+        let is_silent = self.leader.is_none() || self.is_silent;
+        if is_silent && self.take_reserve(now, workspace) {
             return Decision::GrantedFromReserve;
         }
+        if self.leader.is_none() || (is_silent && is_excess) {
+            self.unanswered.record(now);
+            return Decision::Unknown;
+        }
+        if is_excess {
+            return self.refuse(now, workspace);
+        }
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
         if let Some(account) = self.accounts.get_mut(&workspace) {
-            // The leader grants no more than its bucket holds, so that further calls would wait in vain.
-            if account.waiting.len() as f64 >= account.numbers.capacity {
-                self.unanswered.record(now);
-                return Decision::Unknown;
-            }
             account.waiting.push_back(ticket);
             self.add_unasked(workspace);
         }
@@ -256,6 +275,9 @@
             self.is_silent = true;
             self.repeat_question();
         }
+        if now < self.paused_until {
+            return None;
+        }
         let mut asks = Vec::with_capacity(self.unasked.len());
         for workspace in self.unasked.drain(..) {
             let account = self.accounts.get_mut(&workspace);
@@ -310,10 +332,16 @@
             return;
         };
         self.is_silent = answers.is_empty();
+        if answers.is_empty() {
+            self.paused_until = now + REPEAT_INTERVAL;
+        }
         for (i, ask) in sent.question.asks.iter().enumerate() {
             match answers.get(i) {
                 Some(answer) => self.handle_answer(now, &sent, ask, answer),
-                None => self.use_reserve(now, ask.workspace, ask.needed),
+                None => {
+                    self.use_reserve(now, ask.workspace, ask.needed);
+                    self.add_unasked(ask.workspace);
+                }
             }
         }
     }
@@ -347,7 +375,11 @@
         account.refused_until = now + wait;
         account.may_use_reserve = answer.filling;
         if answer.filling {
-            self.use_reserve(now, ask.workspace, ask.needed - answer.granted);
+            self.use_reserve(
+                now,
+                ask.workspace,
+                ask.needed.saturating_sub(answer.granted),
+            );
         }
         let Some(account) = self.accounts.get_mut(&ask.workspace) else {
             return;
@@ -385,6 +417,7 @@
         let mut reports = mem::take(&mut self.reports);
         for account in self.accounts.values_mut() {
             if let Some((refused, lasted)) = account.refusals.end(now) {
+                account.refused_in_a_row = 0;
                 let workspace = account.name.clone();
                 reports.push(Report::Ended {
                     workspace,
--- a/core/src/allowance/leader.rs
+++ b/core/src/allowance/leader.rs
@@ -60,11 +60,16 @@
     }
 
     fn refill(&mut self, now: core_time::Instant) {
-        let added = self.numbers.rate * now.since(self.updated).as_secs_f64();
-        self.level = (self.level + added).min(self.numbers.capacity);
+        self.add(now.since(self.updated));
         self.updated = self.updated.max(now);
     }
 
+    /// Adds the tokens of a time of this length.
+    fn add(&mut self, time: time::Duration) {
+        let added = self.numbers.rate * time.as_secs_f64();
+        self.level = (self.level + added).min(self.numbers.capacity);
+    }
+
     /// Returns when a VM that lacks a token should ask again.
     fn refuse(&mut self, now: core_time::Instant, filling: bool) -> time::Duration {
         let until_next = duration((1.0 - self.level) / self.numbers.rate);
@@ -125,12 +130,14 @@
         }
     }
 
-    /// Starts to lead. The buckets start empty, because the tokens of the previous leader are used up
-    /// as far as this one knows.
-    pub fn start(&mut self, now: core_time::Instant) {
+    /// Starts to lead. The tokens of the previous leader are used up as far as this one knows, so that
+    /// the buckets contain only what has been added at the rate while there was no leader, which was at
+    /// least for `leaderless`.
+    pub fn start(&mut self, now: core_time::Instant, leaderless: time::Duration) {
         self.started = Some(now);
         for bucket in self.buckets.values_mut() {
             *bucket = Bucket::new(bucket.numbers, now);
+            bucket.add(leaderless);
         }
     }
 
--- a/core/src/allowance/report.rs
+++ b/core/src/allowance/report.rs
@@ -57,11 +57,16 @@
 
     /// Ends the period if nothing happened for a while; returns the count and its length.
     pub(super) fn end(&mut self, now: core_time::Instant) -> Option<(u64, time::Duration)> {
-        let (first, last) = self.span?;
-        if now.since(last) < QUIET_TIME {
-            return None;
+        let (_, last) = self.span?;
+        match now.since(last) < QUIET_TIME {
+            true => None,
+            false => self.finish(),
         }
-        self.span = None;
+    }
+
+    /// Ends the period; returns the count and its length.
+    pub(super) fn finish(&mut self) -> Option<(u64, time::Duration)> {
+        let (first, last) = self.span.take()?;
         Some((mem::take(&mut self.count), last.since(first)))
     }
 }
--- a/core/src/replication/election.rs
+++ b/core/src/replication/election.rs
@@ -57,6 +57,7 @@
             self.incoming_snapshot = None;
         }
         if let State::Leader(state) = std::mem::replace(&mut self.state, State::Follower) {
+            self.led_until = now;
             self.fail_reads(*state);
         }
         self.leader = leader;
@@ -97,7 +98,8 @@
             voted_for: Some(self.cfg.id),
         });
         let votes = collections::BTreeSet::new();
-        self.state = State::Candidate { votes };
+        let idle = std::time::Duration::MAX;
+        self.state = State::Candidate { votes, idle };
         let request = self.vote_request(term, transfer);
         for vm in self.other_voters() {
             self.send_after_hard_state(vm, Message::Vote(request.clone()));
@@ -108,10 +110,15 @@
     pub(super) fn count_own_vote(&mut self, now: time::Instant) {
         if self.outbox.is_synced(self.hard_state_ticket) {
             let (own, term) = (self.cfg.id, self.hard_state.term);
-            self.on_vote_reply(now, own, term, true);
+            self.on_vote_reply(now, own, term, true, self.idle(now));
         }
     }
 
+    /// Returns the time since this node last acknowledged a leader's round, led or started.
+    fn idle(&self, now: time::Instant) -> std::time::Duration {
+        now.since(self.leader_contact.max(self.led_until))
+    }
+
     /// Replies whether this node would grant a vote. It sends no reply while it has a recent
     /// leader, so that a VM that was disconnected cannot depose that leader.
     pub(super) fn on_pre_vote(
@@ -181,7 +188,13 @@
             }
             self.reset_election(now);
         }
-        self.send_after_hard_state(from, Message::VoteReply { term, granted });
+        let idle = self.idle(now);
+        let reply = Message::VoteReply {
+            term,
+            granted,
+            idle,
+        };
+        self.send_after_hard_state(from, reply);
     }
 
     pub(super) fn on_vote_reply(
@@ -190,22 +203,28 @@
         from: types::VmId,
         term: types::Term,
         granted: bool,
+        idle: std::time::Duration,
     ) {
         if term > self.hard_state.term {
             self.become_follower(now, term, None);
             return;
         }
-        let State::Candidate { votes } = &mut self.state else {
+        let State::Candidate {
+            votes,
+            idle: shortest,
+        } = &mut self.state
+        else {
             return;
         };
         if !granted || term != self.hard_state.term {
             return;
         }
         votes.insert(from);
-        let votes = votes.clone();
+        *shortest = idle.min(*shortest);
+        let (votes, idle) = (votes.clone(), *shortest);
         // The majority must include this node's own vote, which counts only once it is durable.
         if votes.contains(&self.cfg.id) && self.is_majority(&votes) {
-            self.become_leader(now);
+            self.become_leader(now, idle);
         }
     }
 }
--- a/core/src/replication/leader.rs
+++ b/core/src/replication/leader.rs
@@ -26,6 +26,8 @@
     /// Start of the latest round to which a quorum has replied.
     quorum_contact: Option<time::Instant>,
     elected_at: time::Instant,
+    /// Time before the election in which no leader held a lease.
+    leaderless: std::time::Duration,
     /// When the next heartbeat is due.
     heartbeat_at: time::Instant,
     pub(super) reads: PendingReads,
@@ -62,7 +64,13 @@
 }
 
 impl Node {
-    pub(super) fn become_leader(&mut self, now: time::Instant) {
+    /// Starts to lead. `idle` is the shortest time since one of the voters that elected this node
+    /// supported an earlier leader.
+    pub(super) fn become_leader(&mut self, now: time::Instant, idle: std::time::Duration) {
+        // These voters include one that acknowledged the round on which the last lease of an
+        // earlier leader rested. Its clock may have run faster.
+        let margin = self.cfg.clock_margin_permille.min(1000);
+        let leaderless = (idle - idle * margin / 1000).saturating_sub(self.cfg.election_min);
         let term_start = types::LogIndex(self.log.last_index().0 + 1);
         self.state = State::Leader(Box::new(Leader {
             peers: collections::BTreeMap::new(),
@@ -71,6 +79,7 @@
             unconfirmed_rounds: collections::VecDeque::new(),
             quorum_contact: None,
             elected_at: now,
+            leaderless,
             heartbeat_at: now + self.cfg.heartbeat,
             reads: PendingReads::default(),
             leadership_transfer: None,
@@ -185,6 +194,14 @@
         (begin + self.cfg.lease() > now).then_some(begin)
     }
 
+    /// Returns the time before this leader's election in which no earlier leader held a lease.
+    pub fn leaderless(&self) -> Option<std::time::Duration> {
+        match &self.state {
+            State::Leader(leader) => Some(leader.leaderless),
+            _ => None,
+        }
+    }
+
     /// Sends a heartbeat to `to` and repeats a snapshot chunk that had no reply for the longest
     /// election timeout.
     fn heartbeat(&mut self, now: time::Instant, to: types::VmId) {
--- a/core/src/replication/message.rs
+++ b/core/src/replication/message.rs
@@ -1,5 +1,7 @@
 //! Messages that the nodes of one group exchange. The wire crate encodes them.
 
+use std::time;
+
 use bytes::Bytes;
 
 use crate::{storage, types};
@@ -114,6 +116,8 @@
         term: types::Term,
         /// Whether the vote was granted.
         granted: bool,
+        /// Time since the voter last acknowledged a leader's round, led or started; zero if unknown.
+        idle: time::Duration,
     },
     /// Entries or a heartbeat from the leader.
     Append(Append),
--- a/core/src/replication/node.rs
+++ b/core/src/replication/node.rs
@@ -123,6 +123,8 @@
     Candidate {
         /// Voters that granted a vote, including this node once its own vote is durable.
         votes: collections::BTreeSet<types::VmId>,
+        /// Shortest time since one of these voters last supported a leader.
+        idle: std::time::Duration,
     },
     Leader(Box<Leader>),
 }
@@ -151,6 +153,8 @@
     pub(super) ack_due: bool,
     /// When the last message of a current leader arrived; initially the start of the node.
     pub(super) leader_contact: time::Instant,
+    /// When this node last ceased to lead; initially the start of the node.
+    pub(super) led_until: time::Instant,
     /// When the election timeout expires.
     pub(super) election_at: time::Instant,
     /// Snapshot that is being received from the leader.
@@ -189,6 +193,7 @@
             round: 0,
             ack_due: false,
             leader_contact: now,
+            led_until: now,
             election_at: now,
             incoming_snapshot: None,
             pending_proposals: collections::BTreeMap::new(),
@@ -215,7 +220,11 @@
                 self.on_pre_vote_reply(now, from, term, granted);
             }
             Message::Vote(vote) => self.on_vote(now, from, &vote),
-            Message::VoteReply { term, granted } => self.on_vote_reply(now, from, term, granted),
+            Message::VoteReply {
+                term,
+                granted,
+                idle,
+            } => self.on_vote_reply(now, from, term, granted, idle),
             Message::Append(append) => self.on_append(now, from, append),
             Message::AppendReply(reply) => self.on_append_reply(now, from, &reply),
             Message::SnapshotChunk(chunk) => self.on_snapshot_chunk(now, from, chunk),
--- a/core/tests/allowance.rs
+++ b/core/tests/allowance.rs
@@ -68,8 +68,8 @@
 fn after_elections(off: Off) -> World {
     let mut world = greedy_world(44, off, 2);
     world.start_calls(1.0, 5 * SECOND);
-    for _ in 0..3 {
-        world.run(SECOND);
+    for _ in 0..6 {
+        world.run(SECOND / 2);
         world.elect();
     }
     world.run(2 * SECOND);
@@ -95,7 +95,7 @@
         assert!(worst <= 1.0, "{vms} VMs, seed {seed}: {worst}");
     }
     let none = Off::default();
-    let scenarios: [(&str, Scenario, Off); 3] = [
+    let scenarios: [(&str, Scenario, Off); 4] = [
         (
             "elections, old leader",
             after_elections,
@@ -112,6 +112,14 @@
                 ..none
             },
         ),
+        (
+            "elections, time of the old leader's lease",
+            after_elections,
+            Off {
+                credit_after_lease: true,
+                ..none
+            },
+        ),
         (
             "cut",
             after_cut,
@@ -163,9 +171,10 @@
     assert!(lost > 0.001, "{lost} without a leader");
 }
 
-/// Returns the share of the usual calls that are lost in the five seconds after the leader is killed.
-fn lost_at_leader_change(vms: usize) -> f64 {
-    let mut world = World::new(vms, usual(), false, Off::default(), 7);
+/// Returns the shares of the usual calls that are lost in `gap` without a leader and in the second after
+/// the next one starts.
+fn lost_at_leader_change(vms: usize, gap: Duration, off: Off) -> [f64; 2] {
+    let mut world = World::new(vms, usual(), false, off, 7);
     world.run(10 * SECOND);
     world.start_calls(1.0, 20 * SECOND);
     world.run(10 * SECOND);
@@ -173,10 +182,12 @@
         let tallies = world.tallies.iter();
         tallies.map(|tally| tally.refused + tally.unknown).sum()
     };
-    let before = lost(&world);
-    world.kill_leader(Duration::from_millis(700));
-    world.run(5 * SECOND);
-    (lost(&world) - before) as f64 / (840.0 * 5.0)
+    world.kill_leader(gap);
+    [gap, SECOND].map(|length| {
+        let before = lost(&world);
+        world.run(length);
+        (lost(&world) - before) as f64 / (840.0 * length.as_secs_f64())
+    })
 }
 
 /// Returns which part of their rate workspaces can use, and the questions for each call that runs.
@@ -211,10 +222,17 @@
         let world = usual_world(vms, true);
         let ran: usize = world.tallies.iter().map(|tally| tally.sent.len()).sum();
         let faults = after_random_faults(vms, Off::default(), 6);
-        println!(
-            "{vms} VMs: leader change: lost {:.4} of 5 s",
-            lost_at_leader_change(vms)
-        );
+        for gap in [700, 2500].map(Duration::from_millis) {
+            let empty = Off {
+                leaderless: true,
+                ..Off::default()
+            };
+            println!(
+                "{vms} VMs: {gap:?} without a leader: lost then and in the second after {:.3?}, with empty buckets {:.3?}",
+                lost_at_leader_change(vms, gap, Off::default()),
+                lost_at_leader_change(vms, gap, empty),
+            );
+        }
         for factor in [1.2, 2.0, 10.0] {
             println!(
                 "{vms} VMs: {factor} times the rate: {}",
@@ -296,7 +314,7 @@
         let now = Instant(seconds * 1_000_000);
         grantor.configure(now, limit.iter().copied());
         if seconds == 0 {
-            grantor.start(now);
+            grantor.start(now, Duration::ZERO);
         }
         let workspace = WorkspaceId::of("a");
         let ask = Ask {
--- a/core/tests/allowance_world/mod.rs
+++ b/core/tests/allowance_world/mod.rs
@@ -14,6 +14,9 @@
 /// Time for which a leader may grant after a quorum confirmed it.
 const LEASE: Duration = Duration::from_millis(297);
 
+/// Shortest election timeout, which voters grant no vote for after a round of a leader.
+const ELECTION_MIN: Duration = Duration::from_millis(300);
+
 /// Longest wait of a call for a token, and longest time from the token to the sending of the call.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 
@@ -24,6 +27,10 @@
     pub lease: bool,
     /// A new leader starts with full buckets.
     pub empty_start: bool,
+    /// A new leader's buckets start empty.
+    pub leaderless: bool,
+    /// A new leader's buckets start with the tokens of the time in which the one before held its lease.
+    pub credit_after_lease: bool,
     /// Each VM takes itself for the only one.
     pub ranks: bool,
 }
@@ -59,6 +66,8 @@
     grantor: Grantor,
     /// When its lease ends; `None` while a quorum confirms it.
     lease_end: Option<Instant>,
+    /// When a quorum last confirmed it, if it does not any more.
+    confirmed: Instant,
 }
 
 /// Callers of one workspace.
@@ -190,8 +199,24 @@
         let is_first = self.leaders.is_empty();
         let elected = self.now + if is_first { Duration::ZERO } else { LEASE };
         if let Some(leader) = self.leaders.last_mut() {
+            if leader.lease_end.is_none() {
+                leader.confirmed = self.now;
+            }
             leader.lease_end.get_or_insert(elected);
         }
+        let last = self.leaders.iter().map(|leader| leader.confirmed).max();
+        // One leader in four is elected by a voter of an old build, which tells nothing.
+        let is_old = self.hostile && self.rng.random_range(0..4) == 0;
+        let lease = if self.off.credit_after_lease {
+            Duration::ZERO
+        } else {
+            ELECTION_MIN
+        };
+        let idle = last.map_or(Duration::ZERO, |last| elected.since(last));
+        let leaderless = match is_old || self.off.leaderless {
+            true => Duration::ZERO,
+            false => idle.saturating_sub(lease),
+        };
         let mut grantor = Grantor::new(self.bound);
         let start = if self.off.empty_start {
             Instant(0)
@@ -201,9 +226,12 @@
         let names = self.names();
         let allowances = names.iter().map(|(name, all)| (name.as_str(), all));
         grantor.configure(start, allowances);
-        grantor.start(start);
-        let lease_end = None;
-        self.leaders.push(Leader { grantor, lease_end });
+        grantor.start(start, leaderless);
+        self.leaders.push(Leader {
+            grantor,
+            lease_end: None,
+            confirmed: Instant(0),
+        });
         let known_after = elected.since(self.now) + Duration::from_millis(5);
         self.push(known_after, Event::LeaderKnown(self.leaders.len() - 1));
     }
@@ -212,6 +240,7 @@
     pub fn kill_leader(&mut self, gap: Duration) {
         if let Some(leader) = self.leaders.last_mut() {
             leader.lease_end = Some(self.now);
+            leader.confirmed = self.now;
         }
         self.push(gap.saturating_sub(LEASE), Event::Elect);
     }
@@ -266,7 +295,9 @@
             Event::Call(workspace, vm) => self.call(workspace, vm),
             Event::Question(from, leader, question) => {
                 self.questions += 1;
-                let Leader { grantor, lease_end } = &mut self.leaders[leader];
+                let Leader {
+                    grantor, lease_end, ..
+                } = &mut self.leaders[leader];
                 let is_confirmed = lease_end.is_none_or(|end| self.now < end);
                 let may_grant = is_confirmed || self.off.lease;
                 let asks = question.asks.iter().filter(|_| may_grant);
--- a/core/tests/replication_rules.rs
+++ b/core/tests/replication_rules.rs
@@ -31,7 +31,13 @@
     let (granted, term) = (true, Term(term + 1));
     node.step(now, VmId(2), Message::PreVoteReply { term, granted });
     sync_all(&mut node, now);
-    node.step(now, VmId(2), Message::VoteReply { term, granted });
+    let idle = std::time::Duration::ZERO;
+    let reply = Message::VoteReply {
+        term,
+        granted,
+        idle,
+    };
+    node.step(now, VmId(2), reply);
     sync_all(&mut node, now);
     assert_eq!(node.role(), Role::Leader);
     (node, now)
@@ -155,9 +161,11 @@
             }
         }
     }
+    // The node has no leader's message, so that only its last start counts.
     let reply = |granted| Message::VoteReply {
         term: Term(5),
         granted,
+        idle: std::time::Duration::ZERO,
     };
     assert_eq!(
         granted,
--- a/lab/src/worlds/replication/group.rs
+++ b/lab/src/worlds/replication/group.rs
@@ -8,7 +8,7 @@
 use wagtailshunt_core::replication::{
     AppendReply, MembershipChange, Message, Output, ProposeError, Role,
 };
-use wagtailshunt_core::types::{LogIndex, VmId};
+use wagtailshunt_core::types::{LogIndex, Term, VmId};
 use wagtailshunt_core::{storage, time};
 
 use super::checker::{Checker, DigestStateMachine};
@@ -54,6 +54,8 @@
     pub(super) accepted_at_mark: u64,
     /// Membership changes still to be made, in order.
     pub(super) membership_plan: collections::VecDeque<MembershipChange>,
+    /// When each leader last held a lease.
+    leases: collections::BTreeMap<(Term, VmId), time::Instant>,
     events: collections::BTreeMap<(time::Instant, u64), Event>,
     sequence: u64,
     last_command_id: u64,
@@ -70,6 +72,7 @@
             lines: Vec::new(),
             accepted_at_mark: 0,
             membership_plan: collections::VecDeque::new(),
+            leases: collections::BTreeMap::new(),
             events: collections::BTreeMap::new(),
             sequence: 0,
             last_command_id: 0,
@@ -433,7 +436,8 @@
         }
     }
 
-    /// Checks that at most one node holds a leader lease and that no other leads in a later term.
+    /// Checks that at most one node holds a leader lease, that no other leads in a later term, and that
+    /// a leader knows no longer time without a lease before its election than there was.
     fn check_leases(&mut self, now: time::Instant) {
         let mut highest = None;
         let mut holder = None;
@@ -445,8 +449,15 @@
                 continue;
             }
             let leads = Some((process.node.term(), vm.id));
+            let mut earlier = self.leases.range(..(process.node.term(), VmId(0)));
+            let leaderless = process.node.leaderless().unwrap_or_default();
+            if earlier.any(|(_, last)| now.since(*last) < leaderless) {
+                let error = "a leader counts time in which an earlier one held a lease";
+                self.checker.fail(error.to_owned());
+            }
             highest = highest.max(leads);
             if process.node.lease_valid_until(vm.clock(now)).is_some() {
+                self.leases.extend(leads.map(|leads| (leads, now)));
                 let first = holder.get_or_insert(leads);
                 if *first != leads {
                     self.checker
--- a/wagtailshunt/src/entry/allowance.rs
+++ b/wagtailshunt/src/entry/allowance.rs
@@ -103,9 +103,13 @@
 /// Handles a change of this VM's role in the group.
 pub fn role_changed(state: &state::State, is_leading: bool) {
     let now = state.clock.now();
-    state.with(|inner| match is_leading {
-        true => inner.allowances.grantor.start(now),
-        false => inner.allowances.grantor.stop(),
+    state.with(|inner| {
+        let node = inner.replica.as_ref().map(|replica| &replica.node);
+        let leaderless = node.and_then(|node| node.leaderless());
+        match leaderless.filter(|_| is_leading) {
+            Some(leaderless) => inner.allowances.grantor.start(now, leaderless),
+            None => inner.allowances.grantor.stop(),
+        }
     });
 }
 
--- a/wire/src/replication.rs
+++ b/wire/src/replication.rs
@@ -1,5 +1,7 @@
 //! Conversions between the Raft messages of the core and their wire form (`replication.proto`).
 
+use std::time;
+
 use wagtailshunt_core::{replication, storage, types};
 
 use crate::generated::replication as wire;
@@ -29,10 +31,14 @@
     let body = match msg {
         Message::PreVote(vote) => Body::PreVote(encode_vote_request(&vote)),
         Message::PreVoteReply { term, granted } => {
-            Body::PreVoteReply(encode_vote_reply(term, granted))
+            Body::PreVoteReply(encode_vote_reply(term, granted, time::Duration::ZERO))
         }
         Message::Vote(vote) => Body::Vote(encode_vote_request(&vote)),
-        Message::VoteReply { term, granted } => Body::VoteReply(encode_vote_reply(term, granted)),
+        Message::VoteReply {
+            term,
+            granted,
+            idle,
+        } => Body::VoteReply(encode_vote_reply(term, granted, idle)),
         Message::Append(append) => Body::Append(encode_append(append)),
         Message::AppendReply(reply) => Body::AppendReply(wire::AppendReply {
             term: reply.term.0,
@@ -88,6 +94,7 @@
         Body::VoteReply(reply) => Message::VoteReply {
             term: types::Term(reply.term),
             granted: reply.granted,
+            idle: time::Duration::from_millis(u64::from(reply.idle_ms)),
         },
         Body::Append(append) => Message::Append(decode_append(append)?),
         Body::AppendReply(reply) => Message::AppendReply(replication::AppendReply {
@@ -142,10 +149,11 @@
     }
 }
 
-fn encode_vote_reply(term: types::Term, granted: bool) -> wire::VoteReply {
+fn encode_vote_reply(term: types::Term, granted: bool, idle: time::Duration) -> wire::VoteReply {
     wire::VoteReply {
         term: term.0,
         granted,
+        idle_ms: u32::try_from(idle.as_millis()).unwrap_or(u32::MAX),
     }
 }
 
--- a/wire/tests/allowance_cost.rs
+++ b/wire/tests/allowance_cost.rs
@@ -30,7 +30,7 @@
     let allowances = || names.iter().map(|name| (name.as_str(), &limit));
     let mut grantor = Grantor::new(Bound::default());
     grantor.configure(Instant(0), allowances());
-    grantor.start(Instant(0));
+    grantor.start(Instant(0), time::Duration::ZERO);
     for workspaces in [1, 5] {
         let asks = names.iter().take(workspaces).map(|name| Ask {
             workspace: WorkspaceId::of(name),
--- a/wire/tests/replication.rs
+++ b/wire/tests/replication.rs
@@ -63,6 +63,7 @@
         Message::VoteReply {
             term: Term(2),
             granted: false,
+            idle: std::time::Duration::from_millis(1234),
         },
         append(entries),
         reply(None),
