Allowances count the tokens in existence

Cause: a token counted as used when it was granted, and the bound paid rate x V for tokens that are used later. The leader could therefore not lend tokens for longer.

Change: the leader counts the tokens in its bucket and those granted within the validity, and refills a bucket only while fewer than its capacity exist; the capacity grows by rate x V. A new leader fills buckets beside tokens of the one before that it doesn't know. To start at the rate from the time that is certainly without a leader would allow rate x V more than the capacity, so it starts V later; a part of the capacity that VMs can't have at a time shortens this. VMs drop their tokens when an allowance is lowered.

--- a/core/src/allowance/holder.rs
+++ b/core/src/allowance/holder.rs
@@ -112,11 +112,13 @@
         &mut self,
         allowances: impl Iterator<Item = (&'a str, &'a routing::Allowance)>,
     ) {
+        let mut is_lowered = false;
         let mut old = mem::take(&mut self.accounts);
         for (name, allowance) in allowances {
             let id = WorkspaceId::of(name);
             let numbers = Numbers::new(&self.bound, allowance);
             let mut account = old.remove(&id).unwrap_or(Account::new(name, numbers));
+            is_lowered |= numbers.capacity < account.numbers.capacity;
             if account.numbers != numbers {
                 // A higher rate may allow a call earlier.
                 account.refused_until = core_time::Instant::default();
@@ -124,6 +126,10 @@
             }
             self.accounts.insert(id, account);
         }
+        if is_lowered {
+            // Tokens of a higher allowance count in the windows of the lower one.
+            self.give_up_tokens();
+        }
         for mut removed in old.into_values() {
             if let Some((refused, lasted)) = removed.refusals.finish() {
                 self.reports.push(Report::Ended {
@@ -160,9 +166,9 @@
         self.ranks.set(now, position);
     }
 
-    /// Gives up the tokens held and expected, because the clock did not count some of the time that has
-    /// passed since they were granted.
-    pub fn clock_stopped(&mut self) {
+    /// Gives up the tokens held and expected, for instance because the clock did not count some of the
+    /// time that has passed since they were granted.
+    pub fn give_up_tokens(&mut self) {
         for account in self.accounts.values_mut() {
             account.held.clear();
         }
--- a/core/src/allowance/leader.rs
+++ b/core/src/allowance/leader.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, time};
 
+use super::numbers::MAX_VALIDITY;
 use super::{Bound, Numbers, WorkspaceId};
 use crate::{routing, time as core_time};
 
@@ -40,34 +41,87 @@
     pub filling: bool,
 }
 
+/// Number of slices of time by which granted tokens are counted. A token counts in the slice in which it
+/// is granted and for the whole slices after it; fewer and longer ones would hold up the refill.
+const SLICES: usize = 9;
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     numbers: Numbers,
     level: f64,
+    /// Tokens granted in the current slice and the ones before it, which may still be used.
+    granted: [u32; SLICES],
+    /// Sum of `granted`.
+    outstanding: f64,
+    /// Length of a slice.
+    slice: time::Duration,
+    slice_end: core_time::Instant,
     updated: core_time::Instant,
     /// When the next VM that is refused should ask again.
     next_slot: core_time::Instant,
 }
 
 impl Bucket {
-    fn new(numbers: Numbers, now: core_time::Instant) -> Bucket {
-        Bucket {
+    /// Creates a bucket that contains what it has earned since no token of an earlier one can exist.
+    /// `ungranted` is the time since the last of these was granted at the latest.
+    fn new(numbers: Numbers, now: core_time::Instant, ungranted: time::Duration) -> Bucket {
+        let head_start = duration(numbers.held_back / numbers.rate.max(f64::MIN_POSITIVE));
+        let valid = lifetime(MAX_VALIDITY).saturating_sub(head_start);
+        let mut bucket = Bucket {
             numbers,
             level: 0.0,
-            updated: now,
+            granted: [0; SLICES],
+            outstanding: 0.0,
+            slice: time::Duration::ZERO,
+            slice_end: now,
+            // Beside all tokens that VMs may still have, there is only room for those held back.
+            updated: now + valid.saturating_sub(ungranted),
             next_slot: now,
-        }
+        };
+        bucket.add(ungranted.saturating_sub(valid));
+        bucket
     }
 
     fn refill(&mut self, now: core_time::Instant) {
-        self.add(now.since(self.updated));
-        self.updated = self.updated.max(now);
+        while self.slice_end <= now {
+            if self.outstanding > 0.0 {
+                self.refill_until(self.slice_end);
+                self.outstanding -= f64::from(self.granted[SLICES - 1]);
+                self.granted.rotate_right(1);
+                self.granted[0] = 0;
+            } else {
+                self.slice = slice(&self.numbers);
+                self.slice_end = now;
+            }
+            self.slice_end = self.slice_end + self.slice;
+        }
+        self.refill_until(now);
+    }
+
+    /// Adds the tokens until `at`. No token expires before.
+    fn refill_until(&mut self, at: core_time::Instant) {
+        self.add(at.since(self.updated));
+        self.updated = self.updated.max(at);
     }
 
     /// Adds the tokens of a time of this length.
     fn add(&mut self, time: time::Duration) {
         let added = self.numbers.rate * time.as_secs_f64();
-        self.level = (self.level + added).min(self.numbers.capacity);
+        let room = (self.numbers.capacity - self.outstanding).max(0.0);
+        self.level = (self.level + added).min(room);
+    }
+
+    /// Returns how many tokens may be granted.
+    fn available(&self) -> f64 {
+        let most = self.numbers.capacity - self.numbers.held_back;
+        self.level.min(most - self.outstanding).max(0.0)
+    }
+
+    /// Grants tokens that the bucket contains.
+    fn grant(&mut self, count: u32) {
+        self.level -= f64::from(count);
+        self.outstanding += f64::from(count);
+        self.granted[0] += count;
     }
 
     /// Returns when a VM that lacks a token should ask again.
@@ -86,6 +140,16 @@
     }
 }
 
+/// Returns how long tokens of this validity may be used by the leader's clock, which may run faster than
+/// that of the VM that asked.
+fn lifetime(validity: time::Duration) -> time::Duration {
+    validity + validity / 50
+}
+
+fn slice(numbers: &Numbers) -> time::Duration {
+    lifetime(numbers.validity) / (SLICES as u32 - 1)
+}
+
 /// Converts seconds, which may be infinite, to a duration of at most an hour.
 fn duration(seconds: f64) -> time::Duration {
     time::Duration::from_secs_f64(seconds.clamp(0.0, 3600.0))
@@ -111,7 +175,8 @@
     }
 
     /// Takes over the workspaces of a configuration. Buckets of workspaces that were there before keep
-    /// their tokens up to the new capacity; others start empty.
+    /// their tokens up to the new capacity; others start empty, and fill when no VM can have tokens of a
+    /// workspace of that name that was removed earlier.
     pub fn configure<'a>(
         &mut self,
         now: core_time::Instant,
@@ -121,23 +186,25 @@
         for (name, allowance) in allowances {
             let id = WorkspaceId::of(name);
             let numbers = Numbers::new(&self.bound, allowance);
-            let mut bucket = old.remove(&id).unwrap_or(Bucket::new(numbers, now));
+            let bucket = old.remove(&id);
+            let new = || Bucket::new(numbers, now, time::Duration::ZERO);
+            let mut bucket = bucket.unwrap_or_else(new);
             // Tokens up to now come at the old rate.
             bucket.refill(now);
             bucket.numbers = numbers;
-            bucket.level = bucket.level.min(numbers.capacity);
+            bucket.add(time::Duration::ZERO);
+            // VMs with the old configuration use their tokens for the old validity.
+            bucket.slice = bucket.slice.max(slice(&numbers));
             self.buckets.insert(id, bucket);
         }
     }
 
-    /// Starts to lead. The tokens of the previous leader are used up as far as this one knows, so that
-    /// the buckets contain only what has been added at the rate while there was no leader, which was at
-    /// least for `leaderless`.
+    /// Starts to lead. No earlier leader can have granted tokens for `leaderless`. The buckets contain
+    /// what has been earned in that time, except as long as tokens from before may be used.
     pub fn start(&mut self, now: core_time::Instant, leaderless: time::Duration) {
         self.started = Some(now);
         for bucket in self.buckets.values_mut() {
-            *bucket = Bucket::new(bucket.numbers, now);
-            bucket.add(leaderless);
+            *bucket = Bucket::new(bucket.numbers, now, leaderless);
         }
     }
 
@@ -156,8 +223,8 @@
             return Answer::default();
         };
         bucket.refill(now);
-        let needed = (bucket.level as u32).min(ask.needed);
-        bucket.level -= f64::from(needed);
+        let needed = (bucket.available() as u32).min(ask.needed);
+        bucket.grant(needed);
         if needed < ask.needed {
             let fill_time = duration(bucket.numbers.capacity / bucket.numbers.rate);
             let filling = now.since(started) < fill_time;
@@ -167,9 +234,9 @@
                 filling,
             };
         }
-        let spare = bucket.level - bucket.numbers.capacity * SHARE_FOR_NEED;
+        let spare = bucket.available() - bucket.numbers.capacity * SHARE_FOR_NEED;
         let ahead = (spare.max(0.0) as u32).min(ask.ahead);
-        bucket.level -= f64::from(ahead);
+        bucket.grant(ahead);
         Answer {
             granted: needed + ahead,
             ..Answer::default()
--- a/core/src/allowance/mod.rs
+++ b/core/src/allowance/mod.rs
@@ -5,8 +5,8 @@
 //! the tokens that it needs ([`Holder`]); one question covers all workspaces whose calls wait. A token
 //! is valid for a short time from the question, by the clock of the VM that asked. A refusal states when
 //! to ask again; until then the VM refuses by itself. When the leader doesn't answer, each VM uses its
-//! part of a small reserve. [`Numbers`] states how the validity, the size of the buckets and the reserve
-//! keep the bound on the calls of all VMs together.
+//! part of a small reserve. [`Numbers`] states how the validity, the number of tokens in existence and the
+//! reserve keep the bound on the calls of all VMs together.
 //!
 //! The I/O layer asks a leader only, and lets the leader grant only while a quorum confirms it
 //! ([`crate::replication::Node::lease_begin`]), so that the grants of two leaders never overlap
--- a/core/src/allowance/numbers.rs
+++ b/core/src/allowance/numbers.rs
@@ -43,9 +43,8 @@
 }
 
 /// Longest validity of a token. It covers a round trip between failure domains and a VM that is slow
-/// for a moment; a longer one would make tokens that are held in advance cheaper, but each second of
-/// it costs one second of the rate in the bound.
-const MAX_VALIDITY_S: f64 = 0.4;
+/// for a moment; with a longer one, tokens that are used early would hold up the refill for longer.
+pub(super) const MAX_VALIDITY: time::Duration = time::Duration::from_millis(400);
 
 /// Validity below which VMs other than the leader could use no token. It is kept even if the bound
 /// leaves no room for it, and is then taken from the burst.
@@ -58,10 +57,20 @@
 const VALIDITY_SHARE: f64 = 0.6;
 const DELAY_SHARE: f64 = 0.2;
 
-/// Share of what is left that enlarges the bucket of the leader; the reserve gets the rest. The bucket
-/// absorbs random arrivals, which the configured burst of a small workspace may not.
+/// Share of what validity and delay leave of the extra that enlarges the bucket of the leader; the
+/// reserve gets the rest. The bucket absorbs random arrivals, which the configured burst of a small
+/// workspace may not.
 const CAPACITY_SHARE: f64 = 0.5;
 
+/// Shares of what callers take within the validity at most, and of what is left of the extra, that are held
+/// back from VMs.
+const UNUSUAL_SHARE: f64 = 0.25;
+const HELD_BACK_SHARE: f64 = 0.25;
+
+/// Time for which the leader counts a token at most, in validities, with room for the rounds in which
+/// tokens are granted.
+const COUNTED_VALIDITY: f64 = 1.25;
+
 /// Share of the reserve that is divided among the known VMs; the rest is for VMs that join while
 /// others are cut off and go on with their old share.
 const DIVIDED_SHARE: f64 = 0.7;
@@ -71,21 +80,24 @@
 /// With extra = overage x (rate x window + burst) + slack, and V = min(0.4 s, 0.6 x extra / rate) and
 /// D = min(0.1 s, 0.2 x extra / rate):
 ///
-/// * Tokens that are used in a window were granted in it or at most V before, and calls are sent at
-///   most D after their token was used. All leaders together grant at most rate x (window + V + D) +
-///   capacity in that time.
-/// * rest = extra - rate x (V + D) is at least 0.2 x extra. capacity = burst + rest / 2.
+/// * Never more than `capacity` tokens exist: in the leader's bucket, or granted less than V ago. They
+///   are added at the rate. So at most capacity + rate x (window + D) are used in a window and the D
+///   before it, and calls are sent at most D after their token was used.
+/// * rest = extra - rate x (V + D) is at least 0.2 x extra. capacity = burst + rest / 2 + rate x V.
 /// * All VMs together use at most 0.7 x rest / 2 of the reserve in a window.
 ///
-/// The sum is at most rate x window + burst + extra, which is the bound.
+/// The sum is at most rate x window + burst + extra, which is the bound. Leaders of the preceding build
+/// keep a bucket of burst + rest / 2, so that no more than `capacity` tokens of theirs exist either.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Numbers {
     /// Tokens per second.
     pub rate: f64,
     /// Time after the question for which a VM may use a token.
     pub validity: time::Duration,
-    /// Tokens that the leader's bucket holds at most.
+    /// Tokens that exist at most, in the leader's bucket and on VMs.
     pub capacity: f64,
+    /// Tokens that VMs can't have at a time, so that they may exist in the bucket of the next leader.
+    pub held_back: f64,
     /// Calls that all VMs together may run in a window without tokens.
     pub reserve: u64,
 }
@@ -99,7 +111,7 @@
             true => (share * extra / rate).min(max),
             false => max,
         };
-        let validity = seconds(VALIDITY_SHARE, MAX_VALIDITY_S).max(MIN_VALIDITY_S);
+        let validity = seconds(VALIDITY_SHARE, MAX_VALIDITY.as_secs_f64()).max(MIN_VALIDITY_S);
         let delay = seconds(DELAY_SHARE, MAX_DELAY_S);
         let rest = extra - rate * (validity + delay);
         let capacity = match rest > 0.0 {
@@ -107,11 +119,18 @@
             false => allowance.burst + rest,
         };
         let reserve = rest.max(0.0) * (1.0 - CAPACITY_SHARE) * DIVIDED_SHARE;
+        // A bucket of less than one token would never grant any.
+        let capacity = (capacity + rate * validity).max(1.0);
+        // VMs can still have the burst beside the tokens of usual callers, and use the whole rate.
+        let held_back = (rate * validity * UNUSUAL_SHARE + rest.max(0.0) * HELD_BACK_SHARE)
+            .min(rate * validity)
+            .min(capacity - 1.0)
+            .min(capacity - rate * validity * COUNTED_VALIDITY);
         Numbers {
             rate,
             validity: time::Duration::from_secs_f64(validity),
-            // A bucket of less than one token would never grant any.
-            capacity: capacity.max(1.0),
+            capacity,
+            held_back: held_back.max(0.0),
             reserve: reserve as u64,
         }
     }
--- a/core/tests/allowance.rs
+++ b/core/tests/allowance.rs
@@ -297,7 +297,7 @@
     let mut expired = holder.clone();
     assert!(matches!(expired.take(late, id), Decision::Wait(_)));
     let mut suspended = holder.clone();
-    suspended.clock_stopped();
+    suspended.give_up_tokens();
     assert!(matches!(
         suspended.take(Instant(9000), id),
         Decision::Wait(_)
@@ -305,6 +305,41 @@
     assert_eq!(holder.take(Instant(9000), id), Decision::Granted);
 }
 
+/// Guards against more tokens in existence than the capacity, which VMs could use at once: tokens that
+/// are refilled while granted ones are still valid, also those of an earlier leader.
+#[test]
+fn granted_tokens_take_up_the_capacity() {
+    let limit = allowance(100.0, 100.0);
+    let numbers = Numbers::new(&Bound::default(), &limit);
+    let ask = Ask {
+        workspace: WorkspaceId::of("a"),
+        needed: 1000,
+        ahead: 0,
+    };
+    let mut grantor = Grantor::new(Bound::default());
+    grantor.configure(Instant(0), [("a", &limit)].into_iter());
+    let mut granted = |ms: u64, leaderless: Option<u64>| {
+        let now = Instant(ms * 1000);
+        if let Some(ms) = leaderless {
+            grantor.start(now, Duration::from_millis(ms));
+        }
+        grantor.grant(now, &ask).granted
+    };
+    let most = (numbers.capacity - numbers.held_back) as u32;
+    assert_eq!(granted(0, Some(9000)), most);
+    assert_eq!(granted(399, None), 0);
+    let refilled = granted(600, None);
+    assert!((1..=45).contains(&refilled), "{refilled}");
+    // A leader that knows nothing of these tokens.
+    let next = granted(700, Some(0)) + granted(1000, None);
+    assert!(f64::from(most + next) <= numbers.capacity, "{next}");
+    let earned = f64::from(granted(2000, Some(1000)));
+    assert!(
+        (60.0..=60.0 + numbers.held_back).contains(&earned),
+        "{earned}"
+    );
+}
+
 /// Guards against tokens that survive the removal of a workspace or a lower rate.
 #[test]
 fn buckets_follow_the_configuration() {
--- a/wagtailshunt/src/entry/allowance.rs
+++ b/wagtailshunt/src/entry/allowance.rs
@@ -67,7 +67,7 @@
     fn check_suspension(&mut self, now: core_time::Instant) {
         let suspended = time_suspended();
         if suspended.abs_diff(self.suspended) > MIN_SUSPENSION {
-            self.holder.clock_stopped();
+            self.holder.give_up_tokens();
             self.resumed = now;
         }
         self.suspended = suspended;
