Cold targets and load shedding: choose by the capacity that is really free

Change: Search takes the rule of room (`with_room`) into its choice instead of a check after it, keeps to the order of the queue at targets that report no load, and with `avoiding_cold_targets` uses cold ones only if no warm one has capacity. So that a service whose calls all run only once still gives work to its cold targets, the holder's next such call goes to one that has waited for 2 s. A call waits for a token only if there is one before its wait ends. Without load shedding and cold targets, the search decides as before.

--- a/core/src/placement/cold.rs
+++ b/core/src/placement/cold.rs
@@ -1,24 +1,28 @@
 //! Cold targets as candidates for calls: those that are due for a call although they are slower, and
 //! those for which another VM lends a token.
 
-use super::{Choice, Demand, Placement};
+use super::{Choice, Demand, Placement, room::MAX_REPORT_AGE};
 use crate::{time as core_time, types};
 
 impl Placement {
     /// Returns a cold target that this VM holds and that has had no call for some time, if it is
-    /// expected to answer before `deadline`.
+    /// expected to answer before `deadline`. Calls that are not `repeatable` are preferred for it only
+    /// later.
     pub fn starved_choice(
         &self,
         now: core_time::Instant,
         demand: &Demand<'_>,
         deadline: core_time::Instant,
+        repeatable: bool,
     ) -> Option<Choice> {
-        let mut starved = self.cold.starved(now, demand.service).into_iter();
+        let starved = self.cold.starved(now, demand.service, repeatable);
+        let mut starved = starved.into_iter();
         starved.find_map(|target| self.choice_of(now, demand, target, deadline))
     }
 
     /// Returns a target as the choice for a call, if it has capacity and is expected to answer before
-    /// `deadline`.
+    /// `deadline`. A target that has a call of this VM and has not reported its load since may hang;
+    /// it gets no second one.
     pub fn choice_of(
         &self,
         now: core_time::Instant,
@@ -37,6 +41,10 @@
         let estimate = target.estimate(now, &service.means, &self.cfg);
         let expected_latency = estimate.expected_latency(demand.work);
         let in_time = now + expected_latency <= deadline;
+        let is_silent = estimate.age.is_some_and(|age| age > MAX_REPORT_AGE);
+        if is_silent && target.in_flight > 0 {
+            return None;
+        }
         (in_time && estimate.has_capacity()).then(|| Choice {
             target: id.clone(),
             estimate,
@@ -45,9 +53,15 @@
         })
     }
 
-    /// Returns whether a cold target will take a call when this VM has a token for it again.
-    pub fn awaits_token(&self, now: core_time::Instant, demand: &Demand<'_>) -> bool {
-        let mut held = self.cold.held(now, demand.service);
+    /// Returns whether a cold target that this VM holds takes a call by `until`, when there is a token
+    /// for it again.
+    pub fn awaits_token(
+        &self,
+        now: core_time::Instant,
+        demand: &Demand<'_>,
+        until: core_time::Instant,
+    ) -> bool {
+        let mut held = self.cold.held_until(now, demand.service, until);
         held.any(|(id, domain)| !demand.tried.contains(id) && !self.evacuated.contains(domain))
     }
 
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -29,7 +29,7 @@
 pub use self::hedge::{Hedge, InFlight, hedge};
 pub use self::probe_rate::ProbeRate;
 pub use self::queue::{Queue, Ticket};
-pub use self::room::Unreported;
+pub use self::room::{RoomRule, Unreported};
 pub use self::search::{Search, SearchConfig, Step};
 use self::target::Target;
 use crate::{evacuation, fleet, time as core_time, types, warmup};
--- a/core/src/placement/room.rs
+++ b/core/src/placement/room.rs
@@ -3,13 +3,17 @@
 
 use std::time;
 
-use super::Placement;
+use super::{Choice, Placement};
 use crate::{time as core_time, types};
 
 /// Time for which the reports of a target must show fewer calls than this VM has there before one of
 /// them counts as lost: several reports and round trips, in which a response may be on its way.
 const LOST_AFTER: time::Duration = time::Duration::from_millis(100);
 
+/// Age up to which a load report shows that its target still answers: the time-out of a regular
+/// probe.
+pub(super) const MAX_REPORT_AGE: time::Duration = time::Duration::from_millis(400);
+
 /// Slots of the targets of a service that have reported no load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Unreported {
@@ -26,11 +30,23 @@
     /// it knows nothing of the calls of the other VMs, so that it keeps to its part of the slots, or
     /// to one call where there are fewer slots than VMs.
     pub fn room(&self, vms: usize) -> usize {
+        if self.slots == 0 {
+            return 0;
+        }
         let part = (self.slots as usize / vms.max(1)).max(1);
         part.saturating_sub(self.in_flight as usize)
     }
 }
 
+/// Which calls this VM may send to targets whose load it does not know well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RoomRule {
+    /// Number of VMs that share the slots of targets without a report.
+    pub vms: usize,
+    /// Whether targets are probed regularly. Without that, an old report tells nothing.
+    pub has_probes: bool,
+}
+
 /// Share of the slots that are taken on average from which on slots are scarce: many VMs then wait for
 /// the same ones.
 const SCARCE: f64 = 0.75;
@@ -73,11 +89,35 @@
         since.is_some_and(|since| now.since(since) >= LOST_AFTER)
     }
 
-    /// Returns what is known of the targets of a service that have reported no load.
-    pub fn unreported(&self, service: &types::ServiceName) -> Unreported {
+    /// Returns whether a call may go to a target. One that has not reported its load gets no more
+    /// than this VM's part of the slots, one that reports none no more than its slots, and one that
+    /// has stopped to report nothing: it may hang, and its queue be full. Cold targets without a
+    /// report are limited by their tokens.
+    pub fn has_room(
+        &self,
+        now: core_time::Instant,
+        service: &types::ServiceName,
+        choice: &Choice,
+        rule: RoomRule,
+    ) -> bool {
+        if !self.reports_load(&choice.target) {
+            return choice.estimate.has_capacity();
+        }
+        if let Some(age) = choice.estimate.age {
+            return !rule.has_probes || age <= MAX_REPORT_AGE;
+        }
+        self.cold.is_cold(now, &choice.target) || self.unreported(now, service).room(rule.vms) > 0
+    }
+
+    /// Returns what is known of the targets of a service that have reported no load. Those of
+    /// evacuated failure domains and cold ones don't count: they take no calls, or few.
+    pub fn unreported(&self, now: core_time::Instant, service: &types::ServiceName) -> Unreported {
         let mut unreported = Unreported::default();
         let targets = self.services.get(service).map(|service| &service.targets);
-        for target in targets.into_iter().flat_map(|targets| targets.values()) {
+        for (id, target) in targets.into_iter().flatten() {
+            if self.evacuated.contains(&target.failure_domain) || self.cold.is_cold(now, id) {
+                continue;
+            }
             if target.has_report() || !target.reports_load {
                 unreported.others_reported = true;
                 continue;
--- a/core/src/placement/search.rs
+++ b/core/src/placement/search.rs
@@ -17,7 +17,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Choice, Demand, Placement};
+use super::{Choice, Demand, Placement, RoomRule};
 use crate::{time as core_time, types};
 
 /// Settings of a search.
@@ -86,6 +86,10 @@
     wait_until: core_time::Instant,
     /// Whether a target gets at most one call for each of its reports.
     shares_slots: bool,
+    /// Set if targets whose load is not known well get no more calls than they have room for.
+    room: Option<RoomRule>,
+    /// Whether cold targets are chosen only if no warm one has capacity.
+    avoids_cold: bool,
     /// When this call last probed each target.
     probed_at: collections::BTreeMap<types::TargetId, core_time::Instant>,
 }
@@ -105,6 +109,8 @@
             deadline,
             wait_until,
             shares_slots: false,
+            room: None,
+            avoids_cold: false,
             probed_at: collections::BTreeMap::new(),
         }
     }
@@ -118,6 +124,55 @@
         }
     }
 
+    /// Leaves room at targets whose load this VM does not know well, and sends calls to targets that
+    /// report no load in the order of the queue.
+    pub fn with_room(self, rule: RoomRule) -> Search {
+        Search {
+            room: Some(rule),
+            ..self
+        }
+    }
+
+    /// Chooses a cold target only if no warm one has capacity: cold targets are slower, and a call that
+    /// may run only once can't be hedged there.
+    pub fn avoiding_cold_targets(self) -> Search {
+        Search {
+            avoids_cold: true,
+            ..self
+        }
+    }
+
+    /// Removes the cold targets from the candidates and returns them, if they are avoided and a warm
+    /// one has capacity.
+    fn remove_cold(
+        &self,
+        now: core_time::Instant,
+        placement: &Placement,
+        candidates: &mut Vec<Choice>,
+    ) -> Vec<Choice> {
+        let is_cold = |choice: &Choice| placement.cold.is_cold(now, &choice.target);
+        let has_capacity = |choice: &Choice| {
+            !choice.ejected && self.meets_deadline(now, choice) && !is_cold(choice)
+        };
+        match self.avoids_cold && candidates.iter().any(has_capacity) {
+            true => candidates
+                .extract_if(.., |choice| is_cold(choice))
+                .collect(),
+            false => Vec::new(),
+        }
+    }
+
+    fn has_room(
+        &self,
+        now: core_time::Instant,
+        placement: &Placement,
+        demand: &Demand<'_>,
+        choice: &Choice,
+    ) -> bool {
+        let has_room = |rule| placement.has_room(now, demand.service, choice, rule);
+        self.room.is_none_or(has_room)
+    }
+
     fn may_send(&self, choice: &Choice) -> bool {
         let estimate = &choice.estimate;
         let is_shared = !self.shares_slots || estimate.takes_one_more;
@@ -148,29 +203,45 @@
         is_next: bool,
         may_probe: bool,
     ) -> Step {
-        let ranked = placement.ranked(now, demand);
-        let Some(best) = ranked.first() else {
+        let mut candidates = placement.ranked(now, demand);
+        let avoided = self.remove_cold(now, placement, &mut candidates);
+        let late = self.is_late(now, demand.work);
+        let Some(best) = candidates.first() else {
             // A cold target of this VM takes a call when there is a token again.
-            return match placement.awaits_token(now, demand) {
-                true => self.wait(now, self.is_late(now, demand.work)),
+            return match placement.awaits_token(now, demand, self.wait_until) {
+                true => self.wait(now, late),
                 false => Step::NoTarget,
             };
         };
+        let has_room = |choice: &Choice| self.has_room(now, placement, demand, choice);
         if !placement.reports_load(&best.target) {
-            return match now + best.expected_latency <= self.deadline {
-                true => Step::Send(best.clone()),
-                false => Step::Overloaded,
+            if now + best.expected_latency > self.deadline {
+                return Step::Overloaded;
+            }
+            if self.room.is_none() {
+                return Step::Send(best.clone());
+            }
+            if !is_next {
+                return self.wait(now, late);
+            }
+            let reports_load = |choice: &Choice| placement.reports_load(&choice.target);
+            let is_usable = |choice: &&Choice| {
+                let in_time = now + choice.expected_latency <= self.deadline;
+                reports_load(choice) || in_time && has_room(choice)
             };
+            let usable = candidates.iter().find(is_usable);
+            if let Some(choice) = usable.filter(|choice| !reports_load(choice)) {
+                return Step::Send(choice.clone());
+            }
         }
-        let late = self.is_late(now, demand.work);
         if !is_next {
             return self.wait(now, late);
         }
-        if let Some(ready) = ranked.iter().find(|choice| self.is_ready(choice)) {
+        if let Some(ready) = candidates.iter().find(|choice| self.is_ready(choice)) {
             return Step::Send(ready.clone());
         }
         let targets = match may_probe {
-            true => self.probe_targets(now, placement, &ranked),
+            true => self.probe_targets(now, placement, &candidates),
             false => Vec::new(),
         };
         if !targets.is_empty() {
@@ -179,10 +250,11 @@
             }
             return Step::Probe(targets);
         }
+        // The warm targets that seemed to have capacity may have stopped to report their load.
+        let mut all = candidates.iter().chain(&avoided);
         if late
-            && let Some(choice) = ranked
-                .iter()
-                .find(|choice| self.meets_deadline(now, choice))
+            && let Some(choice) =
+                all.find(|choice| self.meets_deadline(now, choice) && has_room(choice))
         {
             return Step::Send(choice.clone());
         }
@@ -222,8 +294,9 @@
         placement: &mut Placement,
         demand: &Demand<'_>,
     ) -> Option<Choice> {
-        let ranked = placement.ranked(now, demand);
-        ranked.into_iter().find(|choice| self.is_ready(choice))
+        let mut candidates = placement.ranked(now, demand);
+        self.remove_cold(now, placement, &mut candidates);
+        candidates.into_iter().find(|choice| self.is_ready(choice))
     }
 
     /// Returns whether a fresh report shows a free slot and the usual speed.
--- a/core/src/warmup/mod.rs
+++ b/core/src/warmup/mod.rs
@@ -27,6 +27,10 @@
 /// Time without a call after which a cold target is preferred.
 const STARVED_AFTER: time::Duration = time::Duration::from_secs(1);
 
+/// The same for calls that may run only once, which would rather go to a warm target. Half of the four
+/// seconds within which a cold target is to get work: a service may have no other calls.
+const NEGLECTED_AFTER: time::Duration = time::Duration::from_secs(2);
+
 /// Pause between two requests of a VM for a token of the same target.
 const REQUEST_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
@@ -56,6 +60,8 @@
     failure_domain: types::FailureDomain,
     born: core_time::UnixMillis,
     cold_until: core_time::Instant,
+    /// Since when this VM has known the target as cold, the last time that it was.
+    cold_since: core_time::Instant,
     /// End of the cold state that was reported to all VMs.
     reported_until: core_time::Instant,
     /// End of the time for which the target counts as cold after an evacuation.
@@ -78,6 +84,7 @@
             failure_domain: announcement.failure_domain.clone(),
             born: announcement.born,
             cold_until: core_time::Instant(0),
+            cold_since: core_time::Instant(0),
             reported_until: core_time::Instant(0),
             assumed_until: core_time::Instant(0),
             announced_here_at: None,
@@ -92,8 +99,21 @@
         now < self.cold_until.max(self.assumed_until)
     }
 
+    /// Records the start of the cold state if the target will be cold until `until` and is not yet.
+    fn note_cold(&mut self, now: core_time::Instant, until: core_time::Instant) {
+        if until > now && !self.is_cold(now) {
+            self.cold_since = now;
+        }
+    }
+
+    /// Returns since when the target has waited for a call with a token of this VM.
+    fn waits_since(&self) -> core_time::Instant {
+        self.sent_at.unwrap_or_default().max(self.cold_since)
+    }
+
     /// Records what the target itself says about its state; returns whether it ends an assumption.
     fn set_left(&mut self, now: core_time::Instant, left: time::Duration) -> bool {
+        self.note_cold(now, now + left);
         self.cold_until = now + left;
         let assumed_until = std::mem::take(&mut self.assumed_until);
         now < assumed_until
@@ -136,6 +156,7 @@
     pub fn learned(&mut self, now: core_time::Instant, announcement: &fleet::Announcement) {
         let until = now + announcement.warmup_left;
         let target = self.entry(announcement);
+        target.note_cold(now, until);
         target.cold_until = target.cold_until.max(until);
         self.any_cold_until = self.any_cold_until.max(until);
     }
@@ -182,6 +203,7 @@
         let until = now + report.left;
         let is_longer =
             !report.left.is_zero() && until > target.reported_until + MIN_REPORTED_CHANGE;
+        target.note_cold(now, until);
         target.cold_until = target.cold_until.max(until);
         target.reported_until = target.reported_until.max(until);
         self.any_cold_until = self.any_cold_until.max(until);
@@ -210,7 +232,10 @@
         let targets = targets.filter(|target| target.failure_domain == *domain);
         let limited = targets.filter(|target| rates.contains_key(&target.service));
         limited
-            .map(|target| target.assumed_until = target.assumed_until.max(until))
+            .map(|target| {
+                target.note_cold(now, until);
+                target.assumed_until = target.assumed_until.max(until);
+            })
             .count()
     }
 
@@ -272,15 +297,21 @@
     }
 
     /// Returns the cold targets of a service that this VM holds and that have had no call with its
-    /// tokens for a second or ever, longest without a call first.
+    /// tokens for a second or ever, longest without a call first. For a call that is not `repeatable`,
+    /// those that have had none for two seconds.
     pub fn starved(
         &self,
         now: core_time::Instant,
         service: &types::ServiceName,
+        repeatable: bool,
     ) -> Vec<&types::TargetId> {
         let starved = self.cold_targets(now, service).filter(|(id, target)| {
             let due = |at: core_time::Instant| now.since(at) >= STARVED_AFTER;
-            target.sent_at.is_none_or(due) && self.has_token(now, id)
+            let is_due = match repeatable {
+                true => target.sent_at.is_none_or(due),
+                false => now.since(target.waits_since()) >= NEGLECTED_AFTER,
+            };
+            is_due && self.has_token(now, id)
         });
         let mut starved: Vec<_> = starved.collect();
         starved.sort_by_key(|(_, target)| target.sent_at);
@@ -299,12 +330,10 @@
         let due = |at: core_time::Instant| now.since(at) >= REQUEST_INTERVAL;
         let held_elsewhere = self.cold_targets(now, service).filter_map(|(id, target)| {
             let holder = target.holder.filter(|holder| *holder != self.own)?;
+            let has_tokens = self.rates.get(service).is_some_and(Rate::gives_tokens);
             let may_request = urgent || target.requested_at.is_none_or(due);
-            (may_request && is_eligible(id, &target.failure_domain, holder)).then_some((
-                id,
-                target.requested_at,
-                holder,
-            ))
+            (has_tokens && may_request && is_eligible(id, &target.failure_domain, holder))
+                .then_some((id, target.requested_at, holder))
         });
         let mut candidates: Vec<_> = held_elsewhere.collect();
         // VMs with few calls request one token each; without the rotation, all for the same target.
@@ -322,15 +351,21 @@
         self.cold_targets(now, service).next().is_some()
     }
 
-    /// Returns the cold targets of a service that this VM holds, and for which it will have tokens,
-    /// with their failure domains.
-    pub fn held(
+    /// Returns the cold targets of a service that this VM holds and that may get a call by `until`,
+    /// because there is a token by then or the cold state ends, with their failure domains.
+    pub fn held_until(
         &self,
         now: core_time::Instant,
         service: &types::ServiceName,
+        until: core_time::Instant,
     ) -> impl Iterator<Item = (&types::TargetId, &types::FailureDomain)> {
         let cold = self.cold_targets(now, service);
-        let held = cold.filter(move |(id, _)| self.is_holder(now, id));
+        let rate = self.rates.get(service);
+        let held = cold.filter(move |(id, target)| {
+            let wait = rate.and_then(|rate| target.bucket.time_to_token(now, *rate));
+            let in_time = wait.is_some_and(|wait| now + wait <= until) || !target.is_cold(until);
+            in_time && self.is_holder(now, id)
+        });
         held.map(|(id, target)| (id, &target.failure_domain))
     }
 
--- a/core/src/warmup/rate.rs
+++ b/core/src/warmup/rate.rs
@@ -45,6 +45,12 @@
             burst: BURST.min(part - per_second * window),
         }
     }
+
+    /// Returns whether a bucket of this size ever holds a token. Where the bound is below a call for
+    /// each VM that may hold the target, it does not.
+    pub(super) fn gives_tokens(&self) -> bool {
+        self.burst >= 1.0 - ROUNDING
+    }
 }
 
 /// Token bucket of one target.
@@ -67,6 +73,18 @@
         self.tokens(now, rate) >= 1.0 - ROUNDING
     }
 
+    /// Returns the time until there is a token; `None` if there will be none.
+    pub fn time_to_token(&self, now: core_time::Instant, rate: Rate) -> Option<time::Duration> {
+        if self.has_token(now, rate) {
+            return Some(time::Duration::ZERO);
+        }
+        if !rate.gives_tokens() {
+            return None;
+        }
+        let missing = 1.0 - self.tokens(now, rate);
+        time::Duration::try_from_secs_f64(missing / rate.per_second).ok()
+    }
+
     /// Takes a token; returns whether there was one.
     pub fn take(&mut self, now: core_time::Instant, rate: Rate) -> bool {
         if !self.has_token(now, rate) {
--- a/core/tests/shedding.rs
+++ b/core/tests/shedding.rs
@@ -195,7 +195,7 @@
     for (vms, targets) in [(44_usize, 155_u16), (149, 156), (3, 13)] {
         let mut sent = 0;
         let mut placement = placement_with(targets);
-        while placement.unreported(&service).room(vms) > 0 {
+        while placement.unreported(at(0), &service).room(vms) > 0 {
             let demand = placement::Demand {
                 service: &service,
                 work: ms(200),
--- a/core/tests/warmup/world.rs
+++ b/core/tests/warmup/world.rs
@@ -94,8 +94,8 @@
     pub joins_at: u64,
     pub announced_to: usize,
     pub next_announcement: u64,
-    /// Ends of the running calls.
-    pub running: Vec<u64>,
+    /// Ends of the running calls, with the VMs that sent them.
+    pub running: Vec<(u64, usize)>,
     pub calls: Vec<u64>,
 }
 
@@ -221,7 +221,16 @@
                 if self.targets[i].next_announcement <= now && self.targets[i].joins_at <= now {
                     self.announce(i, now);
                 }
-                self.targets[i].running.retain(|end| *end > now);
+                let ended: Vec<_> = self.targets[i]
+                    .running
+                    .extract_if(.., |(end, _)| *end <= now)
+                    .collect();
+                for (_, vm) in ended {
+                    // The response reports the load.
+                    self.vms[vm].finished(at(now), &id(i), placement::Outcome::Answered);
+                    let load = self.load(i, now);
+                    self.vms[vm].reported(at(now), &id(i), &load);
+                }
             }
             let mut expected = self.plan.calls_per_second / 1000.0;
             while expected > 0.0 {
@@ -279,7 +288,8 @@
             Some((i, sent)) => {
                 let is_cold = self.targets[i].cold_until > sent;
                 let work = if is_cold { 2 * WORK_MS } else { WORK_MS };
-                self.targets[i].running.push(sent + work);
+                self.targets[i].running.push((sent + work, vm));
+                self.vms[vm].started(&id(i));
                 self.targets[i].calls.push(sent);
             }
             None => self.refused += 1,
@@ -299,7 +309,7 @@
             tried: &[],
         };
         let deadline = at(now + 1000);
-        if let Some(choice) = self.vms[vm].starved_choice(at(now), &demand, deadline)
+        if let Some(choice) = self.vms[vm].starved_choice(at(now), &demand, deadline, true)
             && self.vms[vm].cold.take(at(now), &choice.target)
         {
             return Some((index(&choice.target), now));
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -393,10 +393,18 @@
         let cfg = self.state.cfg.search.clone();
         let now = self.state.clock.now();
         let search = placement::Search::new(cfg, now, objective, self.request.deadline);
-        match self.shedding {
-            Some(_) => search.with_shared_slots(),
-            None => search,
+        let search = match self.request.repeatable {
+            true => search,
+            false => search.avoiding_cold_targets(),
+        };
+        if self.shedding.is_none() {
+            return search;
         }
+        let rule = placement::RoomRule {
+            vms: self.state.with(|inner| inner.roster.vms().count()),
+            has_probes: self.state.cfg.limits.probe_interval().is_some(),
+        };
+        search.with_shared_slots().with_room(rule)
     }
 
     /// Returns why a retry or hedged attempt must not go to a target. Otherwise spends one token of
--- a/wagtailshunt/src/entry/calls/cold_target.rs
+++ b/wagtailshunt/src/entry/calls/cold_target.rs
@@ -7,11 +7,11 @@
 use crate::entry::{calls::call::Call, cold_targets, state};
 
 impl Call {
-    /// Returns a cold target that is due for a call, if this one is its first attempt and may run more
-    /// than once. Its token is taken.
+    /// Returns a cold target that is due for a call, if this one is its first attempt. Its token is taken.
+    /// For a call that may run only once, a target of this VM that has had none for longer.
     pub(super) async fn due_cold_target(&self) -> Option<placement::Choice> {
         let is_first = self.tried.borrow().is_empty();
-        if !self.request.repeatable || !is_first {
+        if !is_first {
             return None;
         }
         let now = self.state.clock.now();
@@ -21,13 +21,15 @@
         }
         let tried = self.tried.borrow().clone();
         let demand = self.demand(&tried);
+        let (deadline, repeatable) = (self.request.deadline, self.request.repeatable);
         let own = self.state.with(|inner| {
             let placement = &mut inner.placement;
-            let choice = placement.starved_choice(now, &demand, self.request.deadline)?;
+            let choice = placement.starved_choice(now, &demand, deadline, repeatable)?;
             placement.cold.take(now, &choice.target).then_some(choice)
         });
         match own {
             Some(choice) => Some(choice),
+            None if !repeatable => None,
             // Boxed, so that calls without cold targets need no memory for it.
             None => Box::pin(self.borrowed_cold_target(false)).await,
         }
--- a/wagtailshunt/src/entry/calls/shed.rs
+++ b/wagtailshunt/src/entry/calls/shed.rs
@@ -14,10 +14,6 @@
 /// Largest priority with a label of its own in metrics; operators set any.
 const MAX_PRIORITY_LABEL: u32 = 9;
 
-/// Age up to which a load report shows that its target still answers: the time-out of a regular
-/// probe.
-const MAX_REPORT_AGE: time::Duration = time::Duration::from_millis(400);
-
 /// What the decision needs to know of a call, and what it decided.
 pub struct CallShedding {
     /// Whether the caller was refused before and comes back.
@@ -268,7 +264,7 @@
         is_next: bool,
     ) -> Option<placement::Choice> {
         self.shedding.as_ref()?;
-        let unreported = inner.placement.unreported(&self.service);
+        let unreported = inner.placement.unreported(now, &self.service);
         let room = unreported.room(inner.roster.vms().count());
         let shedder = inner.shedders.get(&self.service);
         // With room for all waiting calls, none waits for its turn.
@@ -279,27 +275,9 @@
         let ranked = inner.placement.ranked(now, demand);
         let usable = |choice: &placement::Choice| {
             let in_time = now + choice.expected_latency <= self.request.deadline;
-            in_time && choice.estimate.has_capacity() && !choice.ejected
+            let is_cold = inner.placement.cold.is_cold(now, &choice.target);
+            !is_cold && in_time && choice.estimate.has_capacity() && !choice.ejected
         };
         ranked.into_iter().find(usable)
     }
-
-    /// Returns whether the call may go to a target. One that has not reported its load gets no more
-    /// than this VM's part of the slots, one that reports none no more than its slots, and one that
-    /// has stopped to report nothing: it may hang, and its queue be full.
-    pub(super) fn has_room_at(&self, inner: &state::Inner, choice: &placement::Choice) -> bool {
-        if self.shedding.is_none() {
-            return true;
-        }
-        if !inner.placement.reports_load(&choice.target) {
-            return choice.estimate.has_capacity();
-        }
-        if let Some(age) = choice.estimate.age {
-            // Without regular probes, an old report tells nothing.
-            let has_probes = self.state.cfg.limits.probe_interval().is_some();
-            return !has_probes || age <= MAX_REPORT_AGE;
-        }
-        let unreported = inner.placement.unreported(&self.service);
-        unreported.room(inner.roster.vms().count()) > 0
-    }
 }
--- a/wagtailshunt/src/entry/calls/target_search.rs
+++ b/wagtailshunt/src/entry/calls/target_search.rs
@@ -173,14 +173,6 @@
             let limits = &self.state.cfg.limits;
             let may_probe = budget::probes(limits, inner, &self.service).has_tokens();
             let step = search.step(now, &mut inner.placement, &demand, is_head, may_probe);
-            if let placement::Step::Send(choice) = &step
-                && !self.has_room_at(inner, choice)
-            {
-                return placement::Step::Wait {
-                    pause: self.state.cfg.search.pause,
-                    late: search.is_late(now, demand.work),
-                };
-            }
             if let placement::Step::Probe(targets) = &step {
                 targets.iter().for_each(|_| {
                     budget::probes(limits, inner, &self.service).try_spend();
