Command that explains where a call would go now

Change: the metrics listener of an entry VM answers GET /explain/HOST/PATH with the checks of the call in their order (failure domain, configuration, route, key lease, workspace, tokens) and, for each service of the route, the targets in the order of Placement with their estimates, the reason for each one that gets no call, and the first step of the search. The workspace is named in a header; an unknown name isn't repeated, since it may be a key. `wagtailshunt explain-call` asks a VM and prints the answer. The decisions stay where they are: Placement::ranked and Search::step are split so that their read-only parts (`survey`, `decide`) serve both, with the same random numbers for calls as before. Holder::outlook reads the tokens.

Result: core/tests/explain.rs compares the text for an evacuated, a cold, a full and an idle target; platform/tests/explain.rs shows over a socket that nothing is sent and no key is shown.

--- a/cli/src/exit.rs
+++ b/cli/src/exit.rs
@@ -40,6 +40,9 @@
     /// No control daemon completed the request in time.
     #[error("no control daemon completed the request in time: {0}")]
     Unreachable(String),
+    /// A VM gave no answer in time.
+    #[error("no answer in time: {0}")]
+    NoAnswer(String),
     /// The record is at another revision than expected.
     #[error("{0}")]
     Conflict(String),
@@ -51,7 +54,7 @@
         match self {
             Error::Usage(_) | Error::Read { .. } => Code::Usage,
             Error::Runtime(_) | Error::Failed(_) => Code::Failed,
-            Error::Unreachable(_) => Code::Unreachable,
+            Error::Unreachable(_) | Error::NoAnswer(_) => Code::Unreachable,
             Error::Conflict(_) => Code::Conflict,
         }
     }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod demo;
 mod exit;
 mod explain;
+mod explain_call;
 mod options;
 mod records;
 mod scenario;
@@ -61,6 +62,7 @@
         options::Command::Status(opts) => status::run(global, opts).await,
         options::Command::Timeline(opts) => timeline::run(global, opts).await,
         options::Command::Explain(opts) => explain::run(opts),
+        options::Command::ExplainCall(opts) => explain_call::run(global, opts).await,
         options::Command::Bench(opts) => bench::run(global, opts).await,
         options::Command::Demo(_) => demo::run().await,
         options::Command::Scenario(opts) => scenario::run(global, opts),
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -54,6 +54,8 @@
     Timeline(Timeline),
     #[options(help = "show the log lines of all VMs that concern one call")]
     Explain(Explain),
+    #[options(help = "show where a VM would send a call now, and why, without sending it")]
+    ExplainCall(ExplainCall),
     #[options(help = "run a benchmark")]
     Bench(Bench),
     #[options(help = "run a small cluster on this machine")]
@@ -182,6 +184,25 @@
     pub words: Vec<String>,
 }
 
+/// Options of `explain-call`.
+#[derive(Debug, Options)]
+pub struct ExplainCall {
+    #[options(help = "print help", short = "h")]
+    pub help: bool,
+    #[options(help = "metrics address of the VM", meta = "ADDRESS", no_short)]
+    pub metrics: Option<net::SocketAddr>,
+    #[options(help = "workspace that sends the call", meta = "NAME", no_short)]
+    pub workspace: Option<String>,
+    #[options(
+        help = "remaining time of the call; default: the timeout of its route",
+        meta = "MS",
+        no_short
+    )]
+    pub time_left_ms: Option<u64>,
+    #[options(free, required, help = "HOST/PATH of the call")]
+    pub call: String,
+}
+
 /// Options of `scenario`.
 #[derive(Debug, Options)]
 pub struct Scenario {
--- a/core/src/allowance/holder.rs
+++ b/core/src/allowance/holder.rs
@@ -38,6 +38,27 @@
     Wait(Ticket),
 }
 
+/// What a call of a workspace would find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outlook {
+    /// The workspace has no allowance.
+    Unlimited,
+    /// This VM holds this number of tokens.
+    Held(u32),
+    /// Calls are refused for this time, except for those that the reserve covers.
+    Refused(time::Duration),
+    /// The leader is asked for a token.
+    Asked {
+        /// Calls that wait already.
+        waiting: usize,
+    },
+    /// No leader replies.
+    Silent {
+        /// Calls that wait already.
+        waiting: usize,
+    },
+}
+
 /// A question to the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Question {
@@ -129,6 +150,22 @@
         !self.accounts.is_empty()
     }
 
+    /// Returns what a call of a workspace would find now. Changes nothing.
+    pub fn outlook(&self, now: core_time::Instant, workspace: WorkspaceId) -> Outlook {
+        let Some(account) = self.accounts.get(&workspace) else {
+            return Outlook::Unlimited;
+        };
+        let valid = account.held.iter().filter(|(end, _)| *end >= now);
+        let held = valid.map(|(_, count)| count).sum();
+        let is_asked = self.leader.is_some() && !self.is_silent;
+        match account.waiting.len() {
+            0 if held > 0 => Outlook::Held(held),
+            _ if now < account.refused_until => Outlook::Refused(account.refused_until.since(now)),
+            waiting if is_asked => Outlook::Asked { waiting },
+            waiting => Outlook::Silent { waiting },
+        }
+    }
+
     /// Sets the leader that this VM can reach.
     pub fn set_leader(&mut self, now: core_time::Instant, leader: Option<types::VmId>) {
         if leader.is_some() {
--- a/core/src/allowance/mod.rs
+++ b/core/src/allowance/mod.rs
@@ -19,7 +19,7 @@
 mod report;
 mod reserve;
 
-pub use self::holder::{Decision, Holder, Question, Ticket};
+pub use self::holder::{Decision, Holder, Outlook, Question, Ticket};
 pub use self::leader::{Answer, Ask, Grantor};
 pub use self::numbers::{Bound, Numbers};
 pub use self::report::{Report, UnansweredReport};
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod drain;
 pub mod evacuation;
 pub mod event;
+pub mod explain;
 pub mod fleet;
 pub mod formation;
 pub mod key_lease;
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -30,7 +30,7 @@
 pub use self::probe_rate::ProbeRate;
 pub use self::queue::{Queue, Ticket};
 pub use self::room::{RoomRule, Unreported};
-pub use self::search::{Search, SearchConfig, Step};
+pub use self::search::{Obstacle, Search, SearchConfig, Step};
 use self::target::Target;
 use crate::{evacuation, fleet, time as core_time, types, warmup};
 
@@ -187,6 +187,23 @@
     }
 }
 
+/// Why a target is no candidate for a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exclusion {
+    /// The call was already sent to it.
+    Tried,
+    /// Its failure domain is evacuated.
+    Evacuated,
+    /// It is cold, and this VM may send no call to it now.
+    Cold,
+}
+
+fn sorted_choices(mut ranked: Vec<Ranked<'_>>) -> Vec<Choice> {
+    ranked.sort_by(|a, b| a.ejected.cmp(&b.ejected).then(a.cost.total_cmp(&b.cost)));
+    ranked.truncate(MAX_CANDIDATES);
+    ranked.into_iter().map(Ranked::into_choice).collect()
+}
+
 /// Share of the service time that each own call in flight adds to the cost of a target of unknown
 /// load.
 const UNKNOWN_LOAD_OWN_CALL_COST: f64 = 0.5;
@@ -361,6 +378,25 @@
     /// targets are last.
     pub fn ranked(&mut self, now: core_time::Instant, demand: &Demand<'_>) -> Vec<Choice> {
         self.ranked_at = self.ranked_at.max(now);
+        let mut rng = self.rng.clone();
+        let mut ranked = self.assess(now, demand, |_, _| {});
+        for candidate in &mut ranked {
+            // Spreads the choices of VMs whose estimates are equal.
+            candidate.cost += rng.random_range(0.0..0.02) * demand.work.as_secs_f64();
+        }
+        let choices = sorted_choices(ranked);
+        self.rng = rng;
+        choices
+    }
+
+    /// Returns the candidates for a call in the order of their targets, and calls `on_excluded` for each
+    /// target that is none.
+    fn assess(
+        &self,
+        now: core_time::Instant,
+        demand: &Demand<'_>,
+        mut on_excluded: impl FnMut(&types::TargetId, Exclusion),
+    ) -> Vec<Ranked<'_>> {
         let Some(service) = self.services.get(demand.service) else {
             return Vec::new();
         };
@@ -391,16 +427,18 @@
                     (distance, domain_penalty)
                 }
             };
-            if demand.tried.contains(id) || self.evacuated.contains(&target.failure_domain) {
-                continue;
-            }
-            if !self.cold.may_send(now, id) {
+            let exclusion = match () {
+                () if demand.tried.contains(id) => Some(Exclusion::Tried),
+                () if self.evacuated.contains(&target.failure_domain) => Some(Exclusion::Evacuated),
+                () if !self.cold.may_send(now, id) => Some(Exclusion::Cold),
+                () => None,
+            };
+            if let Some(exclusion) = exclusion {
+                on_excluded(id, exclusion);
                 continue;
             }
             let estimate = target.estimate(now, &service.means, &self.cfg);
             let expected_latency = estimate.expected_latency(demand.work);
-            // Spreads the choices of VMs whose estimates are equal.
-            let jitter = self.rng.random_range(0.0..0.02) * work;
             // The calls of other VMs on a target without load reports are not known. Own calls are
             // spread over the targets that other VMs prefer less.
             let unknown_load_cost = match target.reports_load {
@@ -413,15 +451,30 @@
             };
             ranked.push(Ranked {
                 id,
-                cost: expected_latency.as_secs_f64() + penalty + jitter + unknown_load_cost,
+                cost: expected_latency.as_secs_f64() + penalty + unknown_load_cost,
                 estimate,
                 expected_latency,
                 ejected: target.is_ejected(now),
             });
         }
-        ranked.sort_by(|a, b| a.ejected.cmp(&b.ejected).then(a.cost.total_cmp(&b.cost)));
-        ranked.truncate(MAX_CANDIDATES);
-        ranked.into_iter().map(Ranked::into_choice).collect()
+        ranked
+    }
+
+    /// Returns the candidates for a call as [`Placement::ranked`] does, without the jitter, and why the
+    /// other targets are none. Changes nothing.
+    pub fn survey(
+        &self,
+        now: core_time::Instant,
+        demand: &Demand<'_>,
+    ) -> (Vec<Choice>, Vec<(types::TargetId, Exclusion)>) {
+        let mut excluded = Vec::new();
+        let ranked = self.assess(now, demand, |id, why| excluded.push((id.clone(), why)));
+        (sorted_choices(ranked), excluded)
+    }
+
+    /// Returns the failure domain of a target.
+    pub fn failure_domain(&self, target: &types::TargetId) -> Option<&types::FailureDomain> {
+        self.target(target).map(|target| &target.failure_domain)
     }
 
     /// Returns the best candidate for a call; `None` when the call was already sent to all targets
--- a/core/src/placement/room.rs
+++ b/core/src/placement/room.rs
@@ -109,6 +109,22 @@
         self.cold.is_cold(now, &choice.target) || self.unreported(now, service).room(rule.vms) > 0
     }
 
+    /// Returns the first of the candidates that a call may go to while no target of its service has
+    /// reported its load: a warm one with capacity that is expected to answer before `deadline`.
+    pub fn first_unreported(
+        &self,
+        now: core_time::Instant,
+        candidates: Vec<Choice>,
+        deadline: core_time::Instant,
+    ) -> Option<Choice> {
+        let usable = |choice: &Choice| {
+            let in_time = now + choice.expected_latency <= deadline;
+            let is_cold = self.cold.is_cold(now, &choice.target);
+            !is_cold && in_time && choice.estimate.has_capacity() && !choice.ejected
+        };
+        candidates.into_iter().find(usable)
+    }
+
     /// Returns what is known of the targets of a service that have reported no load. Those of
     /// evacuated failure domains and cold ones don't count: they take no calls, or few.
     pub fn unreported(&self, now: core_time::Instant, service: &types::ServiceName) -> Unreported {
--- a/core/src/placement/search.rs
+++ b/core/src/placement/search.rs
@@ -76,6 +76,21 @@
     NoTarget,
 }
 
+/// Why a candidate gets no call by its estimate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Obstacle {
+    /// It has failed several times in a row.
+    Ejected,
+    /// All its slots are taken.
+    Full,
+    /// Its free slots are left to other VMs.
+    Shared,
+    /// It is not expected to answer before the deadline.
+    Slow,
+    /// It has stopped to report its load, or has not reported it and this VM uses its part of the slots.
+    Unknown,
+}
+
 /// The search for one call.
 #[derive(Clone, Debug)]
 pub struct Search {
@@ -162,6 +177,24 @@
         }
     }
 
+    /// Returns why a candidate would not get a call that is sent by its estimate now; `None` if it may.
+    pub fn obstacle(
+        &self,
+        now: core_time::Instant,
+        placement: &Placement,
+        demand: &Demand<'_>,
+        choice: &Choice,
+    ) -> Option<Obstacle> {
+        match () {
+            () if choice.ejected => Some(Obstacle::Ejected),
+            () if !choice.estimate.has_capacity() => Some(Obstacle::Full),
+            () if !self.may_send(choice) => Some(Obstacle::Shared),
+            () if !self.meets_deadline(now, choice) => Some(Obstacle::Slow),
+            () if !self.has_room(now, placement, demand, choice) => Some(Obstacle::Unknown),
+            () => None,
+        }
+    }
+
     fn has_room(
         &self,
         now: core_time::Instant,
@@ -203,7 +236,26 @@
         is_next: bool,
         may_probe: bool,
     ) -> Step {
-        let mut candidates = placement.ranked(now, demand);
+        let candidates = placement.ranked(now, demand);
+        let step = self.decide(now, placement, candidates, demand, is_next, may_probe);
+        if let Step::Probe(targets) = &step {
+            for target in targets {
+                self.probed_at.insert(target.clone(), now);
+            }
+        }
+        step
+    }
+
+    /// Decides the next step from the candidates in their order. Changes nothing.
+    pub fn decide(
+        &self,
+        now: core_time::Instant,
+        placement: &Placement,
+        mut candidates: Vec<Choice>,
+        demand: &Demand<'_>,
+        is_next: bool,
+        may_probe: bool,
+    ) -> Step {
         let avoided = self.remove_cold(now, placement, &mut candidates);
         let late = self.is_late(now, demand.work);
         let Some(best) = candidates.first() else {
@@ -245,9 +297,6 @@
             false => Vec::new(),
         };
         if !targets.is_empty() {
-            for target in &targets {
-                self.probed_at.insert(target.clone(), now);
-            }
             return Step::Probe(targets);
         }
         // The warm targets that seemed to have capacity may have stopped to report their load.
--- a/core/src/warmup/mod.rs
+++ b/core/src/warmup/mod.rs
@@ -403,7 +403,7 @@
         targets.filter(move |(_, target)| target.service == *service && target.is_cold(now))
     }
 
-    fn is_holder(&self, now: core_time::Instant, id: &types::TargetId) -> bool {
+    pub(crate) fn is_holder(&self, now: core_time::Instant, id: &types::TargetId) -> bool {
         let target = self.targets.get(id);
         let announced_at = target.and_then(|target| target.announced_here_at);
         announced_at.is_some_and(|at| now.since(at) < self.holding_time)
--- a/wagtailshunt/src/entry/allowance.rs
+++ b/wagtailshunt/src/entry/allowance.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Returns what a call of the workspace with this name would find now.
+    pub fn outlook(&self, now: core_time::Instant, name: &str) -> allowance::Outlook {
+        self.holder.outlook(now, WorkspaceId::of(name))
+    }
+
     /// Gives up what depends on a clock that stopped while the VM was suspended.
     fn check_suspension(&mut self, now: core_time::Instant) {
         let suspended = time_suspended();
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -393,18 +393,8 @@
         let cfg = self.state.cfg.search.clone();
         let now = self.state.clock.now();
         let search = placement::Search::new(cfg, now, objective, self.request.deadline);
-        let search = match self.request.repeatable {
-            true => search,
-            false => search.avoiding_cold_targets(),
-        };
-        if self.shedding.is_none() {
-            return search;
-        }
-        let rule = placement::RoomRule {
-            vms: self.state.with(|inner| inner.roster.vms().count()),
-            has_probes: self.state.cfg.limits.probe_interval().is_some(),
-        };
-        search.with_shared_slots().with_room(rule)
+        let rule = self.shedding.as_ref().and_then(|_| room_rule(&self.state));
+        configured_search(search, self.request.repeatable, rule)
     }
 
     /// Returns why a retry or hedged attempt must not go to a target. Otherwise spends one token of
@@ -535,6 +525,35 @@
     }
 }
 
+/// Returns what decides the room at targets whose load is not known well; `None` if load is not shed by
+/// value.
+pub fn room_rule(state: &state::State) -> Option<placement::RoomRule> {
+    let limits = &state.cfg.limits;
+    let (vms, has_workspaces) =
+        state.with(|inner| (inner.roster.vms().count(), inner.routes.has_workspaces()));
+    let rule = placement::RoomRule {
+        vms,
+        has_probes: limits.probe_interval().is_some(),
+    };
+    (limits.shed_by_value || has_workspaces).then_some(rule)
+}
+
+/// Returns the search for a call that is `repeatable` or not. With a rule, load is shed by value.
+pub fn configured_search(
+    search: placement::Search,
+    repeatable: bool,
+    rule: Option<placement::RoomRule>,
+) -> placement::Search {
+    let search = match repeatable {
+        true => search,
+        false => search.avoiding_cold_targets(),
+    };
+    match rule {
+        Some(rule) => search.with_shared_slots().with_room(rule),
+        None => search,
+    }
+}
+
 /// Returns the result of a call without a further attempt: a 5xx response of a target if there is
 /// one.
 fn final_outcome(
--- a/wagtailshunt/src/entry/calls/shed.rs
+++ b/wagtailshunt/src/entry/calls/shed.rs
@@ -273,11 +273,7 @@
             return None;
         }
         let ranked = inner.placement.ranked(now, demand);
-        let usable = |choice: &placement::Choice| {
-            let in_time = now + choice.expected_latency <= self.request.deadline;
-            let is_cold = inner.placement.cold.is_cold(now, &choice.target);
-            !is_cold && in_time && choice.estimate.has_capacity() && !choice.ejected
-        };
-        ranked.into_iter().find(usable)
+        let deadline = self.request.deadline;
+        inner.placement.first_unreported(now, ranked, deadline)
     }
 }
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod cold_targets;
 mod disk_space;
 pub mod evacuation;
+pub mod explain;
 mod key_lease;
 mod leader_sync;
 mod members;
@@ -205,9 +206,11 @@
         if let Some(address) = state.cfg.metrics_address {
             let metrics = daemon::bind(address).await?;
             let shared = state.clone();
-            let handler = move |_: Request<Incoming>, _: net::SocketAddr| {
-                let text = shared.metrics.text();
-                async move { http::plain(StatusCode::OK, text) }
+            let handler = move |req: Request<Incoming>, _: net::SocketAddr| {
+                let explanation = explain::answer(&shared, &req);
+                let metrics = || http::plain(StatusCode::OK, shared.metrics.text());
+                let response = explanation.unwrap_or_else(metrics);
+                async move { response }
             };
             let serve = http::serve(metrics, limits, self.internal_shutdown.clone(), handler);
             daemon::spawn_listener(&state.events, "metrics", serve);
