Cold targets of services whose calls all run only once get work from all VMs

Cause: only calls that may run more than once borrow tokens for cold targets. In a service without such calls, a cold target got work only from its holder.

Change: where no route sends calls that may run more than once to a service, its calls are preferred for cold targets that are due and borrow tokens, as the others do elsewhere. The bound is that of the tokens, as before.

--- a/core/src/explain/mod.rs
+++ b/core/src/explain/mod.rs
@@ -82,8 +82,8 @@
     pub search: &'a Search,
     /// Its deadline.
     pub deadline: core_time::Instant,
-    /// Whether it may run more than once.
-    pub repeatable: bool,
+    /// Whether it is preferred for cold targets that are due for a call.
+    pub feeds_cold: bool,
 }
 
 /// Explains what a call would do that is assigned to a service and arrives now.
@@ -178,7 +178,7 @@
     choices: Vec<Choice>,
 ) -> String {
     let demand = &call.demand;
-    if let Some(choice) = placement.starved_choice(now, demand, call.deadline, call.repeatable) {
+    if let Some(choice) = placement.starved_choice(now, demand, call.deadline, call.feeds_cold) {
         return format!(
             "is sent to {}, which is cold and due for a call",
             choice.target
--- a/core/tests/explain.rs
+++ b/core/tests/explain.rs
@@ -66,7 +66,7 @@
         },
         search: &search,
         deadline: at(1100),
-        repeatable: true,
+        feeds_cold: true,
     };
     let queue = explain::Queue {
         waiting: 0,
--- a/wagtailshunt/src/entry/calls/cold_target.rs
+++ b/wagtailshunt/src/entry/calls/cold_target.rs
@@ -2,13 +2,14 @@
 //! the VM that they announce themselves to.
 
 use rand::Rng;
-use wagtailshunt_core::{placement, warmup};
+use wagtailshunt_core::{placement, routing, types, warmup};
 
 use crate::entry::{calls::call::Call, cold_targets, state};
 
 impl Call {
     /// Returns a cold target that is due for a call, if this one is its first attempt. Its token is taken.
-    /// For a call that may run only once, a target of this VM that has had none for longer.
+    /// For a call that may run only once in a service that has others, a target of this VM that has had
+    /// none for longer.
     pub(super) async fn due_cold_target(&self) -> Option<placement::Choice> {
         let is_first = self.tried.borrow().is_empty();
         if !is_first {
@@ -21,7 +22,12 @@
         }
         let tried = self.tried.borrow().clone();
         let demand = self.demand(&tried);
-        let (deadline, repeatable) = (self.request.deadline, self.request.repeatable);
+        let deadline = self.request.deadline;
+        // Where all calls may run only once, no others give work to cold targets.
+        let repeatable = self.request.repeatable
+            || !self
+                .state
+                .with(|inner| has_repeatable_calls(inner, &self.service));
         let own = self.state.with(|inner| {
             let placement = &mut inner.placement;
             let choice = placement.starved_choice(now, &demand, deadline, repeatable)?;
@@ -71,3 +77,13 @@
             .with(|inner| inner.placement.cold.take(now, &choice.target))
     }
 }
+
+/// Returns whether a route sends calls that may run more than once to a service.
+pub fn has_repeatable_calls(inner: &state::Inner, service: &types::ServiceName) -> bool {
+    let sends_there = |route: &routing::Route| {
+        let mut shares = route.shares.iter();
+        shares.any(|share| share.weight > 0.0 && share.service == *service)
+    };
+    let mut routes = inner.machine.table.items().routes.values();
+    routes.any(|route| route.repeatable && sends_there(route))
+}
--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -29,6 +29,7 @@
 
 pub use attempt::{Destination, accepts_connection};
 pub(super) use call::{configured_search, room_rule};
+pub(super) use cold_target::has_repeatable_calls;
 pub use crash::crash_received;
 pub use failure::Failure;
 pub use handler::{MAX_LOGGED_TEXT_CHARS, handle, handle_relayed, may_start_early};
--- a/wagtailshunt/src/entry/explain.rs
+++ b/wagtailshunt/src/entry/explain.rs
@@ -181,7 +181,7 @@
             },
             search: &search,
             deadline,
-            repeatable: route.repeatable,
+            feeds_cold: route.repeatable || !calls::has_repeatable_calls(inner, service),
         };
         let queued = inner.queues.get(service).map_or(0, placement::Queue::len);
         let shed = inner.shedders.get(service);
