--- a/core/tests/allowance.rs
+++ b/core/tests/allowance.rs
@@ -90,7 +90,7 @@
 /// being asked. Each mechanism is needed: without it a scenario exceeds the bound.
 #[test]
 fn bound_holds_in_every_window() {
-    for (vms, seed) in [(11, 1), (44, 2), (44, 3), (149, 4)] {
+    for (vms, seed) in [(11, 1), (44, 2), (44, 3), (149, 4), (300, 5)] {
         let worst = after_random_faults(vms, Off::default(), seed).worst_window();
         assert!(worst <= 1.0, "{vms} VMs, seed {seed}: {worst}");
     }
@@ -268,8 +268,8 @@
     assert!(questions < 840 * 20 * 3 / 2, "{questions}");
 }
 
-/// Guards against tokens that are used after their validity or a suspension of the VM, and calls of a
-/// workspace that overtake each other.
+/// Guards against tokens that are used after their validity, a suspension of the VM or a lower allowance,
+/// and calls of a workspace that overtake each other.
 #[test]
 fn tokens_expire_and_calls_wait_in_order() {
     let (id, leader) = (WorkspaceId::of("a"), VmId(1));
@@ -302,6 +302,9 @@
         suspended.take(Instant(9000), id),
         Decision::Wait(_)
     ));
+    let mut lowered = holder.clone();
+    lowered.configure([("a", &allowance(1.0, 1.0))].into_iter());
+    assert!(matches!(lowered.take(Instant(9000), id), Decision::Wait(_)));
     assert_eq!(holder.take(Instant(9000), id), Decision::Granted);
 }
 
