A large response past its deadline fails only after 100 ms without a frame

Cause, found in review: the library reads a frame at a time, so that a response which had arrived whole but was read slowly could be cut off at the deadline. Change: past the deadline, the body fails when no frame comes for 100 ms.

--- a/wagtailshunt/src/http/body.rs
+++ b/wagtailshunt/src/http/body.rs
@@ -1,9 +1,8 @@
 //! Body of requests and responses: buffered bytes or a forwarded stream.
 
-use std::{pin, task, vec};
+use std::{pin, task, time, vec};
 
 use bytes::Bytes;
-use futures_util::FutureExt;
 use hyper::body::{Frame, Incoming, SizeHint};
 
 /// Errors that occur while a body is forwarded.
@@ -56,23 +55,33 @@
         matches!(self, Body::Full(_) | Body::Blocks { .. })
     }
 
-    /// Makes a body that is still being received fail when it has to wait for its peer after
-    /// `expired`. What has arrived by then is forwarded, also to a caller that reads slowly.
+    /// Makes a body that is still being received fail when it waits for its peer for
+    /// [`STALL_TIMEOUT`] after `expired`. What has arrived is forwarded, also to a caller that reads slowly.
     pub fn with_deadline(self, expired: impl Future<Output = ()> + 'static) -> Body {
         match self.is_buffered() {
             true => self,
             false => Body::Stream(Box::pin(TimedBody {
                 body: self,
-                expired: Box::pin(expired.fuse()),
+                expired: Some(Box::pin(expired)),
+                stalled: None,
             })),
         }
     }
 }
 
+/// Time without a frame after which a body past its deadline fails. The library reads a frame at a
+/// time, so that a body which has arrived whole waits for a moment between its frames as well.
+const STALL_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
+type Timer = pin::Pin<Box<dyn Future<Output = ()>>>;
+
 /// A body with a deadline.
 struct TimedBody {
     body: Body,
-    expired: pin::Pin<Box<dyn Future<Output = ()>>>,
+    /// The deadline; `None` once it has passed.
+    expired: Option<Timer>,
+    /// The end of the current wait for a frame after the deadline.
+    stalled: Option<Timer>,
 }
 
 impl hyper::body::Body for TimedBody {
@@ -85,10 +94,17 @@
     ) -> task::Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = self.get_mut();
         let frame = pin::Pin::new(&mut this.body).poll_frame(cx);
-        if frame.is_pending() && this.expired.as_mut().poll(cx).is_ready() {
-            return task::Poll::Ready(Some(Err(BodyError::Deadline)));
+        if frame.is_ready() {
+            this.stalled = None;
+            return frame;
+        }
+        if let Some(expired) = &mut this.expired {
+            task::ready!(expired.as_mut().poll(cx));
+            this.expired = None;
         }
-        frame
+        let timer = || -> Timer { Box::pin(compio::time::sleep(STALL_TIMEOUT)) };
+        task::ready!(this.stalled.get_or_insert_with(timer).as_mut().poll(cx));
+        task::Poll::Ready(Some(Err(BodyError::Deadline)))
     }
 
     fn is_end_stream(&self) -> bool {
