--- a/core/src/allowance/account.rs
+++ b/core/src/allowance/account.rs
@@ -4,7 +4,6 @@
 
 use super::holder::{Decision, Ticket};
 use super::report::Period;
-use super::reserve::ReserveUse;
 use super::{Ask, Numbers, Report, WorkspaceId};
 use crate::time as core_time;
 
@@ -60,12 +59,9 @@
     pub(super) waiting: collections::VecDeque<Ticket>,
     /// Until when calls are refused without a question.
     pub(super) refused_until: core_time::Instant,
-    /// Whether calls may use the reserve until then, since the leader's bucket is still filling.
-    pub(super) may_use_reserve: bool,
     /// Calls refused since the last token.
     pub(super) refused_in_a_row: u32,
     pub(super) rate: CallRate,
-    pub(super) reserve: ReserveUse,
     pub(super) refusals: Period,
 }
 
@@ -77,10 +73,8 @@
             held: collections::VecDeque::new(),
             waiting: collections::VecDeque::new(),
             refused_until: core_time::Instant::default(),
-            may_use_reserve: false,
             refused_in_a_row: 0,
             rate: CallRate::default(),
-            reserve: ReserveUse::default(),
             refusals: Period::default(),
         }
     }
--- a/core/src/allowance/holder.rs
+++ b/core/src/allowance/holder.rs
@@ -4,13 +4,15 @@
 
 use super::account::Account;
 use super::report::Period;
-use super::reserve::Ranks;
 use super::{Answer, Ask, Bound, Numbers, Report, UnansweredReport, WorkspaceId};
-use crate::{placement::Position, routing, time as core_time, types};
+use crate::{routing, time as core_time, types};
 
-/// Time after which a question without an answer is repeated, and calls use the reserve at once.
+/// Time after which a question without an answer is repeated, to another VM if there is one.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
+/// Time for which a leader that didn't answer is not asked; until then, questions go to deputies.
+const SILENT_TIME: time::Duration = time::Duration::from_millis(500);
+
 /// Time after an empty answer until the leader is asked again: a leader that has just been elected is
 /// confirmed after a round trip.
 const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(20);
@@ -27,8 +29,8 @@
 pub enum Decision {
     /// The call may run.
     Granted,
-    /// The call may run on the reserve, since the leader doesn't answer.
-    GrantedFromReserve,
+    /// The call may run on a token of a deputy, since the leader doesn't answer.
+    GrantedByDeputy,
     /// The workspace has used up its allowance.
     Refused {
         /// Time until the next token.
@@ -36,7 +38,7 @@
         /// Range by which callers spread their return after that.
         spread: time::Duration,
     },
-    /// The leader doesn't answer and the reserve is used up.
+    /// Neither the leader nor a deputy has granted a token in time.
     Unknown,
     /// The decision follows through [`Holder::poll_decision`].
     Wait(Ticket),
@@ -65,44 +67,47 @@
     accounts: collections::HashMap<WorkspaceId, Account>,
     /// Workspaces with calls that wait and for which no question was sent yet.
     unasked: Vec<WorkspaceId>,
-    /// Until when no question is sent, because the last answer was empty.
-    paused_until: core_time::Instant,
     last_question: u64,
     /// The latest question, if it has no answer yet.
     sent: Option<SentQuestion>,
     /// Earlier questions without an answer in time. Their answers still bring tokens if they come within
     /// the validity; without that, no call would run while a leader answers a little too late.
     late: collections::VecDeque<SentQuestion>,
-    /// Whether the last question had no answer in time.
-    is_silent: bool,
     leader: Option<types::VmId>,
-    ranks: Ranks,
+    /// Until when the leader isn't asked.
+    silent_until: core_time::Instant,
+    /// Deputies in the order in which this VM asks them, how many did not answer, and until when these
+    /// are left out.
+    deputies: Vec<types::VmId>,
+    tried: usize,
+    deputies_again: core_time::Instant,
     last_ticket: u64,
     decisions: collections::VecDeque<(Ticket, Decision)>,
     reports: Vec<Report>,
-    reserve_used: Period,
+    by_deputy: Period,
     unanswered: Period,
 }
 
 impl Holder {
     /// Creates a holder without tokens. `first_question` must exceed the numbers that earlier processes
     /// of this VM used, whose answers may still arrive.
-    pub fn new(now: core_time::Instant, bound: Bound, first_question: u64) -> Holder {
+    pub fn new(bound: Bound, first_question: u64) -> Holder {
         Holder {
             bound,
             accounts: collections::HashMap::new(),
             unasked: Vec::new(),
-            paused_until: core_time::Instant::default(),
             last_question: first_question,
             sent: None,
             late: collections::VecDeque::new(),
-            is_silent: false,
             leader: None,
-            ranks: Ranks::new(now, bound.window),
+            silent_until: core_time::Instant::default(),
+            deputies: Vec::new(),
+            tried: 0,
+            deputies_again: core_time::Instant::default(),
             last_ticket: 0,
             decisions: collections::VecDeque::new(),
             reports: Vec::new(),
-            reserve_used: Period::default(),
+            by_deputy: Period::default(),
             unanswered: Period::default(),
         }
     }
@@ -150,20 +155,37 @@
     }
 
     /// Sets the leader that this VM can reach.
-    pub fn set_leader(&mut self, now: core_time::Instant, leader: Option<types::VmId>) {
-        if leader.is_some() {
-            self.ranks.leader_known(now);
-        }
+    pub fn set_leader(&mut self, leader: Option<types::VmId>) {
         if leader != self.leader {
             self.leader = leader;
-            self.is_silent = false;
+            self.silent_until = core_time::Instant::default();
+            self.tried = 0;
             self.repeat_question();
         }
     }
 
-    /// Sets the rank of this VM among all known VMs; called about once a second.
-    pub fn set_position(&mut self, now: core_time::Instant, position: Position) {
-        self.ranks.set(now, position);
+    /// Sets the deputies that this VM can reach, in the order in which it asks them.
+    pub fn set_deputies(&mut self, deputies: Vec<types::VmId>) {
+        self.deputies = deputies;
+    }
+
+    /// Returns the VM that is asked now.
+    fn target(&mut self, now: core_time::Instant) -> Option<types::VmId> {
+        if now >= self.deputies_again {
+            self.tried = 0;
+        }
+        let leader = self.leader.filter(|_| now >= self.silent_until);
+        leader.or_else(|| self.deputies.get(self.tried).copied())
+    }
+
+    /// Records that a VM didn't answer, or had no tokens to grant.
+    fn failed(&mut self, now: core_time::Instant, vm: types::VmId, pause: time::Duration) {
+        if Some(vm) == self.leader {
+            self.silent_until = now + pause;
+        } else {
+            self.tried += 1;
+            self.deputies_again = now + SILENT_TIME;
+        }
     }
 
     /// Gives up the tokens held and expected, for instance because the clock did not count some of the
@@ -186,18 +208,13 @@
             return Decision::Granted;
         }
         if now < account.refused_until {
-            if account.may_use_reserve && self.take_reserve(now, workspace) {
-                return Decision::GrantedFromReserve;
-            }
-            return self.refuse(now, workspace);
+            return account.refuse(now, &mut self.reports);
         }
         // The leader grants no more than its bucket holds, so that further calls would wait in vain.
         let is_excess = account.waiting.len() as f64 >= account.numbers.capacity;
-        let is_silent = self.leader.is_none() || self.is_silent;
-        if is_silent && self.take_reserve(now, workspace) {
-            return Decision::GrantedFromReserve;
-        }
-        if self.leader.is_none() || (is_silent && is_excess) {
+        let target = self.target(now);
+        let is_retried = self.leader.is_some() && self.silent_until <= now + ANSWER_TIMEOUT;
+        if (target.is_none() && !is_retried) || (is_excess && target != self.leader) {
             self.unanswered.record(now);
             return Decision::Unknown;
         }
@@ -226,18 +243,6 @@
         }
     }
 
-    fn take_reserve(&mut self, now: core_time::Instant, workspace: WorkspaceId) -> bool {
-        let Some(account) = self.accounts.get_mut(&workspace) else {
-            return true;
-        };
-        let share = self.ranks.share(workspace, account.numbers.reserve);
-        let taken = account.reserve.take(now, self.bound.window, share);
-        if taken {
-            self.reserve_used.record(now);
-        }
-        taken
-    }
-
     /// Ends the wait of a call. Returns its decision, or `None` if there was one before.
     pub fn give_up(
         &mut self,
@@ -248,13 +253,6 @@
         if !self.cancel(workspace, ticket) {
             return None;
         }
-        let asked = self.sent.as_ref();
-        if asked.is_some_and(|sent| now.since(sent.sent) >= ANSWER_TIMEOUT) {
-            self.is_silent = true;
-        }
-        if self.take_reserve(now, workspace) {
-            return Some(Decision::GrantedFromReserve);
-        }
         self.unanswered.record(now);
         Some(Decision::Unknown)
     }
@@ -273,17 +271,15 @@
     /// Returns the question to send to the leader, if one is due. One question is on its way at a time;
     /// calls that arrive meanwhile go with the next.
     pub fn poll_question(&mut self, now: core_time::Instant) -> Option<(types::VmId, Question)> {
-        let to = self.leader?;
         if let Some(sent) = &self.sent {
             if now.since(sent.sent) < ANSWER_TIMEOUT {
                 return None;
             }
-            self.is_silent = true;
+            let to = sent.to;
+            self.failed(now, to, SILENT_TIME);
             self.repeat_question();
         }
-        if now < self.paused_until {
-            return None;
-        }
+        let to = self.target(now)?;
         let mut asks = Vec::with_capacity(self.unasked.len());
         for workspace in self.unasked.drain(..) {
             let account = self.accounts.get_mut(&workspace);
@@ -337,17 +333,16 @@
         let Some(sent) = sent else {
             return;
         };
-        self.is_silent = answers.is_empty();
+        let is_leader = Some(from) == self.leader;
         if answers.is_empty() {
-            self.paused_until = now + REPEAT_INTERVAL;
+            self.failed(now, from, REPEAT_INTERVAL);
+        } else if is_leader {
+            self.silent_until = now;
         }
         for (i, ask) in sent.question.asks.iter().enumerate() {
             match answers.get(i) {
-                Some(answer) => self.handle_answer(now, &sent, ask, answer),
-                None => {
-                    self.use_reserve(now, ask.workspace, ask.needed);
-                    self.add_unasked(ask.workspace);
-                }
+                Some(answer) => self.handle_answer(now, &sent, ask, answer, is_leader),
+                None => self.add_unasked(ask.workspace),
             }
         }
     }
@@ -358,6 +353,7 @@
         sent: &SentQuestion,
         ask: &Ask,
         answer: &Answer,
+        is_leader: bool,
     ) {
         let Some(account) = self.accounts.get_mut(&ask.workspace) else {
             return;
@@ -368,51 +364,32 @@
         }
         while !account.waiting.is_empty() && account.take_held(now) {
             let ticket = account.waiting.pop_front();
+            let decision = if is_leader {
+                Decision::Granted
+            } else {
+                self.by_deputy.record(now);
+                Decision::GrantedByDeputy
+            };
             self.decisions
-                .extend(ticket.map(|ticket| (ticket, Decision::Granted)));
+                .extend(ticket.map(|ticket| (ticket, decision)));
         }
         let Some(wait) = answer.wait else {
-            if answer.granted < ask.needed {
-                // The leader doesn't know the workspace yet.
-                self.use_reserve(now, ask.workspace, ask.needed);
+            // The deputy has no more, or the leader doesn't know the workspace yet.
+            for _ in 0..ask.needed.saturating_sub(answer.granted) {
+                if let Some(ticket) = account.waiting.pop_front() {
+                    self.unanswered.record(now);
+                    self.decisions.push_back((ticket, Decision::Unknown));
+                }
             }
             return;
         };
         account.refused_until = now + wait;
-        account.may_use_reserve = answer.filling;
-        if answer.filling {
-            self.use_reserve(
-                now,
-                ask.workspace,
-                ask.needed.saturating_sub(answer.granted),
-            );
-        }
-        let Some(account) = self.accounts.get_mut(&ask.workspace) else {
-            return;
-        };
         while let Some(ticket) = account.waiting.pop_front() {
             let decision = account.refuse(now, &mut self.reports);
             self.decisions.push_back((ticket, decision));
         }
     }
 
-    /// Lets up to `count` of the calls that wait run on the reserve.
-    fn use_reserve(&mut self, now: core_time::Instant, workspace: WorkspaceId, count: u32) {
-        for _ in 0..count {
-            let waiting = self.accounts.get(&workspace);
-            let ticket = waiting.and_then(|account| account.waiting.front().copied());
-            let Some(ticket) = ticket else {
-                return;
-            };
-            if !self.take_reserve(now, workspace) {
-                return;
-            }
-            self.cancel(workspace, ticket);
-            let decision = Decision::GrantedFromReserve;
-            self.decisions.push_back((ticket, decision));
-        }
-    }
-
     /// Returns the next decision on a call that waits.
     pub fn poll_decision(&mut self) -> Option<(Ticket, Decision)> {
         self.decisions.pop_front()
@@ -437,16 +414,16 @@
 
     /// Returns what this VM did without answers of the leader, after such a period has ended.
     pub fn poll_unanswered(&mut self, now: core_time::Instant) -> Option<UnansweredReport> {
-        let reserve = self.reserve_used.end(now);
+        let by_deputy = self.by_deputy.end(now);
         let refused = self.unanswered.end(now);
-        let (reserve, refused) = match (reserve, refused) {
-            (None, None) => return None,
-            (reserve, refused) => (reserve.unwrap_or_default(), refused.unwrap_or_default()),
-        };
+        if by_deputy.is_none() && refused.is_none() {
+            return None;
+        }
+        let (by_deputy, refused) = (by_deputy.unwrap_or_default(), refused.unwrap_or_default());
         Some(UnansweredReport {
-            reserve: reserve.0,
+            by_deputy: by_deputy.0,
             refused: refused.0,
-            lasted: reserve.1.max(refused.1),
+            lasted: by_deputy.1.max(refused.1),
         })
     }
 }
--- a/core/src/allowance/leader.rs
+++ b/core/src/allowance/leader.rs
@@ -2,9 +2,10 @@
 
 use std::{collections, time};
 
+use super::deputy::{LOAN_TIME, LoanRequest};
 use super::numbers::MAX_VALIDITY;
 use super::{Bound, Numbers, WorkspaceId};
-use crate::{routing, time as core_time};
+use crate::{routing, time as core_time, types};
 
 /// Longest time for which the leader asks a VM not to come back although the next token may be there
 /// earlier. Refused VMs get successive times, so that they don't all ask for the same token.
@@ -36,9 +37,6 @@
     /// Time until the VM should ask again, if it got fewer tokens than calls wait; `None` if it got
     /// enough or the leader doesn't know the workspace.
     pub wait: Option<time::Duration>,
-    /// Whether the bucket is still filling after a leader change, so that a lack of tokens doesn't mean
-    /// that the workspace is over its allowance.
-    pub filling: bool,
 }
 
 /// Number of slices of time by which granted tokens are counted. A token counts in the slice in which it
@@ -155,6 +153,25 @@
     time::Duration::from_secs_f64(seconds.clamp(0.0, 3600.0))
 }
 
+/// The VMs by which it is decided what is lent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lenders {
+    /// Number of deputies; 0 for a VM that is none.
+    pub deputies: usize,
+    /// Number of known VMs.
+    pub known: usize,
+    /// Number of these that may be of the preceding build. Each of them may use its part of a reserve,
+    /// which is at most as large as what may be lent and divided in whole calls.
+    pub preceding: usize,
+}
+
+impl Lenders {
+    fn lendable(&self, numbers: &Numbers) -> f64 {
+        let part = numbers.lendable / self.known.max(1) as f64 + 1.0;
+        (numbers.lendable - part * self.preceding as f64).max(0.0)
+    }
+}
+
 /// Grants tokens while its VM leads.
 #[derive(Debug)]
 pub struct Grantor {
@@ -162,6 +179,16 @@
     buckets: collections::HashMap<WorkspaceId, Bucket>,
     /// When this VM began to lead.
     started: Option<core_time::Instant>,
+    /// What each deputy has at most.
+    lent: collections::HashMap<types::VmId, Lent>,
+}
+
+#[derive(Debug, Default)]
+struct Lent {
+    /// Number of the latest request.
+    number: u64,
+    end: core_time::Instant,
+    tokens: collections::HashMap<WorkspaceId, u32>,
 }
 
 impl Grantor {
@@ -171,6 +198,7 @@
             bound,
             buckets: collections::HashMap::new(),
             started: None,
+            lent: collections::HashMap::new(),
         }
     }
 
@@ -203,6 +231,7 @@
     /// what has been earned in that time, except as long as tokens from before may be used.
     pub fn start(&mut self, now: core_time::Instant, leaderless: time::Duration) {
         self.started = Some(now);
+        self.lent.clear();
         for bucket in self.buckets.values_mut() {
             *bucket = Bucket::new(bucket.numbers, now, leaderless);
         }
@@ -226,12 +255,12 @@
         let needed = (bucket.available() as u32).min(ask.needed);
         bucket.grant(needed);
         if needed < ask.needed {
+            // While the bucket fills after a leader change, the calls may well be within the allowance.
             let fill_time = duration(bucket.numbers.capacity / bucket.numbers.rate);
             let filling = now.since(started) < fill_time;
             return Answer {
                 granted: needed,
                 wait: Some(bucket.refuse(now, filling)),
-                filling,
             };
         }
         let spare = bucket.available() - bucket.numbers.capacity * SHARE_FOR_NEED;
@@ -242,4 +271,52 @@
             ..Answer::default()
         }
     }
+
+    /// Records what a VM holds and lends it up to its part of what may be lent, if it is a deputy; returns the tokens for each workspace of the request. The caller has made sure that a
+    /// quorum confirms the leadership.
+    ///
+    /// What an earlier leader lent may be in use until a loan ends, so that nothing is lent before.
+    pub fn lend(
+        &mut self,
+        now: core_time::Instant,
+        vm: types::VmId,
+        request: &LoanRequest,
+        lenders: &Lenders,
+    ) -> Vec<u32> {
+        let Some(started) = self.started else {
+            return Vec::new();
+        };
+        let mut record = self.lent.remove(&vm).unwrap_or_default();
+        if request.number <= record.number {
+            self.lent.insert(vm, record);
+            return Vec::new();
+        }
+        self.lent.retain(|_, lent| now <= lent.end);
+        let may_lend = lenders.deputies > 0 && now.since(started) > lifetime(LOAN_TIME);
+        record.number = request.number;
+        record.end = now + lifetime(LOAN_TIME);
+        record.tokens.clear();
+        let mut tokens = Vec::with_capacity(request.held.len());
+        for (workspace, held) in &request.held {
+            let mut lent = 0;
+            if let Some(bucket) = self.buckets.get_mut(workspace).filter(|_| may_lend) {
+                bucket.refill(now);
+                let others = self
+                    .lent
+                    .values()
+                    .filter_map(|lent| lent.tokens.get(workspace));
+                let others: u32 = others.sum();
+                let lendable = lenders.lendable(&bucket.numbers);
+                let room = lendable - f64::from(others);
+                let room = room.min(lendable / lenders.deputies as f64) - f64::from(*held);
+                let spare = bucket.available() - bucket.numbers.capacity * SHARE_FOR_NEED;
+                lent = room.min(spare).max(0.0) as u32;
+                bucket.level -= f64::from(lent);
+            }
+            record.tokens.insert(*workspace, held + lent);
+            tokens.push(lent);
+        }
+        self.lent.insert(vm, record);
+        tokens
+    }
 }
--- a/core/src/allowance/mod.rs
+++ b/core/src/allowance/mod.rs
@@ -4,23 +4,24 @@
 //! The leader keeps a token bucket for each workspace with an allowance ([`Grantor`]). A VM asks it for
 //! the tokens that it needs ([`Holder`]); one question covers all workspaces whose calls wait. A token
 //! is valid for a short time from the question, by the clock of the VM that asked. A refusal states when
-//! to ask again; until then the VM refuses by itself. When the leader doesn't answer, each VM uses its
-//! part of a small reserve. [`Numbers`] states how the validity, the number of tokens in existence and the
-//! reserve keep the bound on the calls of all VMs together.
+//! to ask again; until then the VM refuses by itself. The leader lends some tokens to a few VMs
+//! ([`Deputy`]), which grant them while the leader is silent. [`Numbers`] states how the validity, the
+//! number of tokens in existence and the loans keep the bound on the calls of all VMs together.
 //!
 //! The I/O layer asks a leader only, and lets the leader grant only while a quorum confirms it
 //! ([`crate::replication::Node::lease_begin`]), so that the grants of two leaders never overlap
 //! in time.
 
 mod account;
+mod deputy;
 mod holder;
 mod leader;
 mod numbers;
 mod report;
-mod reserve;
 
+pub use self::deputy::{Deputy, LoanRequest};
 pub use self::holder::{Decision, Holder, Question, Ticket};
-pub use self::leader::{Answer, Ask, Grantor};
+pub use self::leader::{Answer, Ask, Grantor, Lenders};
 pub use self::numbers::{Bound, Numbers};
 pub use self::report::{Report, UnansweredReport};
 
--- a/core/src/allowance/numbers.rs
+++ b/core/src/allowance/numbers.rs
@@ -58,7 +58,7 @@
 const DELAY_SHARE: f64 = 0.2;
 
 /// Share of what validity and delay leave of the extra that enlarges the bucket of the leader; the
-/// reserve gets the rest. The bucket absorbs random arrivals, which the configured burst of a small
+/// rest is lent to deputies. The bucket absorbs random arrivals, which the configured burst of a small
 /// workspace may not.
 const CAPACITY_SHARE: f64 = 0.5;
 
@@ -71,10 +71,6 @@
 /// tokens are granted.
 const COUNTED_VALIDITY: f64 = 1.25;
 
-/// Share of the reserve that is divided among the known VMs; the rest is for VMs that join while
-/// others are cut off and go on with their old share.
-const DIVIDED_SHARE: f64 = 0.7;
-
 /// The numbers by which the bound of one workspace is kept.
 ///
 /// With extra = overage x (rate x window + burst) + slack, and V = min(0.4 s, 0.6 x extra / rate) and
@@ -84,7 +80,8 @@
 ///   are added at the rate. So at most capacity + rate x (window + D) are used in a window and the D
 ///   before it, and calls are sent at most D after their token was used.
 /// * rest = extra - rate x (V + D) is at least 0.2 x extra. capacity = burst + rest / 2 + rate x V.
-/// * All VMs together use at most 0.7 x rest / 2 of the reserve in a window.
+/// * Beside them at most rest / 2 are lent to deputies or were granted by these less than V ago. VMs of
+///   the preceding build use as many without the leader, so that nothing is lent beside them.
 ///
 /// The sum is at most rate x window + burst + extra, which is the bound. Leaders of the preceding build
 /// keep a bucket of burst + rest / 2, so that no more than `capacity` tokens of theirs exist either.
@@ -98,8 +95,8 @@
     pub capacity: f64,
     /// Tokens that VMs can't have at a time, so that they may exist in the bucket of the next leader.
     pub held_back: f64,
-    /// Calls that all VMs together may run in a window without tokens.
-    pub reserve: u64,
+    /// Tokens that the leader lends to deputies at most.
+    pub lendable: f64,
 }
 
 impl Numbers {
@@ -118,7 +115,6 @@
             true => allowance.burst + rest * CAPACITY_SHARE,
             false => allowance.burst + rest,
         };
-        let reserve = rest.max(0.0) * (1.0 - CAPACITY_SHARE) * DIVIDED_SHARE;
         // A bucket of less than one token would never grant any.
         let capacity = (capacity + rate * validity).max(1.0);
         // VMs can still have the burst beside the tokens of usual callers, and use the whole rate.
@@ -131,7 +127,7 @@
             validity: time::Duration::from_secs_f64(validity),
             capacity,
             held_back: held_back.max(0.0),
-            reserve: reserve as u64,
+            lendable: rest.max(0.0) * (1.0 - CAPACITY_SHARE),
         }
     }
 }
--- a/core/src/allowance/report.rs
+++ b/core/src/allowance/report.rs
@@ -30,8 +30,8 @@
 /// What this VM did while the leader didn't answer, from the first call to the last.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UnansweredReport {
-    /// Calls that used the reserve.
-    pub reserve: u64,
+    /// Calls that ran on tokens of deputies.
+    pub by_deputy: u64,
     /// Calls that were refused.
     pub refused: u64,
     /// Time from the first to the last of them.
--- a/core/tests/allowance.rs
+++ b/core/tests/allowance.rs
@@ -6,7 +6,9 @@
 
 use allowance_world::{Callers, Off, World};
 use wagtailshunt_core::{
-    allowance::{Ask, Bound, Decision, Grantor, Holder, Numbers, WorkspaceId},
+    allowance::{
+        Ask, Bound, Decision, Deputy, Grantor, Holder, Lenders, LoanRequest, Numbers, WorkspaceId,
+    },
     routing::Allowance,
     time::Instant,
     types::VmId,
@@ -50,7 +52,7 @@
 
 fn greedy_world(vms: usize, off: Off, seed: u64) -> World {
     let mut world = World::new(vms, greedy(), true, off, seed);
-    // The buckets fill up, and VMs get their part of the reserve.
+    // The buckets fill up, and the leader lends tokens.
     world.run(10 * SECOND);
     world
 }
@@ -76,11 +78,11 @@
     world
 }
 
-fn after_cut(off: Off) -> World {
+fn after_silence(off: Off) -> World {
     let mut world = greedy_world(44, off, 3);
     world.start_calls(1.0, 10 * SECOND);
-    world.run(4 * SECOND);
-    world.cut_all(4 * SECOND);
+    world.run(SECOND);
+    world.kill_leader(4 * SECOND);
     world.run(6 * SECOND);
     world
 }
@@ -121,10 +123,10 @@
             },
         ),
         (
-            "cut",
-            after_cut,
+            "silent leader",
+            after_silence,
             Off {
-                ranks: true,
+                report: true,
                 ..none
             },
         ),
@@ -224,11 +226,11 @@
         let faults = after_random_faults(vms, Off::default(), 6);
         for gap in [700, 2500].map(Duration::from_millis) {
             let empty = Off {
-                leaderless: true,
+                loans: true,
                 ..Off::default()
             };
             println!(
-                "{vms} VMs: {gap:?} without a leader: lost then and in the second after {:.3?}, with empty buckets {:.3?}",
+                "{vms} VMs: {gap:?} without a leader: lost then and in the second after {:.3?}, without loans {:.3?}",
                 lost_at_leader_change(vms, gap, Off::default()),
                 lost_at_leader_change(vms, gap, empty),
             );
@@ -274,9 +276,9 @@
 fn tokens_expire_and_calls_wait_in_order() {
     let (id, leader) = (WorkspaceId::of("a"), VmId(1));
     let limit = allowance(100.0, 10.0);
-    let mut holder = Holder::new(Instant(0), Bound::default(), 0);
+    let mut holder = Holder::new(Bound::default(), 0);
     holder.configure([("a", &limit)].into_iter());
-    holder.set_leader(Instant(0), Some(leader));
+    holder.set_leader(Some(leader));
     let tickets: Vec<Decision> = (0..3).map(|_| holder.take(Instant(0), id)).collect();
     let (_, question) = holder.poll_question(Instant(0)).unwrap();
     assert_eq!(question.asks[0].needed, 3);
@@ -343,6 +345,70 @@
     );
 }
 
+/// Guards against more loans than the leader may lend: by replies that are used late, requests that arrive
+/// late, tokens that a deputy doesn't report, and loans that outlive the leader's record of them.
+#[test]
+fn loans_are_recorded_until_they_end() {
+    let limit = allowance(100.0, 100.0);
+    assert_eq!(Numbers::new(&Bound::default(), &limit).lendable, 15.0);
+    let at = |ms: u64| Instant(ms * 1000);
+    let mut grantor = Grantor::new(Bound::default());
+    grantor.configure(at(0), [("a", &limit)].into_iter());
+    grantor.start(at(0), 9 * SECOND);
+    let mut lend = |ms, vm, request: &LoanRequest, deputies| {
+        let lenders = Lenders {
+            deputies,
+            known: 10,
+            preceding: 0,
+        };
+        grantor.lend(at(ms), VmId(vm), request, &lenders)
+    };
+    let mut deputies = [0; 3].map(|_| {
+        let mut deputy = Deputy::new(at(0), Bound::default(), 0);
+        deputy.configure([("a", &limit)].into_iter());
+        deputy
+    });
+    let [first, second, third] = &mut deputies;
+    let ask = |needed| {
+        let workspace = WorkspaceId::of("a");
+        let ahead = 0;
+        let ask = Ask {
+            workspace,
+            needed,
+            ahead,
+        };
+        [ask].into_iter()
+    };
+    let early = first.poll_request(at(400), true);
+    assert_eq!(early, None, "tokens of the process before may be in use");
+    let request = first.poll_request(at(1000), true).unwrap();
+    let lent = lend(1000, 1, &request, 2);
+    assert_eq!(lent, [0], "loans of the leader before may be in use");
+    let old = first.poll_request(at(4000), true).unwrap();
+    assert_eq!(lend(4000, 1, &old, 2), [7]);
+    let request = first.poll_request(at(5000), true).unwrap();
+    assert_eq!(lend(5000, 1, &request, 2), [7]);
+    first.lent(old.number, &[7]);
+    assert!(first.answer(at(5100), ask(1)).is_empty(), "a late reply");
+    first.lent(request.number, &[7]);
+    assert!(lend(5100, 1, &old, 2).is_empty(), "a late request");
+    let request = second.poll_request(at(6000), true).unwrap();
+    assert_eq!(lend(6000, 2, &request, 2), [7]);
+    second.lent(request.number, &[7]);
+    assert_eq!(first.answer(at(6800), ask(5))[0].granted, 5);
+    let request = first.poll_request(at(6900), true).unwrap();
+    assert_eq!(request.held[0].1, 7, "granted tokens may be in use");
+    assert_eq!(lend(6900, 1, &request, 2), [0]);
+    first.lent(request.number, &[0]);
+    first.configure([("a", &allowance(1.0, 1.0))].into_iter());
+    assert!(first.answer(at(7000), ask(1)).is_empty(), "lowered");
+    let request = first.poll_request(at(8000), true).unwrap();
+    assert_eq!(lend(8000, 1, &request, 0), [0]);
+    let request = third.poll_request(at(8999), true).unwrap();
+    assert_eq!(lend(8999, 3, &request, 1), [8], "the second may have 7");
+    assert!(second.answer(at(8601), ask(1)).is_empty(), "the loan ended");
+}
+
 /// Guards against tokens that survive the removal of a workspace or a lower rate.
 #[test]
 fn buckets_follow_the_configuration() {
--- a/core/tests/allowance_world/mod.rs
+++ b/core/tests/allowance_world/mod.rs
@@ -4,8 +4,10 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use wagtailshunt_core::{
-    allowance::{Answer, Bound, Decision, Grantor, Holder, Question, Ticket, WorkspaceId},
-    placement::Position,
+    allowance::{
+        Answer, Bound, Decision, Deputy, Grantor, Holder, Lenders, LoanRequest, Question, Ticket,
+        WorkspaceId,
+    },
     routing::Allowance,
     time::Instant,
     types::VmId,
@@ -17,6 +19,10 @@
 /// Shortest election timeout, which voters grant no vote for after a round of a leader.
 const ELECTION_MIN: Duration = Duration::from_millis(300);
 
+/// Number of deputies, and number that tells VMs from leaders in messages.
+const DEPUTIES: usize = 3;
+const FIRST_VM: usize = 1 << 20;
+
 /// Longest wait of a call for a token, and longest time from the token to the sending of the call.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 
@@ -31,8 +37,10 @@
     pub leaderless: bool,
     /// A new leader's buckets start with the tokens of the time in which the one before held its lease.
     pub credit_after_lease: bool,
-    /// Each VM takes itself for the only one.
-    pub ranks: bool,
+    /// The leader lends nothing.
+    pub loans: bool,
+    /// Deputies report nothing that they hold.
+    pub report: bool,
 }
 
 /// Number of a VM and of its start.
@@ -40,8 +48,10 @@
 
 enum Event {
     Call(usize, usize),
-    Question(Life, usize, Question),
-    Answer(Life, usize, u64, Vec<Answer>),
+    Question(Life, VmId, Question),
+    Answer(Life, VmId, u64, Vec<Answer>),
+    LoanRequest(Life, usize, LoanRequest),
+    LoanReply(Life, u64, Vec<u32>),
     GiveUp(Life, usize, Ticket),
     Elect,
     Restart(usize),
@@ -52,6 +62,7 @@
 
 struct Vm {
     holder: Holder,
+    deputy: Deputy,
     waiting: collections::HashMap<Ticket, usize>,
     life: u32,
     alive: bool,
@@ -82,7 +93,7 @@
 pub struct Tally {
     /// When each call was sent that ran.
     pub sent: Vec<Instant>,
-    pub reserve: usize,
+    pub by_deputy: usize,
     pub refused: usize,
     pub unknown: usize,
 }
@@ -99,6 +110,8 @@
     callers: Vec<Callers>,
     /// Whether the callers of a workspace prefer few VMs, and some messages are slow.
     hostile: bool,
+    /// VM with the lowest number of the deputies.
+    first_deputy: usize,
     pub tallies: Vec<Tally>,
     pub questions: usize,
     pub granted: u64,
@@ -115,7 +128,8 @@
         let new_vm = |_| {
             let clock = Duration::from_millis(rng.random_range(10_000..100_000));
             Vm {
-                holder: Holder::new(Instant(0) + clock, bound, 0),
+                holder: Holder::new(bound, 0),
+                deputy: Deputy::new(Instant(0) + clock, bound, 0),
                 waiting: collections::HashMap::new(),
                 life: 0,
                 alive: true,
@@ -136,6 +150,7 @@
             tallies: vec![Tally::default(); callers.len()],
             callers,
             hostile,
+            first_deputy: 0,
             questions: 0,
             granted: 0,
             rng,
@@ -154,8 +169,9 @@
 
     fn configure(&mut self, vm: usize) {
         let names = self.names();
-        let allowances = names.iter().map(|(name, all)| (name.as_str(), all));
-        self.vms[vm].holder.configure(allowances);
+        let allowances = || names.iter().map(|(name, all)| (name.as_str(), all));
+        self.vms[vm].holder.configure(allowances());
+        self.vms[vm].deputy.configure(allowances());
     }
 
     fn push(&mut self, after: Duration, event: Event) {
@@ -266,9 +282,16 @@
     pub fn fault(&mut self) {
         let vm = self.rng.random_range(0..self.vms.len());
         let length = Duration::from_millis(self.rng.random_range(500..9000));
-        match self.rng.random_range(0..5) {
+        let deputy = (self.first_deputy + vm) % DEPUTIES;
+        match self.rng.random_range(0..8) {
             0 => self.elect(),
             1 => self.kill(vm),
+            2 => self.kill(deputy),
+            3 => self.first_deputy = vm,
+            4 => {
+                self.vms[deputy].holder.give_up_tokens();
+                self.vms[deputy].deputy.give_up();
+            }
             _ => self.cut(vm, length),
         }
     }
@@ -293,25 +316,58 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Call(workspace, vm) => self.call(workspace, vm),
-            Event::Question(from, leader, question) => {
+            Event::Question(from, to, question) => {
                 self.questions += 1;
-                let Leader {
-                    grantor, lease_end, ..
-                } = &mut self.leaders[leader];
-                let is_confirmed = lease_end.is_none_or(|end| self.now < end);
-                let may_grant = is_confirmed || self.off.lease;
-                let asks = question.asks.iter().filter(|_| may_grant);
-                let answers: Vec<Answer> = asks.map(|ask| grantor.grant(self.now, ask)).collect();
+                let asks = question.asks.iter().copied();
+                let answers = if let Some(vm) = (to.0 as usize).checked_sub(FIRST_VM) {
+                    let state = &mut self.vms[vm];
+                    if !state.alive || state.cut {
+                        return;
+                    }
+                    state.deputy.answer(self.now + state.clock, asks)
+                } else {
+                    let may_grant = self.may_grant(to.0 as usize);
+                    let grantor = &mut self.leaders[to.0 as usize].grantor;
+                    let asks = asks.filter(|_| may_grant);
+                    asks.map(|ask| grantor.grant(self.now, &ask)).collect()
+                };
                 let granted = answers.iter().map(|answer| u64::from(answer.granted));
                 self.granted += granted.sum::<u64>();
                 let after = self.delay();
-                let answer = Event::Answer(from, leader, question.number, answers);
-                self.push(after, answer);
+                self.push(after, Event::Answer(from, to, question.number, answers));
+            }
+            Event::LoanRequest((vm, life), leader, mut request) => {
+                if self.off.report {
+                    request.held.iter_mut().for_each(|(_, held)| *held = 0);
+                }
+                if !self.may_grant(leader) {
+                    return;
+                }
+                let count = if self.is_deputy(vm) && !self.off.loans {
+                    DEPUTIES
+                } else {
+                    0
+                };
+                let grantor = &mut self.leaders[leader].grantor;
+                let lenders = Lenders {
+                    deputies: count,
+                    known: self.vms.len(),
+                    preceding: 0,
+                };
+                let tokens = grantor.lend(self.now, VmId(vm as u32), &request, &lenders);
+                let after = self.delay();
+                self.push(after, Event::LoanReply((vm, life), request.number, tokens));
             }
-            Event::Answer((vm, life), leader, number, answers) => {
+            Event::LoanReply((vm, life), number, tokens) => {
                 let state = &mut self.vms[vm];
                 if state.life == life && state.alive && !state.cut {
-                    let (now, from) = (self.now + state.clock, VmId(leader as u32));
+                    state.deputy.lent(number, &tokens);
+                }
+            }
+            Event::Answer((vm, life), from, number, answers) => {
+                let state = &mut self.vms[vm];
+                if state.life == life && state.alive && !state.cut {
+                    let now = self.now + state.clock;
                     state.holder.answered(now, from, number, &answers);
                     self.after_input(vm);
                 }
@@ -332,7 +388,9 @@
                 state.alive = true;
                 state.waiting.clear();
                 let first_question = u64::from(state.life) << 32;
-                state.holder = Holder::new(self.now + state.clock, self.bound, first_question);
+                state.holder = Holder::new(self.bound, first_question);
+                let now = self.now + state.clock;
+                state.deputy = Deputy::new(now, self.bound, first_question);
                 state.leader = self.leaders.len() - 1;
                 self.configure(vm);
             }
@@ -351,18 +409,42 @@
                 }
             }
             Event::Tick => {
-                let count = if self.off.ranks { 1 } else { self.vms.len() };
-                for (rank, vm) in self.vms.iter_mut().enumerate() {
-                    let rank = rank % count;
-                    let now = self.now + vm.clock;
-                    vm.holder.set_position(now, Position { rank, count });
-                }
+                (0..self.vms.len()).for_each(|vm| self.request_loan(vm));
                 (0..self.vms.len()).for_each(|vm| self.after_input(vm));
                 self.push(Duration::from_millis(100), Event::Tick);
             }
         }
     }
 
+    fn may_grant(&self, leader: usize) -> bool {
+        let lease_end = self.leaders[leader].lease_end;
+        lease_end.is_none_or(|end| self.now < end) || self.off.lease
+    }
+
+    fn is_deputy(&self, vm: usize) -> bool {
+        let count = self.vms.len();
+        (vm + count - self.first_deputy) % count < DEPUTIES
+    }
+
+    /// Lets a VM request loans, and find the deputies.
+    fn request_loan(&mut self, vm: usize) {
+        let (is_deputy, count) = (self.is_deputy(vm), self.vms.len());
+        let number =
+            |i| VmId((FIRST_VM + (self.first_deputy + (i + vm) % DEPUTIES) % count) as u32);
+        let deputies = (0..DEPUTIES).map(number).collect();
+        let state = &mut self.vms[vm];
+        if !state.alive {
+            return;
+        }
+        state.holder.set_deputies(deputies);
+        let request = state.deputy.poll_request(self.now + state.clock, is_deputy);
+        if let Some(request) = request.filter(|_| !state.cut) {
+            let event = Event::LoanRequest((vm, state.life), state.leader, request);
+            let after = self.delay();
+            self.push(after, event);
+        }
+    }
+
     fn call(&mut self, workspace: usize, vm: usize) {
         let state = &mut self.vms[vm];
         if !state.alive {
@@ -385,14 +467,13 @@
         }
         let state = &mut self.vms[vm];
         let now = self.now + state.clock;
-        let leader = state.leader;
-        state.holder.set_leader(now, Some(VmId(leader as u32)));
-        if let Some((_, question)) = state.holder.poll_question(now)
+        state.holder.set_leader(Some(VmId(state.leader as u32)));
+        if let Some((to, question)) = state.holder.poll_question(now)
             && !state.cut
         {
             let from = (vm, state.life);
             let after = self.delay();
-            self.push(after, Event::Question(from, leader, question));
+            self.push(after, Event::Question(from, to, question));
         }
         while let Some((ticket, decision)) = self.vms[vm].holder.poll_decision() {
             if let Some(workspace) = self.vms[vm].waiting.remove(&ticket) {
@@ -406,8 +487,8 @@
         let tally = &mut self.tallies[workspace];
         match decision {
             Decision::Granted => tally.sent.push(self.now + delay),
-            Decision::GrantedFromReserve => {
-                tally.reserve += 1;
+            Decision::GrantedByDeputy => {
+                tally.by_deputy += 1;
                 tally.sent.push(self.now + delay);
             }
             Decision::Refused { .. } => tally.refused += 1,
--- a/wagtailshunt/src/entry/allowance.rs
+++ b/wagtailshunt/src/entry/allowance.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use wagtailshunt_core::{
     allowance::{self, Decision, Ticket, WorkspaceId},
-    event, placement, routing, time as core_time, types,
+    event, formation, routing, time as core_time, types,
 };
 use wagtailshunt_wire::{
     self as wire,
@@ -16,9 +16,9 @@
 
 use crate::entry::{calls::Failure, settings, state};
 
-/// Longest time that a call waits for a token, and the largest share of its remaining time, so that a
+/// Longest time that a call waits for a token (100 ms for the leader, the rest for a deputy), and the largest share of its remaining time, so that a
 /// refused caller can still turn to another VM.
-const MAX_WAIT: time::Duration = time::Duration::from_millis(100);
+const MAX_WAIT: time::Duration = time::Duration::from_millis(150);
 const WAIT_SHARE: f64 = 0.1;
 
 /// `Retry-After` of calls whose allowance is not known: an election takes about this long.
@@ -36,6 +36,9 @@
 pub struct Allowances {
     holder: allowance::Holder,
     grantor: allowance::Grantor,
+    deputy: allowance::Deputy,
+    /// Processes that have requested loans, so that they use no reserve.
+    requesters: collections::HashMap<types::VmId, types::Incarnation>,
     /// Calls that wait for a token.
     waiting: collections::HashMap<Ticket, oneshot::Sender<Decision>>,
     /// Time that the VM has been suspended since it was started, as last seen.
@@ -55,8 +58,10 @@
         // A process asks fewer than 2^20 questions in a millisecond of its life.
         let first_question = incarnation.0 << 20;
         Allowances {
-            holder: allowance::Holder::new(now, bound, first_question),
+            holder: allowance::Holder::new(bound, first_question),
             grantor: allowance::Grantor::new(bound),
+            deputy: allowance::Deputy::new(now, bound, first_question),
+            requesters: collections::HashMap::new(),
             waiting: collections::HashMap::new(),
             suspended: time_suspended(),
             resumed: now,
@@ -68,6 +73,7 @@
         let suspended = time_suspended();
         if suspended.abs_diff(self.suspended) > MIN_SUSPENSION {
             self.holder.give_up_tokens();
+            self.deputy.give_up();
             self.resumed = now;
         }
         self.suspended = suspended;
@@ -95,6 +101,7 @@
             all.filter_map(|(name, workspace)| Some((name.as_str(), workspace.allowance.as_ref()?)))
         };
         inner.allowances.holder.configure(allowances());
+        inner.allowances.deputy.configure(allowances());
         inner.allowances.grantor.configure(now, allowances());
     });
     deliver(state);
@@ -107,15 +114,103 @@
         let node = inner.replica.as_ref().map(|replica| &replica.node);
         let leaderless = node.and_then(|node| node.leaderless());
         match leaderless.filter(|_| is_leading) {
-            Some(leaderless) => inner.allowances.grantor.start(now, leaderless),
+            Some(leaderless) => {
+                inner.allowances.requesters.clear();
+                inner.allowances.grantor.start(now, leaderless);
+            }
             None => inner.allowances.grantor.stop(),
         }
     });
 }
 
-/// Sets the rank of this VM among all known VMs.
-pub fn set_position(inner: &mut state::Inner, now: core_time::Instant, all: placement::Position) {
-    inner.allowances.holder.set_position(now, all);
+/// Returns the VM of each failure domain that grants tokens while the leader is silent, from the VMs in
+/// contact: not the leader, and rather one without a disk, since VMs with disks are lost together.
+fn deputies<'a>(
+    state: &state::State,
+    inner: &'a state::Inner,
+) -> collections::BTreeMap<&'a types::FailureDomain, &'a formation::Vm> {
+    let leader = inner.leader.map(|(_, leader)| leader);
+    let mut deputies: collections::BTreeMap<_, &formation::Vm> = collections::BTreeMap::new();
+    let rank = |vm: &formation::Vm| (vm.has_disk, vm.id);
+    for vm in inner.roster.vms() {
+        let in_contact = vm.id == state.vm || state.peers.is_connected(vm.id);
+        if Some(vm.id) == leader || !in_contact {
+            continue;
+        }
+        let deputy = deputies.entry(&vm.failure_domain).or_insert(vm);
+        if rank(vm) < rank(deputy) {
+            *deputy = vm;
+        }
+    }
+    deputies
+}
+
+/// Requests loans from the leader, and finds the deputies.
+fn update_deputies(state: &state::State, leader: Option<types::VmId>) {
+    let now = state.clock.now();
+    let own_domain = &state.cfg.failure_domain;
+    let request = state.with(|inner| {
+        let deputies = deputies(state, inner);
+        let mut vms: Vec<_> = deputies.values().collect();
+        vms.sort_by_key(|vm| vm.failure_domain != *own_domain);
+        let vms: Vec<types::VmId> = vms.into_iter().map(|vm| vm.id).collect();
+        let is_deputy = vms.contains(&state.vm);
+        inner.allowances.holder.set_deputies(vms);
+        let leader = leader.filter(|leader| *leader != state.vm)?;
+        let request = inner.allowances.deputy.poll_request(now, is_deputy)?;
+        Some((leader, request))
+    });
+    if let Some((leader, request)) = request {
+        let message = wire::fleet::encode_loan_request(&request);
+        let message = Fleet::AllowanceLoanRequest(message);
+        state.peers.send_fleet(leader, message);
+    }
+}
+
+/// Answers a request for loans, if this VM leads.
+pub fn loan_request_received(
+    state: &state::State,
+    from: types::VmId,
+    request: &allowance::LoanRequest,
+) {
+    let now = state.clock.now();
+    let tokens = state.with(|inner| {
+        inner.allowances.check_suspension(now);
+        if let Some(vm) = inner.roster.get(from) {
+            let requesters = &mut inner.allowances.requesters;
+            requesters.insert(from, vm.incarnation);
+        }
+        if !may_grant(inner, now) {
+            return Vec::new();
+        }
+        let requesters = &inner.allowances.requesters;
+        let is_preceding = |vm: &&formation::Vm| {
+            vm.id != state.vm && requesters.get(&vm.id) != Some(&vm.incarnation)
+        };
+        let deputies = deputies(state, inner);
+        let is_deputy = deputies.values().any(|vm| vm.id == from);
+        let lenders = allowance::Lenders {
+            deputies: if is_deputy { deputies.len() } else { 0 },
+            known: inner.roster.vms().count(),
+            preceding: inner.roster.vms().filter(is_preceding).count(),
+        };
+        let grantor = &mut inner.allowances.grantor;
+        grantor.lend(now, from, request, &lenders)
+    });
+    if !tokens.is_empty() {
+        let number = request.number;
+        let loan = fleet::AllowanceLoan { number, tokens };
+        state.peers.send_fleet(from, Fleet::AllowanceLoan(loan));
+    }
+}
+
+/// Handles the reply of the leader to a request for loans.
+pub fn loan_received(state: &state::State, loan: &fleet::AllowanceLoan) {
+    let now = state.clock.now();
+    state.with(|inner| {
+        inner.allowances.check_suspension(now);
+        inner.allowances.deputy.lent(loan.number, &loan.tokens);
+    });
 }
 
 /// Takes the token of a call of this workspace, after waiting for the leader if necessary.
@@ -146,7 +241,7 @@
     let metrics = &state.metrics.allowances;
     match decision {
         Decision::Granted => metrics.granted.inc(),
-        Decision::GrantedFromReserve => metrics.reserve.inc(),
+        Decision::GrantedByDeputy => metrics.deputy.inc(),
         Decision::Refused { next, spread } => {
             metrics.refused.inc();
             let share = state.rng.borrow_mut().random_range(0.0..1.0);
@@ -230,7 +325,7 @@
     state.with(|inner| {
         inner.allowances.check_suspension(now);
         let leader = leader.filter(|leader| *leader != state.vm || may_grant(inner, now));
-        inner.allowances.holder.set_leader(now, leader);
+        inner.allowances.holder.set_leader(leader);
     });
 }
 
@@ -252,16 +347,20 @@
     deliver(state);
 }
 
-/// Answers a question of this VM, which leads.
+/// Answers a question of this VM, which leads or is a deputy.
 fn answer_own(state: &state::State, now: core_time::Instant, question: &allowance::Question) {
     state.with(|inner| {
+        let may_grant = may_grant(inner, now);
         let allowances = &mut inner.allowances;
-        let answers = question.asks.iter().map(|ask| {
-            // The leader needs no tokens ahead.
-            let ask = allowance::Ask { ahead: 0, ..*ask };
-            allowances.grantor.grant(now, &ask)
-        });
-        let answers: Vec<allowance::Answer> = answers.collect();
+        // The leader needs no tokens ahead.
+        let asks = question.asks.iter();
+        let asks = asks.map(|ask| allowance::Ask { ahead: 0, ..*ask });
+        let answers = if may_grant {
+            let grantor = &mut allowances.grantor;
+            asks.map(|ask| grantor.grant(now, &ask)).collect()
+        } else {
+            allowances.deputy.answer(now, asks)
+        };
         let holder = &mut allowances.holder;
         holder.answered(now, state.vm, question.number, &answers);
     });
@@ -276,14 +375,12 @@
     let now = state.clock.now();
     let answer = state.with(|inner| {
         inner.allowances.check_suspension(now);
+        let asks = wire::fleet::decode_asks(question);
         if !may_grant(inner, now) {
-            return fleet::AllowanceAnswer {
-                number: question.number,
-                ..fleet::AllowanceAnswer::default()
-            };
+            let answers = inner.allowances.deputy.answer(now, asks);
+            return wire::fleet::encode_allowance_answers(question.number, answers.into_iter());
         }
         let grantor = &mut inner.allowances.grantor;
-        let asks = wire::fleet::decode_asks(question);
         let answers = asks.map(|ask| grantor.grant(now, &ask));
         wire::fleet::encode_allowance_answers(question.number, answers)
     });
@@ -328,6 +425,7 @@
     // A leader that was not confirmed when calls arrived may be now.
     ask(state);
     if slow {
+        update_deputies(state, state.reachable_leader());
         report(state);
     }
 }
@@ -363,7 +461,7 @@
         state.events.emit(
             event::Id::AllowanceUnanswered,
             &[
-                ("reserve", &unanswered.reserve),
+                ("by_deputy", &unanswered.by_deputy),
                 ("refused", &unanswered.refused),
                 ("lasted_ms", &unanswered.lasted.as_millis()),
             ],
--- a/wagtailshunt/src/entry/members.rs
+++ b/wagtailshunt/src/entry/members.rs
@@ -8,7 +8,7 @@
 use wagtailshunt_core::{event, formation, placement, replication, types};
 use wagtailshunt_wire::generated::fleet::{self, fleet_message::Body as Fleet};
 
-use crate::entry::{allowance, leader_sync, peers, replica, state, state_transfer, targets};
+use crate::entry::{leader_sync, peers, replica, state, state_transfer, targets};
 
 /// Chooses the initial voters and sends them their list, if this VM is the first seed and the
 /// system starts for the first time.
@@ -132,7 +132,6 @@
 /// Updates the rank of this VM by address, among the VMs of its failure domain and among all, and
 /// the VMs of its group.
 fn update_placement_position(state: &state::State) {
-    let now = state.clock.now();
     state.with(|inner| {
         let own_address = state.cfg.peer_address;
         let position = |vms: &[&formation::Vm]| placement::Position {
@@ -151,7 +150,6 @@
         inner.group = in_domain[group].iter().map(|vm| vm.id).collect();
         let all = position(&all);
         inner.placement.set_position(domain_position, all);
-        allowance::set_position(inner, now, all);
     });
 }
 
--- a/wagtailshunt/src/entry/metrics.rs
+++ b/wagtailshunt/src/entry/metrics.rs
@@ -56,8 +56,8 @@
 /// Calls of workspaces with an allowance. Not by workspace, of which there may be any number.
 pub struct AllowanceCounters {
     pub granted: IntCounter,
-    /// Calls that ran on the reserve, without an answer of the leader.
-    pub reserve: IntCounter,
+    /// Calls that ran on tokens of a deputy, without an answer of the leader.
+    pub deputy: IntCounter,
     pub refused: IntCounter,
     pub unknown: IntCounter,
     /// Calls that were refused over the allowance, among all calls by outcome.
@@ -73,7 +73,7 @@
         let outcome = |failure: Failure| calls.with_label_values(&[failure.to_string()]);
         AllowanceCounters {
             granted: decisions.with_label_values(&["granted"]),
-            reserve: decisions.with_label_values(&["reserve"]),
+            deputy: decisions.with_label_values(&["deputy"]),
             refused: decisions.with_label_values(&["refused"]),
             unknown: decisions.with_label_values(&["unknown"]),
             refused_outcome: outcome(Failure::OverAllowance),
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -267,6 +267,11 @@
             allowance::question_received(state, from, &question);
         }
         Fleet::AllowanceAnswer(answer) => allowance::answer_received(state, from, &answer),
+        Fleet::AllowanceLoanRequest(request) => {
+            let request = wire::fleet::decode_loan_request(&request);
+            allowance::loan_request_received(state, from, &request);
+        }
+        Fleet::AllowanceLoan(loan) => allowance::loan_received(state, &loan),
         Fleet::ColdTargets(cold) => {
             cold_targets::reports_received(state, from, wire::fleet::decode_cold_targets(cold)?);
         }
--- a/wire/src/fleet.rs
+++ b/wire/src/fleet.rs
@@ -278,6 +278,26 @@
     })
 }
 
+/// Converts a request for loans to its wire form.
+pub fn encode_loan_request(request: &allowance::LoanRequest) -> wire::AllowanceLoanRequest {
+    let held = || request.held.iter();
+    wire::AllowanceLoanRequest {
+        number: request.number,
+        workspaces: held().map(|(workspace, _)| workspace.0).collect(),
+        held: held().map(|(_, held)| *held).collect(),
+    }
+}
+
+/// Converts a request for loans from its wire form.
+pub fn decode_loan_request(request: &wire::AllowanceLoanRequest) -> allowance::LoanRequest {
+    let workspaces = request.workspaces.iter().copied();
+    let workspaces = workspaces.map(allowance::WorkspaceId);
+    allowance::LoanRequest {
+        number: request.number,
+        held: workspaces.zip(request.held.iter().copied()).collect(),
+    }
+}
+
 /// Converts the answers to the question `number` to their wire form.
 pub fn encode_allowance_answers(
     number: u64,
@@ -287,14 +307,12 @@
         number,
         granted: Vec::with_capacity(answers.len()),
         wait_ms: Vec::with_capacity(answers.len()),
-        filling: Vec::with_capacity(answers.len()),
     };
     for answer in answers {
         let wait_ms = answer.wait.map(|wait| wait.as_micros().div_ceil(1000) + 1);
         let wait_ms = wait_ms.map_or(0, |ms| u32::try_from(ms).unwrap_or(u32::MAX));
         message.granted.push(answer.granted);
         message.wait_ms.push(wait_ms);
-        message.filling.push(answer.filling);
     }
     message
 }
@@ -308,7 +326,6 @@
         allowance::Answer {
             granted: *granted,
             wait: wait.map(|ms| time::Duration::from_millis(u64::from(ms))),
-            filling: message.filling.get(i).copied().unwrap_or(false),
         }
     });
     answers.collect()
--- a/wire/tests/allowance_cost.rs
+++ b/wire/tests/allowance_cost.rs
@@ -54,14 +54,14 @@
             hint::black_box(answer.encode_to_vec());
         });
     }
-    let mut holder = Holder::new(Instant(0), Bound::default(), 0);
+    let mut holder = Holder::new(Bound::default(), 0);
     let small = Allowance {
         calls_per_second: 0.001,
         burst: 0.0,
     };
     let refused = || names.iter().map(|name| (name.as_str(), &small));
     holder.configure(refused());
-    holder.set_leader(Instant(0), Some(wagtailshunt_core::types::VmId(1)));
+    holder.set_leader(Some(wagtailshunt_core::types::VmId(1)));
     let id = WorkspaceId::of("workspace-7");
     holder.take(Instant(0), id);
     let (to, question) = holder.poll_question(Instant(0)).unwrap();
