--- a/core/tests/replication_rules.rs
+++ b/core/tests/replication_rules.rs
@@ -123,6 +123,35 @@
     );
 }
 
+/// Guards against a successor that takes the time in which its predecessor led for one without a leader,
+/// when only the predecessor's vote elects it.
+#[test]
+fn a_leader_that_votes_for_its_successor_was_never_idle() {
+    let (mut node, now) = elected_leader(vec![entry(1, 1)], 1);
+    let now = now + std::time::Duration::from_secs(2);
+    let vote = VoteRequest {
+        term: Term(3),
+        last_index: LogIndex(9),
+        last_term: Term(2),
+        transfer: true,
+    };
+    node.step(now, VmId(2), Message::Vote(vote));
+    let mut replies = Vec::new();
+    while let Some(output) = node.poll_output() {
+        match output {
+            Output::Persist { ticket, .. } => node.persisted(now, ticket),
+            Output::Send { msg, .. } => replies.push(msg),
+            _ => {}
+        }
+    }
+    let reply = Message::VoteReply {
+        term: Term(3),
+        granted: true,
+        idle: std::time::Duration::ZERO,
+    };
+    assert!(replies.contains(&reply), "{replies:?}");
+}
+
 /// Guards against two leaders in one term, which would commit different entries.
 #[test]
 fn a_node_grants_one_vote_per_term_also_after_a_restart() {
