Relay connections and grown read buffers are part of the memory budget

Cause: connections for relayed calls were not charged, so that neither the budget nor eviction applied to them. After a large head, the buffer read ahead was kept, because the check looked at the capacity that shrinks while bytes are taken, and the HTTP library kept its larger read buffer; neither was charged.

Change: the listener for relayed calls uses the budget as that for callers, without early starts. A read-ahead buffer of more than 4 KiB is freed when it is empty. What the HTTP library offers for a read beyond 8 KiB is charged to the connection.

Cost for each call not measured.

--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -164,11 +164,11 @@
         if let Some(address) = state.cfg.relay_address {
             let relayed = daemon::bind(address).await?;
             let shared = state.clone();
-            let handler = move |req: Request<Incoming>, peer| {
-                calls::handle_relayed(shared.clone(), req.map(http::Body::Incoming), peer)
-            };
+            let handler = move |req, peer| calls::handle_relayed(shared.clone(), req, peer);
+            // With the same shutdown, the limit is for the connections of both listeners together.
             let stop = self.caller_shutdown.clone();
-            let serve = http::serve(relayed, caller_limits, stop, handler);
+            let (memory, early) = (state.memory.clone(), |_: &Request<http::Body>| false);
+            let serve = http::serve_pipelined(relayed, caller_limits, stop, memory, early, handler);
             daemon::spawn_listener(&state.events, "relayed calls", serve);
         }
 
--- a/wagtailshunt/src/http/occupancy.rs
+++ b/wagtailshunt/src/http/occupancy.rs
@@ -14,6 +14,10 @@
 /// Steps in which the buffer of a connection is charged.
 const STEP_BYTES: u64 = 4 * 1024;
 
+/// Space that the HTTP library offers for a read at first, which the fixed charge includes. It offers
+/// more after a read that filled it, and keeps the larger buffer while the connection idles.
+const INCLUDED_READ_SPACE: usize = 8 * 1024;
+
 /// Largest number of bytes that wait in the buffer of a connection for its caller to take them.
 const MAX_UNSENT_BYTES: u64 = 64 * 1024;
 
@@ -29,6 +33,8 @@
     waiting: cell::Cell<Waiting>,
     /// Bytes charged for reading ahead.
     ahead: cell::Cell<u64>,
+    /// Bytes charged for a larger read buffer of the HTTP library.
+    read_buffer: cell::Cell<usize>,
     /// Bytes written that may still be in the buffer.
     unsent: cell::Cell<u64>,
     /// Bytes charged for them.
@@ -46,6 +52,7 @@
             is_blocked: cell::Cell::new(false),
             waiting: cell::Cell::new(Waiting::Idle),
             ahead: cell::Cell::new(0),
+            read_buffer: cell::Cell::new(0),
             unsent: cell::Cell::new(0),
             unsent_charged: cell::Cell::new(0),
         }
@@ -139,6 +146,15 @@
         }
     }
 
+    /// Records the space that the HTTP library offers for a read. It has the memory already.
+    pub fn record_read_space(&self, offered: usize) {
+        let charged = self.read_buffer.get();
+        if offered > INCLUDED_READ_SPACE && offered > charged {
+            self.holder.reserve_beyond((offered - charged) as u64);
+            self.read_buffer.set(offered);
+        }
+    }
+
     /// Returns whether there is room to read pipelined requests ahead.
     pub fn may_read_ahead(&self) -> bool {
         self.holder.may_read_ahead()
--- a/wagtailshunt/src/http/pipeline.rs
+++ b/wagtailshunt/src/http/pipeline.rs
@@ -55,6 +55,8 @@
 #[derive(Default)]
 struct ReadAhead {
     buf: BytesMut,
+    /// Size of the allocation of `buf`, whose capacity shrinks while bytes are taken from it.
+    allocated: usize,
     /// Number of bytes of the current message that hyper has not read yet.
     current_left: usize,
     /// Whether the current request was started early.
@@ -73,7 +75,8 @@
     fn append(&mut self, bytes: &[u8]) {
         let len = self.buf.len() + bytes.len();
         if self.buf.capacity() < len {
-            let mut grown = BytesMut::with_capacity(len.next_multiple_of(FIRST_READ_BYTES));
+            self.allocated = len.next_multiple_of(FIRST_READ_BYTES);
+            let mut grown = BytesMut::with_capacity(self.allocated);
             grown.extend_from_slice(&self.buf);
             self.buf = grown;
         }
@@ -176,8 +179,9 @@
         let is_empty = ahead.buf.is_empty();
         self.occupancy.set_partial_message(!is_empty);
         if is_empty && ahead.current_left == 0 && !ahead.pass_through {
-            if ahead.buf.capacity() > FIRST_READ_BYTES {
+            if ahead.allocated > FIRST_READ_BYTES {
                 ahead.buf = BytesMut::new();
+                ahead.allocated = 0;
             }
             self.occupancy.release_ahead();
         }
@@ -397,6 +401,7 @@
                 false => task::Poll::Pending,
             };
         }
+        this.state.occupancy.record_read_space(out.remaining());
         let taken = ready.min(out.remaining());
         out.put_slice(&ahead.buf[..taken]);
         ahead.buf.advance(taken);
