--- a/core/src/allowance/holder.rs
+++ b/core/src/allowance/holder.rs
@@ -182,7 +182,7 @@
         };
         let valid = account.held.iter().filter(|(end, _)| *end >= now);
         let held = valid.map(|(_, count)| count).sum();
-        let is_asked = self.leader.is_some() && !self.is_silent;
+        let is_asked = self.leader.is_some() && now >= self.silent_until;
         match account.waiting.len() {
             0 if held > 0 => Outlook::Held(held),
             _ if now < account.refused_until => Outlook::Refused(account.refused_until.since(now)),
