--- a/wagtailshunt/src/entry/targets.rs
+++ b/wagtailshunt/src/entry/targets.rs
@@ -239,25 +239,26 @@
     compio::runtime::spawn(async move {
         loop {
             compio::time::sleep(TARGET_FORWARD_DELAY).await;
-            let collected = state.with(|inner| {
-                let collected = inner.unforwarded_targets.as_mut().map(std::mem::take);
-                let collected = collected.unwrap_or_default();
-                if collected.is_empty() {
-                    inner.unforwarded_targets = None;
-                }
-                collected
-            });
-            if collected.is_empty() {
+            if !send_collected(&state) {
+                state.with(|inner| inner.unforwarded_targets = None);
                 return;
             }
-            for reports in collected.chunks(MAX_FORWARDED_TARGETS) {
-                send_list(&state, reports.to_vec());
-            }
         }
     })
     .detach();
 }
 
+/// Sends the targets that were collected; returns whether there were any. Called before reports about
+/// targets are sent, which VMs ignore for a target that they don't know.
+pub fn send_collected(state: &state::State) -> bool {
+    let collected = state.with(|inner| inner.unforwarded_targets.as_mut().map(std::mem::take));
+    let collected = collected.unwrap_or_default();
+    for reports in collected.chunks(MAX_FORWARDED_TARGETS) {
+        send_list(state, reports.to_vec());
+    }
+    !collected.is_empty()
+}
+
 /// Sends a list of targets that have joined to all VMs. If it is long for their number, the other
 /// voters send it to a part of them each.
 fn send_list(state: &state::State, reports: Vec<fleet::TargetReport>) {
