--- a/core/src/allowance/holder.rs
+++ b/core/src/allowance/holder.rs
@@ -4,13 +4,19 @@
 
 use super::account::Account;
 use super::report::Period;
-use super::reserve::Ranks;
 use super::{Answer, Ask, Bound, Numbers, Report, UnansweredReport, WorkspaceId};
-use crate::{placement::Position, routing, time as core_time, types};
+use crate::{routing, time as core_time, types};
 
-/// Time after which a question without an answer is repeated, and calls use the reserve at once.
+/// Time after which a question without an answer is repeated, to another VM if there is one.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
+/// Time for which a leader that didn't answer is not asked; until then, questions go to deputies.
+const SILENT_TIME: time::Duration = time::Duration::from_millis(500);
+
+/// Time after an empty answer until the leader is asked again: a leader that has just been elected is
+/// confirmed after a round trip.
+const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
 /// Number of earlier questions whose answers are still accepted: as many as fit in the longest validity.
 const MAX_LATE_QUESTIONS: usize = 4;
 
@@ -23,8 +29,8 @@
 pub enum Decision {
     /// The call may run.
     Granted,
-    /// The call may run on the reserve, since the leader doesn't answer.
-    GrantedFromReserve,
+    /// The call may run on a token of a deputy, since the leader doesn't answer.
+    GrantedByDeputy,
     /// The workspace has used up its allowance.
     Refused {
         /// Time until the next token.
@@ -32,12 +38,33 @@
         /// Range by which callers spread their return after that.
         spread: time::Duration,
     },
-    /// The leader doesn't answer and the reserve is used up.
+    /// Neither the leader nor a deputy has granted a token in time.
     Unknown,
     /// The decision follows through [`Holder::poll_decision`].
     Wait(Ticket),
 }
 
+/// What a call of a workspace would find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outlook {
+    /// The workspace has no allowance.
+    Unlimited,
+    /// This VM holds this number of tokens.
+    Held(u32),
+    /// Calls are refused for this time, except for those that the reserve covers.
+    Refused(time::Duration),
+    /// The leader is asked for a token.
+    Asked {
+        /// Calls that wait already.
+        waiting: usize,
+    },
+    /// No leader replies.
+    Silent {
+        /// Calls that wait already.
+        waiting: usize,
+    },
+}
+
 /// A question to the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Question {
@@ -67,21 +94,25 @@
     /// Earlier questions without an answer in time. Their answers still bring tokens if they come within
     /// the validity; without that, no call would run while a leader answers a little too late.
     late: collections::VecDeque<SentQuestion>,
-    /// Whether the last question had no answer in time.
-    is_silent: bool,
     leader: Option<types::VmId>,
-    ranks: Ranks,
+    /// Until when the leader isn't asked.
+    silent_until: core_time::Instant,
+    /// Deputies in the order in which this VM asks them, how many did not answer, and until when these
+    /// are left out.
+    deputies: Vec<types::VmId>,
+    tried: usize,
+    deputies_again: core_time::Instant,
     last_ticket: u64,
     decisions: collections::VecDeque<(Ticket, Decision)>,
     reports: Vec<Report>,
-    reserve_used: Period,
+    by_deputy: Period,
     unanswered: Period,
 }
 
 impl Holder {
     /// Creates a holder without tokens. `first_question` must exceed the numbers that earlier processes
     /// of this VM used, whose answers may still arrive.
-    pub fn new(now: core_time::Instant, bound: Bound, first_question: u64) -> Holder {
+    pub fn new(bound: Bound, first_question: u64) -> Holder {
         Holder {
             bound,
             accounts: collections::HashMap::new(),
@@ -89,13 +120,15 @@
             last_question: first_question,
             sent: None,
             late: collections::VecDeque::new(),
-            is_silent: false,
             leader: None,
-            ranks: Ranks::new(now, bound.window),
+            silent_until: core_time::Instant::default(),
+            deputies: Vec::new(),
+            tried: 0,
+            deputies_again: core_time::Instant::default(),
             last_ticket: 0,
             decisions: collections::VecDeque::new(),
             reports: Vec::new(),
-            reserve_used: Period::default(),
+            by_deputy: Period::default(),
             unanswered: Period::default(),
         }
     }
@@ -105,11 +138,13 @@
         &mut self,
         allowances: impl Iterator<Item = (&'a str, &'a routing::Allowance)>,
     ) {
+        let mut is_lowered = false;
         let mut old = mem::take(&mut self.accounts);
         for (name, allowance) in allowances {
             let id = WorkspaceId::of(name);
             let numbers = Numbers::new(&self.bound, allowance);
             let mut account = old.remove(&id).unwrap_or(Account::new(name, numbers));
+            is_lowered |= numbers.capacity < account.numbers.capacity;
             if account.numbers != numbers {
                 // A higher rate may allow a call earlier.
                 account.refused_until = core_time::Instant::default();
@@ -117,7 +152,18 @@
             }
             self.accounts.insert(id, account);
         }
-        for removed in old.into_values() {
+        if is_lowered {
+            // Tokens of a higher allowance count in the windows of the lower one.
+            self.give_up_tokens();
+        }
+        for mut removed in old.into_values() {
+            if let Some((refused, lasted)) = removed.refusals.finish() {
+                self.reports.push(Report::Ended {
+                    workspace: mem::take(&mut removed.name),
+                    refused,
+                    lasted,
+                });
+            }
             let granted = removed.waiting.into_iter();
             self.decisions
                 .extend(granted.map(|ticket| (ticket, Decision::Granted)));
@@ -129,26 +175,59 @@
         !self.accounts.is_empty()
     }
 
-    /// Sets the leader that this VM can reach.
-    pub fn set_leader(&mut self, now: core_time::Instant, leader: Option<types::VmId>) {
-        if leader.is_some() {
-            self.ranks.leader_known(now);
+    /// Returns what a call of a workspace would find now. Changes nothing.
+    pub fn outlook(&self, now: core_time::Instant, workspace: WorkspaceId) -> Outlook {
+        let Some(account) = self.accounts.get(&workspace) else {
+            return Outlook::Unlimited;
+        };
+        let valid = account.held.iter().filter(|(end, _)| *end >= now);
+        let held = valid.map(|(_, count)| count).sum();
+        let is_asked = self.leader.is_some() && now >= self.silent_until;
+        match account.waiting.len() {
+            0 if held > 0 => Outlook::Held(held),
+            _ if now < account.refused_until => Outlook::Refused(account.refused_until.since(now)),
+            waiting if is_asked => Outlook::Asked { waiting },
+            waiting => Outlook::Silent { waiting },
         }
+    }
+
+    /// Sets the leader that this VM can reach.
+    pub fn set_leader(&mut self, leader: Option<types::VmId>) {
         if leader != self.leader {
             self.leader = leader;
-            self.is_silent = false;
+            self.silent_until = core_time::Instant::default();
+            self.tried = 0;
             self.repeat_question();
         }
     }
 
-    /// Sets the rank of this VM among all known VMs; called about once a second.
-    pub fn set_position(&mut self, now: core_time::Instant, position: Position) {
-        self.ranks.set(now, position);
+    /// Sets the deputies that this VM can reach, in the order in which it asks them.
+    pub fn set_deputies(&mut self, deputies: Vec<types::VmId>) {
+        self.deputies = deputies;
+    }
+
+    /// Returns the VM that is asked now.
+    fn target(&mut self, now: core_time::Instant) -> Option<types::VmId> {
+        if now >= self.deputies_again {
+            self.tried = 0;
+        }
+        let leader = self.leader.filter(|_| now >= self.silent_until);
+        leader.or_else(|| self.deputies.get(self.tried).copied())
+    }
+
+    /// Records that a VM didn't answer, or had no tokens to grant.
+    fn failed(&mut self, now: core_time::Instant, vm: types::VmId, pause: time::Duration) {
+        if Some(vm) == self.leader {
+            self.silent_until = now + pause;
+        } else {
+            self.tried += 1;
+            self.deputies_again = now + SILENT_TIME;
+        }
     }
 
-    /// Gives up the tokens held and expected, because the clock did not count some of the time that has
-    /// passed since they were granted.
-    pub fn clock_stopped(&mut self) {
+    /// Gives up the tokens held and expected, for instance because the clock did not count some of the
+    /// time that has passed since they were granted.
+    pub fn give_up_tokens(&mut self) {
         for account in self.accounts.values_mut() {
             account.held.clear();
         }
@@ -166,22 +245,22 @@
             return Decision::Granted;
         }
         if now < account.refused_until {
-            if account.may_use_reserve && self.take_reserve(now, workspace) {
-                return Decision::GrantedFromReserve;
-            }
-            return self.refuse(now, workspace);
+            return account.refuse(now, &mut self.reports);
         }
-        if (self.leader.is_none() || self.is_silent) && self.take_reserve(now, workspace) {
-            return Decision::GrantedFromReserve;
+        // The leader grants no more than its bucket holds, so that further calls would wait in vain.
+        let is_excess = account.waiting.len() as f64 >= account.numbers.capacity;
+        let target = self.target(now);
+        let is_retried = self.leader.is_some() && self.silent_until <= now + ANSWER_TIMEOUT;
+        if (target.is_none() && !is_retried) || (is_excess && target != self.leader) {
+            self.unanswered.record(now);
+            return Decision::Unknown;
+        }
+        if is_excess {
+            return self.refuse(now, workspace);
         }
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
         if let Some(account) = self.accounts.get_mut(&workspace) {
-            // The leader grants no more than its bucket holds, so that further calls would wait in vain.
-            if account.waiting.len() as f64 >= account.numbers.capacity {
-                self.unanswered.record(now);
-                return Decision::Unknown;
-            }
             account.waiting.push_back(ticket);
             self.add_unasked(workspace);
         }
@@ -201,18 +280,6 @@
         }
     }
 
-    fn take_reserve(&mut self, now: core_time::Instant, workspace: WorkspaceId) -> bool {
-        let Some(account) = self.accounts.get_mut(&workspace) else {
-            return true;
-        };
-        let share = self.ranks.share(workspace, account.numbers.reserve);
-        let taken = account.reserve.take(now, self.bound.window, share);
-        if taken {
-            self.reserve_used.record(now);
-        }
-        taken
-    }
-
     /// Ends the wait of a call. Returns its decision, or `None` if there was one before.
     pub fn give_up(
         &mut self,
@@ -223,13 +290,6 @@
         if !self.cancel(workspace, ticket) {
             return None;
         }
-        let asked = self.sent.as_ref();
-        if asked.is_some_and(|sent| now.since(sent.sent) >= ANSWER_TIMEOUT) {
-            self.is_silent = true;
-        }
-        if self.take_reserve(now, workspace) {
-            return Some(Decision::GrantedFromReserve);
-        }
         self.unanswered.record(now);
         Some(Decision::Unknown)
     }
@@ -248,14 +308,15 @@
     /// Returns the question to send to the leader, if one is due. One question is on its way at a time;
     /// calls that arrive meanwhile go with the next.
     pub fn poll_question(&mut self, now: core_time::Instant) -> Option<(types::VmId, Question)> {
-        let to = self.leader?;
         if let Some(sent) = &self.sent {
             if now.since(sent.sent) < ANSWER_TIMEOUT {
                 return None;
             }
-            self.is_silent = true;
+            let to = sent.to;
+            self.failed(now, to, SILENT_TIME);
             self.repeat_question();
         }
+        let to = self.target(now)?;
         let mut asks = Vec::with_capacity(self.unasked.len());
         for workspace in self.unasked.drain(..) {
             let account = self.accounts.get_mut(&workspace);
@@ -309,11 +370,16 @@
         let Some(sent) = sent else {
             return;
         };
-        self.is_silent = answers.is_empty();
+        let is_leader = Some(from) == self.leader;
+        if answers.is_empty() {
+            self.failed(now, from, REPEAT_INTERVAL);
+        } else if is_leader {
+            self.silent_until = now;
+        }
         for (i, ask) in sent.question.asks.iter().enumerate() {
             match answers.get(i) {
-                Some(answer) => self.handle_answer(now, &sent, ask, answer),
-                None => self.use_reserve(now, ask.workspace, ask.needed),
+                Some(answer) => self.handle_answer(now, &sent, ask, answer, is_leader),
+                None => self.add_unasked(ask.workspace),
             }
         }
     }
@@ -324,6 +390,7 @@
         sent: &SentQuestion,
         ask: &Ask,
         answer: &Answer,
+        is_leader: bool,
     ) {
         let Some(account) = self.accounts.get_mut(&ask.workspace) else {
             return;
@@ -334,47 +401,32 @@
         }
         while !account.waiting.is_empty() && account.take_held(now) {
             let ticket = account.waiting.pop_front();
+            let decision = if is_leader {
+                Decision::Granted
+            } else {
+                self.by_deputy.record(now);
+                Decision::GrantedByDeputy
+            };
             self.decisions
-                .extend(ticket.map(|ticket| (ticket, Decision::Granted)));
+                .extend(ticket.map(|ticket| (ticket, decision)));
         }
         let Some(wait) = answer.wait else {
-            if answer.granted < ask.needed {
-                // The leader doesn't know the workspace yet.
-                self.use_reserve(now, ask.workspace, ask.needed);
+            // The deputy has no more, or the leader doesn't know the workspace yet.
+            for _ in 0..ask.needed.saturating_sub(answer.granted) {
+                if let Some(ticket) = account.waiting.pop_front() {
+                    self.unanswered.record(now);
+                    self.decisions.push_back((ticket, Decision::Unknown));
+                }
             }
             return;
         };
         account.refused_until = now + wait;
-        account.may_use_reserve = answer.filling;
-        if answer.filling {
-            self.use_reserve(now, ask.workspace, ask.needed - answer.granted);
-        }
-        let Some(account) = self.accounts.get_mut(&ask.workspace) else {
-            return;
-        };
         while let Some(ticket) = account.waiting.pop_front() {
             let decision = account.refuse(now, &mut self.reports);
             self.decisions.push_back((ticket, decision));
         }
     }
 
-    /// Lets up to `count` of the calls that wait run on the reserve.
-    fn use_reserve(&mut self, now: core_time::Instant, workspace: WorkspaceId, count: u32) {
-        for _ in 0..count {
-            let waiting = self.accounts.get(&workspace);
-            let ticket = waiting.and_then(|account| account.waiting.front().copied());
-            let Some(ticket) = ticket else {
-                return;
-            };
-            if !self.take_reserve(now, workspace) {
-                return;
-            }
-            self.cancel(workspace, ticket);
-            let decision = Decision::GrantedFromReserve;
-            self.decisions.push_back((ticket, decision));
-        }
-    }
-
     /// Returns the next decision on a call that waits.
     pub fn poll_decision(&mut self) -> Option<(Ticket, Decision)> {
         self.decisions.pop_front()
@@ -385,6 +437,7 @@
         let mut reports = mem::take(&mut self.reports);
         for account in self.accounts.values_mut() {
             if let Some((refused, lasted)) = account.refusals.end(now) {
+                account.refused_in_a_row = 0;
                 let workspace = account.name.clone();
                 reports.push(Report::Ended {
                     workspace,
@@ -398,16 +451,16 @@
 
     /// Returns what this VM did without answers of the leader, after such a period has ended.
     pub fn poll_unanswered(&mut self, now: core_time::Instant) -> Option<UnansweredReport> {
-        let reserve = self.reserve_used.end(now);
+        let by_deputy = self.by_deputy.end(now);
         let refused = self.unanswered.end(now);
-        let (reserve, refused) = match (reserve, refused) {
-            (None, None) => return None,
-            (reserve, refused) => (reserve.unwrap_or_default(), refused.unwrap_or_default()),
-        };
+        if by_deputy.is_none() && refused.is_none() {
+            return None;
+        }
+        let (by_deputy, refused) = (by_deputy.unwrap_or_default(), refused.unwrap_or_default());
         Some(UnansweredReport {
-            reserve: reserve.0,
+            by_deputy: by_deputy.0,
             refused: refused.0,
-            lasted: reserve.1.max(refused.1),
+            lasted: by_deputy.1.max(refused.1),
         })
     }
 }
--- a/core/src/allowance/report.rs
+++ b/core/src/allowance/report.rs
@@ -30,8 +30,8 @@
 /// What this VM did while the leader didn't answer, from the first call to the last.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UnansweredReport {
-    /// Calls that used the reserve.
-    pub reserve: u64,
+    /// Calls that ran on tokens of deputies.
+    pub by_deputy: u64,
     /// Calls that were refused.
     pub refused: u64,
     /// Time from the first to the last of them.
@@ -57,11 +57,16 @@
 
     /// Ends the period if nothing happened for a while; returns the count and its length.
     pub(super) fn end(&mut self, now: core_time::Instant) -> Option<(u64, time::Duration)> {
-        let (first, last) = self.span?;
-        if now.since(last) < QUIET_TIME {
-            return None;
+        let (_, last) = self.span?;
+        match now.since(last) < QUIET_TIME {
+            true => None,
+            false => self.finish(),
         }
-        self.span = None;
+    }
+
+    /// Ends the period; returns the count and its length.
+    pub(super) fn finish(&mut self) -> Option<(u64, time::Duration)> {
+        let (first, last) = self.span.take()?;
         Some((mem::take(&mut self.count), last.since(first)))
     }
 }
--- a/wagtailshunt/src/entry/cold_targets.rs
+++ b/wagtailshunt/src/entry/cold_targets.rs
@@ -13,7 +13,7 @@
     generated::fleet::{self, fleet_message::Body as Fleet},
 };
 
-use crate::entry::{peers, state};
+use crate::entry::{peers, state, targets};
 
 /// Longest time that a call waits for a token of another VM: two round trips between failure domains
 /// and the time to handle the messages.
@@ -81,7 +81,10 @@
     );
     let message = Fleet::ColdTargets(wire::fleet::encode_cold_targets(&[report]));
     match state.with(|inner| inner.leader) {
-        Some((_, leader)) if leader == state.vm => state.peers.broadcast(message, None),
+        Some((_, leader)) if leader == state.vm => {
+            targets::send_collected(state);
+            state.peers.broadcast(message, None);
+        }
         Some((_, leader)) => {
             state.peers.send_fleet(leader, message);
         }
@@ -107,6 +110,7 @@
     });
     if leads && !news.is_empty() {
         let message = Fleet::ColdTargets(wire::fleet::encode_cold_targets(&news));
+        targets::send_collected(state);
         state.peers.broadcast(message, Some(from));
     }
 }
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod cold_targets;
 mod disk_space;
 pub mod evacuation;
+pub mod explain;
 mod key_lease;
 mod leader_sync;
 mod members;
@@ -164,11 +165,11 @@
         if let Some(address) = state.cfg.relay_address {
             let relayed = daemon::bind(address).await?;
             let shared = state.clone();
-            let handler = move |req: Request<Incoming>, peer| {
-                calls::handle_relayed(shared.clone(), req.map(http::Body::Incoming), peer)
-            };
+            let handler = move |req, peer| calls::handle_relayed(shared.clone(), req, peer);
+            // With the same shutdown, the limit is for the connections of both listeners together.
             let stop = self.caller_shutdown.clone();
-            let serve = http::serve(relayed, caller_limits, stop, handler);
+            let (memory, early) = (state.memory.clone(), |_: &Request<http::Body>| false);
+            let serve = http::serve_pipelined(relayed, caller_limits, stop, memory, early, handler);
             daemon::spawn_listener(&state.events, "relayed calls", serve);
         }
 
@@ -205,9 +206,11 @@
         if let Some(address) = state.cfg.metrics_address {
             let metrics = daemon::bind(address).await?;
             let shared = state.clone();
-            let handler = move |_: Request<Incoming>, _: net::SocketAddr| {
-                let text = shared.metrics.text();
-                async move { http::plain(StatusCode::OK, text) }
+            let handler = move |req: Request<Incoming>, _: net::SocketAddr| {
+                let explanation = explain::answer(&shared, &req);
+                let metrics = || http::plain(StatusCode::OK, shared.metrics.text());
+                let response = explanation.unwrap_or_else(metrics);
+                async move { response }
             };
             let serve = http::serve(metrics, limits, self.internal_shutdown.clone(), handler);
             daemon::spawn_listener(&state.events, "metrics", serve);
--- a/wagtailshunt/src/http/pipeline.rs
+++ b/wagtailshunt/src/http/pipeline.rs
@@ -5,7 +5,7 @@
 //! behind it and starts those that are safe to repeat. Their responses are held back until hyper
 //! reaches the request, so they are sent in order.
 
-use std::{cell, collections, net, pin, rc, task};
+use std::{cell, collections, mem, net, pin, rc, task};
 
 use bytes::{Buf, Bytes, BytesMut};
 use compio::runtime;
@@ -55,6 +55,8 @@
 #[derive(Default)]
 struct ReadAhead {
     buf: BytesMut,
+    /// Size of the allocation of `buf`, whose capacity shrinks while bytes are taken from it.
+    allocated: usize,
     /// Number of bytes of the current message that hyper has not read yet.
     current_left: usize,
     /// Whether the current request was started early.
@@ -73,7 +75,8 @@
     fn append(&mut self, bytes: &[u8]) {
         let len = self.buf.len() + bytes.len();
         if self.buf.capacity() < len {
-            let mut grown = BytesMut::with_capacity(len.next_multiple_of(FIRST_READ_BYTES));
+            self.allocated = len.next_multiple_of(FIRST_READ_BYTES);
+            let mut grown = BytesMut::with_capacity(self.allocated);
             grown.extend_from_slice(&self.buf);
             self.buf = grown;
         }
@@ -176,8 +179,9 @@
         let is_empty = ahead.buf.is_empty();
         self.occupancy.set_partial_message(!is_empty);
         if is_empty && ahead.current_left == 0 && !ahead.pass_through {
-            if ahead.buf.capacity() > FIRST_READ_BYTES {
+            if ahead.allocated > FIRST_READ_BYTES {
                 ahead.buf = BytesMut::new();
+                ahead.allocated = 0;
             }
             self.occupancy.release_ahead();
         }
@@ -235,6 +239,10 @@
 ///
 /// An invalid head is returned without a body length, so that it is passed on and hyper rejects it.
 fn parse_head(bytes: &[u8], max_header_count: usize) -> Option<Head> {
+    // The usual case: each poll of a connection looks for a further request.
+    if bytes.is_empty() {
+        return None;
+    }
     let unreadable = || Head {
         len: bytes.len(),
         body: None,
@@ -365,8 +373,9 @@
             if ahead.eof || room == 0 || !self.state.occupancy.reserve_ahead(expected, cx) {
                 return Ok(());
             }
-            let mut chunk = [0; READ_CHUNK_BYTES];
-            let mut read = rt::ReadBuf::new(&mut chunk[..room]);
+            // Not zeroed: most reads find nothing, and zeroing costs more than they do.
+            let mut chunk = [mem::MaybeUninit::uninit(); READ_CHUNK_BYTES];
+            let mut read = rt::ReadBuf::uninit(&mut chunk[..room]);
             match pin::Pin::new(&mut self.inner).poll_read(cx, read.unfilled()) {
                 task::Poll::Pending => return Ok(()),
                 task::Poll::Ready(result) => result?,
@@ -397,6 +406,7 @@
                 false => task::Poll::Pending,
             };
         }
+        this.state.occupancy.record_read_space(out.remaining());
         let taken = ready.min(out.remaining());
         out.put_slice(&ahead.buf[..taken]);
         ahead.buf.advance(taken);
