--- a/wagtailshunt/src/http/body.rs
+++ b/wagtailshunt/src/http/body.rs
@@ -56,7 +56,7 @@
     }
 
     /// Makes a body that is still being received fail when it waits for its peer for
-    /// [`STALL_TIMEOUT`] after `expired`. What has arrived is forwarded, also to a caller that reads slowly.
+    /// 100 ms after `expired`. What has arrived is forwarded, also to a caller that reads slowly.
     pub fn with_deadline(self, expired: impl Future<Output = ()> + 'static) -> Body {
         match self.is_buffered() {
             true => self,
