At most nine VMs with disks are eligible as voters

Cause: every VM connected to every VM with a disk, and each of these announced every VM to all others. Change: the eligible VMs are cut off at the largest number of voters, over the failure domains, as it was for VMs without disks. With nine or fewer VMs with disks nothing changes. A member that the others don't take for eligible connects to all VMs.

--- a/core/src/formation/mod.rs
+++ b/core/src/formation/mod.rs
@@ -118,14 +118,20 @@
         digest.finish()
     }
 
-    /// Returns the VMs that may become voters: all VMs with disks or, when no VM has one, at most
-    /// [`MAX_VOTERS`] of the counted VMs, or of all VMs when none is counted. Without disks, votes
-    /// last only as long as the processes.
+    /// Returns the VMs that may become voters, at most [`MAX_VOTERS`]: VMs with disks or, when no VM
+    /// has one, counted VMs, or any when none is counted. Without disks, votes last only as long as
+    /// the processes.
+    ///
+    /// All VMs connect to these and are announced by them to all others, so that each further one
+    /// costs a connection of each VM and a list of all VMs to each.
     pub fn eligible(&self) -> Vec<&Vm> {
         let with_disk: Vec<&Vm> = self.vms.values().filter(|vm| vm.has_disk).collect();
-        if !with_disk.is_empty() {
+        if (1..=MAX_VOTERS).contains(&with_disk.len()) {
             return with_disk;
         }
+        if !with_disk.is_empty() {
+            return select_across_domains(with_disk, MAX_VOTERS);
+        }
         let mut counted: Vec<&Vm> = self.vms.values().filter(|vm| vm.counted).collect();
         if counted.is_empty() {
             counted = self.vms.values().collect();
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -117,6 +117,12 @@
         wanted.extend(group.map(|vm| vm.peer_address));
         let eligible = inner.roster.eligible();
         wanted.extend(eligible.iter().map(|vm| vm.peer_address));
+        // Others don't connect to a member that they don't take for eligible, because VMs have joined
+        // since it became one.
+        let is_eligible = eligible.iter().any(|vm| vm.id == state.vm);
+        if !is_eligible && inner.is_member(state.vm) {
+            wanted.extend(inner.roster.vms().map(|vm| vm.peer_address));
+        }
     });
     wanted.remove(&own);
     wanted
