VMs connect to at most nine VMs with disks; all of these stay eligible as voters

Change: eligibility is as it was; only the VMs that all others connect to are limited. A member that is not among them connects to all VMs. Measured: formation, removed_member, lost_voters, end_to_end and mixed_builds pass.

--- a/core/src/formation/mod.rs
+++ b/core/src/formation/mod.rs
@@ -118,19 +118,13 @@
         digest.finish()
     }
 
-    /// Returns the VMs that may become voters, at most [`MAX_VOTERS`]: VMs with disks or, when no VM
-    /// has one, counted VMs, or any when none is counted. Without disks, votes last only as long as
-    /// the processes.
-    ///
-    /// All VMs connect to these and are announced by them to all others, so that each further one
-    /// costs a connection of each VM and a list of all VMs to each.
+    /// Returns the VMs that may become voters: all VMs with disks or, when no VM has one, at most
+    /// [`MAX_VOTERS`] of the counted VMs, or of all VMs when none is counted. Without disks, votes
+    /// last only as long as the processes.
     pub fn eligible(&self) -> Vec<&Vm> {
         let with_disk: Vec<&Vm> = self.vms.values().filter(|vm| vm.has_disk).collect();
-        if (1..=MAX_VOTERS).contains(&with_disk.len()) {
-            return with_disk;
-        }
         if !with_disk.is_empty() {
-            return select_across_domains(with_disk, MAX_VOTERS);
+            return with_disk;
         }
         let mut counted: Vec<&Vm> = self.vms.values().filter(|vm| vm.counted).collect();
         if counted.is_empty() {
@@ -139,6 +133,17 @@
         select_across_domains(counted, MAX_VOTERS)
     }
 
+    /// Returns the VMs that all others connect to: at most [`MAX_VOTERS`] of the eligible ones. Each
+    /// of them announces every VM to all others, so that each further one costs a connection of each
+    /// VM and a list of all VMs to each.
+    pub fn contacts(&self) -> Vec<&Vm> {
+        let eligible = self.eligible();
+        match eligible.len() <= MAX_VOTERS {
+            true => eligible,
+            false => select_across_domains(eligible, MAX_VOTERS),
+        }
+    }
+
     /// Returns the initial voters, or `None` until the roster has not changed for the quiet period.
     pub fn initial_voters(&self, now: core_time::Instant) -> Option<Vec<types::VmId>> {
         let eligible = self.eligible();
--- a/wagtailshunt/src/entry/peers.rs
+++ b/wagtailshunt/src/entry/peers.rs
@@ -1,6 +1,6 @@
 //! Connections between the processes of the system, and dispatch of the received messages.
 //!
-//! Every process opens connections to the seeds and to all VMs eligible as voters. The VMs of a
+//! Every process opens connections to the seeds and to the contacts, VMs eligible as voters. The VMs of a
 //! group, which send each other the loads of targets, have one connection for each pair.
 //!
 //! A VM announces itself on each new connection. VMs that can be voters, and the seeds by being
@@ -115,12 +115,12 @@
         let group = inner.group.iter().filter_map(|vm| inner.roster.get(*vm));
         let group = group.filter(|vm| vm.peer_address > own);
         wanted.extend(group.map(|vm| vm.peer_address));
-        let eligible = inner.roster.eligible();
-        wanted.extend(eligible.iter().map(|vm| vm.peer_address));
-        // Others don't connect to a member that they don't take for eligible, because VMs have joined
-        // since it became one.
-        let is_eligible = eligible.iter().any(|vm| vm.id == state.vm);
-        if !is_eligible && inner.is_member(state.vm) {
+        let contacts = inner.roster.contacts();
+        wanted.extend(contacts.iter().map(|vm| vm.peer_address));
+        // Others don't connect to a member that is not among the contacts, such as one that has
+        // replaced a lost VM.
+        let is_contact = contacts.iter().any(|vm| vm.peer_address == own);
+        if !is_contact && inner.is_member(state.vm) {
             wanted.extend(inner.roster.vms().map(|vm| vm.peer_address));
         }
     });
