Lists of targets go before the leader's digest; requests for targets are spread

Cause: the digest of the leader's regular message included targets that it had collected and not sent yet, so that all VMs took their lists for incomplete; and all asked for the differing targets at the same time. Change: the collected list is sent first.

--- a/wagtailshunt/src/entry/leader_sync.rs
+++ b/wagtailshunt/src/entry/leader_sync.rs
@@ -64,7 +64,9 @@
 }
 
 /// Sends all VMs the term and applied index of this leader, so that they notice missing commands.
+/// Targets that were collected go first, since the digest includes them.
 pub fn announce_leadership(state: &rc::Rc<state::State>) {
+    targets::send_collected(state);
     if let Some(leading) = leading_message(state) {
         state.peers.broadcast(leading, None);
     }
@@ -185,7 +187,7 @@
     if !accept_leader(state, from, types::Term(leading.term)) {
         return;
     }
-    let is_behind = state.with(|inner| {
+    let (lacks_commands, lacks_targets) = state.with(|inner| {
         // A member may get the last commands a moment after the announcement.
         let due = match inner.is_member(state.vm) {
             true => inner.announced_applied,
@@ -194,10 +196,13 @@
         inner.announced_applied = types::LogIndex(leading.applied);
         let lacks_commands = inner.applied < due;
         let digest = leading.directory_digest;
-        lacks_commands || digest != 0 && digest != inner.directory.digests().total()
+        let differs = digest != 0 && digest != inner.directory.digests().total();
+        (lacks_commands, differs)
     });
-    if is_behind {
+    if lacks_commands {
         state_transfer::request_state_unless_pending(state, from);
+    } else if lacks_targets {
+        state_transfer::request_targets(state, from);
     }
 }
 
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -93,6 +93,8 @@
     pub(crate) unforwarded_targets: Option<Vec<generated::fleet::TargetReport>>,
     /// Targets whose renewed announcements were not sent to the leader yet.
     pub(crate) unsent_renewals: collections::BTreeSet<types::TargetId>,
+    /// Whether a request of what this VM lacks is to be sent after a delay.
+    pub(crate) request_scheduled: bool,
     /// State that this VM is receiving.
     pub(crate) catch_up: catch_up::CatchUp,
     /// States that this VM is sending in parts.
@@ -196,6 +198,7 @@
                 unforwarded_vms: Vec::new(),
                 unforwarded_targets: None,
                 unsent_renewals: collections::BTreeSet::new(),
+                request_scheduled: false,
                 catch_up: catch_up::CatchUp::default(),
                 encoded_states: catch_up::EncodedStates::default(),
                 announced_here: collections::BTreeMap::new(),
--- a/wagtailshunt/src/entry/state_transfer.rs
+++ b/wagtailshunt/src/entry/state_transfer.rs
@@ -82,22 +82,45 @@
     state.peers.send_fleet(to, Fleet::Subscribe(subscribe));
 }
 
-/// Requests what this VM lacks from a leader that it did not know before. Where there are many VMs,
-/// they distribute their requests over time; the leader's announcement tells whether commands are
-/// missing, which are requested at once.
+/// Requests what this VM lacks from a leader that it did not know before. The leader's announcement
+/// tells whether commands are missing, which are requested at once.
 pub fn request_from_new_leader(state: &rc::Rc<state::State>, leader: types::VmId) {
+    match delay_of_request(state) {
+        None => request_state(state, leader),
+        Some(delay) => request_later(state, delay),
+    }
+}
+
+/// Requests the targets that this VM lacks or that have ended, as the leader's digest has shown.
+pub fn request_targets(state: &rc::Rc<state::State>, leader: types::VmId) {
+    match delay_of_request(state) {
+        None => request_state_unless_pending(state, leader),
+        Some(delay) => request_later(state, delay),
+    }
+}
+
+/// Returns for how long this VM waits with a request that all VMs send at the same time. Where there
+/// are many VMs, they distribute their requests over time.
+fn delay_of_request(state: &state::State) -> Option<time::Duration> {
     let vms = state.with(|inner| inner.roster.vms().count());
     let beyond = u32::try_from(vms.saturating_sub(MAX_REQUESTS_AT_ONCE)).unwrap_or(u32::MAX);
-    if beyond == 0 {
-        request_state(state, leader);
+    let share = state.rng.borrow_mut().random_range(0.0..1.0);
+    (beyond > 0).then(|| (TIME_PER_REQUEST * beyond).mul_f64(share))
+}
+
+/// Requests the state from the leader of that time after a delay, unless a request is already scheduled.
+fn request_later(state: &rc::Rc<state::State>, delay: time::Duration) {
+    if state.with(|inner| std::mem::replace(&mut inner.request_scheduled, true)) {
         return;
     }
-    let share = state.rng.borrow_mut().random_range(0.0..1.0);
-    let delay = (TIME_PER_REQUEST * beyond).mul_f64(share);
     let state = state.clone();
     compio::runtime::spawn(async move {
         compio::time::sleep(delay).await;
-        if state.reachable_leader() == Some(leader) {
+        state.with(|inner| inner.request_scheduled = false);
+        let leader = state
+            .reachable_leader()
+            .filter(|leader| *leader != state.vm);
+        if let Some(leader) = leader {
             request_state_unless_pending(&state, leader);
         }
     })
