--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -54,8 +54,16 @@
     fn start(
         record: &Arc<Record>,
         trouble: Trouble,
-        [lookups, bookings]: [f64; 2],
+        load: [f64; 2],
     ) -> Result<Scene, &'static str> {
+        let scene = Scene::without_callers(record, trouble)?;
+        scene.wait_until_ready(record, true)?;
+        scene.call(record, load);
+        Ok(scene)
+    }
+
+    /// Starts VMs and servers.
+    fn without_callers(record: &Arc<Record>, trouble: Trouble) -> Result<Scene, &'static str> {
         let fleet = Fleet::start(record);
         let vms: Vec<_> = fleet.vms.iter().map(|vm| vm.operators()).collect();
         let is_configured = fleet.configure(record);
@@ -77,21 +85,27 @@
             scene.stop();
             return Err("the configuration was not acknowledged");
         }
+        Ok(scene)
+    }
+
+    /// Waits until all VMs are ready and, if wanted, serve a request.
+    fn wait_until_ready(&self, record: &Record, serving: bool) -> Result<(), &'static str> {
         let give_up = time::Instant::now() + START_TIME;
-        while !scene
-            .fleet
-            .vms
-            .iter()
-            .all(|vm| vm.is_ready() && serves(vm.callers()))
-        {
+        let is_up = |vm: &Arc<crate::vm::Vm>| vm.is_ready() && (!serving || serves(vm.callers()));
+        while !self.fleet.vms.iter().all(is_up) {
             if time::Instant::now() > give_up {
-                scene.stop();
+                self.stop();
                 return Err("not all VMs were ready and served in time");
             }
             thread::sleep(time::Duration::from_millis(100));
         }
-        record.line("all VMs are ready and serve");
-        for vm in &scene.fleet.vms {
+        record.line("all VMs are ready");
+        Ok(())
+    }
+
+    /// Starts the callers of all VMs.
+    fn call(&self, record: &Arc<Record>, [lookups, bookings]: [f64; 2]) {
+        for vm in &self.fleet.vms {
             for (method, path, deadline_ms, per_second) in [
                 ("GET", "/lookup/x", 1500, lookups),
                 ("POST", "/booking/x", 2000, bookings),
@@ -104,10 +118,9 @@
                     deadline_ms,
                     per_second,
                 };
-                callers::start(load, &scene.outcomes, record, &scene.stopped);
+                callers::start(load, &self.outcomes, record, &self.stopped);
             }
         }
-        Ok(scene)
     }
 
     /// Returns whether processes have ended as often as the rule doesn't permit.
@@ -137,6 +150,26 @@
         Verdict::Held
     }
 
+    /// Starts the callers; the rule is broken if no request is served.
+    fn count_served(&self, record: &Arc<Record>) -> Verdict {
+        thread::sleep(WRITER_LEAD);
+        record.line("the callers begin");
+        self.call(record, USUAL_LOAD);
+        thread::sleep(CALL_TIME);
+        let served = |target: &Arc<Target>| target.served.load(atomic::Ordering::SeqCst);
+        let total: usize = self.targets.iter().map(served).sum();
+        let beats = |target: &Arc<Target>| target.acknowledged.load(atomic::Ordering::SeqCst);
+        let acknowledged: usize = self.targets.iter().map(beats).sum();
+        record.line(format!(
+            "{total} requests were served; {acknowledged} announcements of the servers were \
+             acknowledged"
+        ));
+        match total {
+            0 => Verdict::Broken,
+            _ => Verdict::Held,
+        }
+    }
+
     /// Ends everything that was started, and notes the totals.
     fn finish(self, record: &Record, verdict: Verdict) -> Verdict {
         self.stopped.store(true, atomic::Ordering::SeqCst);
@@ -327,3 +360,69 @@
     ));
     late
 }
+
+/// Time from the first announcement of the other writer until the callers begin, and from then to the
+/// end.
+const WRITER_LEAD: time::Duration = time::Duration::from_secs(5);
+const CALL_TIME: time::Duration = time::Duration::from_secs(30);
+
+/// Another writer announces a service that the configuration doesn't have, at the addresses of the
+/// servers; without the disruption at addresses of its own.
+pub fn other_service(record: &Arc<Record>, has_trouble: bool) -> Verdict {
+    let scene = match Scene::without_callers(record, Trouble::None) {
+        Ok(scene) => scene,
+        Err(reason) => return Verdict::NotRun(reason),
+    };
+    if let Err(reason) = scene.wait_until_ready(record, false) {
+        return Verdict::NotRun(reason);
+    }
+    thread::sleep(time::Duration::from_secs(3));
+    let vms: Vec<_> = scene.fleet.vms.iter().map(|vm| vm.operators()).collect();
+    let born = crate::vm::now_ms();
+    for target in &scene.targets {
+        let mut address = target.address;
+        if !has_trouble {
+            address.set_port(address.port() + 1);
+        }
+        let id = format!("other-{}", target.id);
+        let zone = target.zone;
+        let (vms, record, stopped) = (vms.clone(), record.clone(), scene.stopped.clone());
+        thread::spawn(move || {
+            let mut sequence = 0;
+            while !stopped.load(atomic::Ordering::SeqCst) {
+                sequence += 1;
+                let vm = vms[sequence % vms.len()];
+                let outcome = announce_other_service(vm, &id, address, zone, born, sequence);
+                record.line(format!(
+                    "other writer: {id} at {address} to {vm}: {outcome}"
+                ));
+                thread::sleep(time::Duration::from_millis(1500));
+            }
+        });
+    }
+    let verdict = scene.count_served(record);
+    scene.finish(record, verdict)
+}
+
+fn announce_other_service(
+    vm: net::SocketAddr,
+    id: &str,
+    address: net::SocketAddr,
+    zone: &str,
+    born: u128,
+    sequence: usize,
+) -> String {
+    let body = wire::beat_of_another_service(&[
+        ("address", &address.to_string()),
+        ("born", &born.to_string()),
+        ("zone", zone),
+        ("sequence", &sequence.to_string()),
+    ]);
+    let path = format!("{}{id}", wire::name("heartbeat"));
+    let headers = [("Content-Type", "application/json")];
+    let timeout = time::Duration::from_secs(1);
+    match http::call(vm, timeout, "POST", &path, &headers, body.as_bytes()) {
+        Ok(answer) => answer.status().to_string(),
+        Err(err) => format!("no answer ({:?})", err.kind()),
+    }
+}
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -13,7 +13,7 @@
 mod vm;
 mod wire;
 
-use std::{env, path, process, sync::Arc};
+use std::{env, panic, path, process, sync::Arc};
 
 /// Result of a case.
 pub enum Verdict {
@@ -32,12 +32,15 @@
     let record = path::Path::new(folder).join("record.txt");
     let record = Arc::new(record::Record::create(&record));
     record.line(format!("case {case}, disruption: {has_trouble}"));
-    let verdict = match case.as_str() {
+    let run = || match case.as_str() {
         "endless-refusal" => cases::endless_refusal(&record, has_trouble),
         "long-announcement" => cases::long_announcement(&record, has_trouble),
         "leaving" => cases::leaving(&record, has_trouble),
+        "other-service" => cases::other_service(&record, has_trouble),
         _ => Verdict::NotRun("unknown case"),
     };
+    let verdict = panic::catch_unwind(panic::AssertUnwindSafe(run));
+    let verdict = verdict.unwrap_or(Verdict::NotRun("a stand-in failed"));
     let (text, code) = match verdict {
         Verdict::Held => ("the rule held".to_owned(), 0),
         Verdict::Broken => ("the rule was broken".to_owned(), 1),
--- a/review/standins-2/src/target.rs
+++ b/review/standins-2/src/target.rs
@@ -63,6 +63,8 @@
     pub cut_off: atomic::AtomicBool,
     pub ended: atomic::AtomicBool,
     sequence: atomic::AtomicU64,
+    /// Announcements that were acknowledged.
+    pub acknowledged: atomic::AtomicUsize,
     open: Mutex<Vec<net::TcpStream>>,
 }
 
@@ -93,6 +95,7 @@
             cut_off: Default::default(),
             ended: Default::default(),
             sequence: Default::default(),
+            acknowledged: Default::default(),
             open: Default::default(),
         });
         let listener = net::TcpListener::bind(target.address).expect("a free address");
@@ -245,6 +248,7 @@
             let timeout = time::Duration::from_secs(1);
             let sent = http::call(*vm, timeout, "POST", &path, &headers, body.as_bytes());
             if sent.is_ok_and(|answer| answer.status() / 100 == 2) {
+                self.acknowledged.fetch_add(1, atomic::Ordering::SeqCst);
                 return Some(*vm);
             }
         }
--- a/review/standins-2/src/vm.rs
+++ b/review/standins-2/src/vm.rs
@@ -1,12 +1,15 @@
 //! The platform's side of an entry VM: settings, start, the memory limit, restart after an end.
 
 use std::{
-    env, fs, net, path, process,
-    sync::{Arc, Mutex, atomic},
+    collections::hash_map::RandomState,
+    env, fs,
+    hash::{BuildHasher, Hasher},
+    net, path, process,
+    sync::{Arc, Mutex, PoisonError, atomic},
     thread, time,
 };
 
-use crate::{http, record::Record, wire};
+use crate::{http, record::Record, target, wire};
 
 const CALLERS_PORT: u16 = 8381;
 const OPERATORS_PORT: u16 = 8382;
@@ -43,14 +46,16 @@
     stopped: Arc<atomic::AtomicBool>,
 }
 
+/// Last parts of the addresses of VMs and servers.
+const VM_ADDRESSES: std::ops::RangeInclusive<u8> = 1..=3;
+const SERVER_ADDRESSES: std::ops::RangeInclusive<u8> = 100..=120;
+
 /// Returns two numbers so that the addresses 127.a.b.1 and up are free.
 fn free_host() -> [u8; 2] {
-    let mut seed = u64::from(process::id()) ^ u64::from(now_ms() as u32);
     for _ in 0..200 {
-        seed = seed
-            .wrapping_mul(6364136223846793005)
-            .wrapping_add(1442695040888963407);
-        let [a, b] = [(seed >> 33) as u8 % 200 + 20, (seed >> 45) as u8 % 250 + 2];
+        // Each hasher has random keys.
+        let random = RandomState::new().build_hasher().finish();
+        let [a, b] = [(random % 200) as u8 + 20, (random >> 32) as u8];
         let is_free = |last: u8, port: u16| {
             net::TcpListener::bind((net::Ipv4Addr::new(127, a, b, last), port)).is_ok()
         };
@@ -62,7 +67,14 @@
             7201,
             7215,
         ];
-        if (1..=3).all(|last| ports.iter().all(|port| is_free(last, *port))) {
+        let vms_free = VM_ADDRESSES
+            .clone()
+            .all(|last| ports.iter().all(|port| is_free(last, *port)));
+        if vms_free
+            && SERVER_ADDRESSES
+                .clone()
+                .all(|last| is_free(last, target::PORT))
+        {
             return [a, b];
         }
     }
@@ -97,7 +109,7 @@
                 ends: atomic::AtomicUsize::new(0),
             });
             fs::create_dir_all(&vm.folder).expect("a folder of a VM");
-            vm.launch(true);
+            *vm.process.lock().unwrap_or_else(PoisonError::into_inner) = Some(vm.spawn(true));
             let (watched, record, stopped) = (vm.clone(), record.clone(), stopped.clone());
             thread::spawn(move || watched.watch(&record, &stopped));
             vms.push(vm);
@@ -146,7 +158,12 @@
     pub fn stop(&self) {
         self.stopped.store(true, atomic::Ordering::SeqCst);
         for vm in &self.vms {
-            if let Some(mut child) = vm.process.lock().expect("a process").take() {
+            if let Some(mut child) = vm
+                .process
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .take()
+            {
                 let _ = child.kill();
                 let _ = child.wait();
             }
@@ -155,6 +172,13 @@
     }
 }
 
+/// Ends the processes also when a stand-in fails.
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
 impl Vm {
     pub fn callers(&self) -> net::SocketAddr {
         (self.ip, CALLERS_PORT).into()
@@ -177,7 +201,7 @@
     }
 
     /// Starts the process with the command of the deploy file.
-    fn launch(&self, first: bool) {
+    fn spawn(&self, first: bool) -> process::Child {
         let settings = self.folder.join("settings");
         let disk = self.folder.join("disk");
         let text = wire::settings(&[
@@ -194,13 +218,12 @@
             .append(true)
             .open(self.folder.join("log"))
             .expect("a log file");
-        let child = process::Command::new("target/release/wagtailshunt-platform")
+        process::Command::new("target/release/wagtailshunt-platform")
             .env(wire::name("settings_variable"), &settings)
             .stdout(log.try_clone().expect("a second handle"))
             .stderr(log)
             .spawn()
-            .expect("the program of the deploy file");
-        *self.process.lock().expect("a process") = Some(child);
+            .expect("the program of the deploy file")
     }
 
     /// Ends the process when it uses more memory than the VM has, and starts it again after an end.
@@ -208,7 +231,7 @@
         while !stopped.load(atomic::Ordering::SeqCst) {
             thread::sleep(WATCH_INTERVAL);
             let ended = {
-                let mut process = self.process.lock().expect("a process");
+                let mut process = self.process.lock().unwrap_or_else(PoisonError::into_inner);
                 let Some(child) = process.as_mut() else {
                     return;
                 };
@@ -228,17 +251,19 @@
                 let ends = self.ends.fetch_add(1, atomic::Ordering::SeqCst) + 1;
                 record.line(format!("VM {}: process {how}; end {ends}", self.number));
                 thread::sleep(RESTART_DELAY);
-                if !stopped.load(atomic::Ordering::SeqCst) {
-                    self.launch(false);
-                    record.line(format!("VM {}: process started again", self.number));
+                let mut process = self.process.lock().unwrap_or_else(PoisonError::into_inner);
+                if stopped.load(atomic::Ordering::SeqCst) {
+                    return;
                 }
+                *process = Some(self.spawn(false));
+                record.line(format!("VM {}: process started again", self.number));
             }
         }
     }
 
     /// Returns the peak memory of the running process.
     pub fn peak_mb(&self) -> u64 {
-        let process = self.process.lock().expect("a process");
+        let process = self.process.lock().unwrap_or_else(PoisonError::into_inner);
         let id = process.as_ref().map(process::Child::id);
         id.and_then(peak_mb).unwrap_or(0)
     }
--- a/review/standins-2/src/wire.rs
+++ b/review/standins-2/src/wire.rs
@@ -4,6 +4,7 @@
 const SETTINGS: &str = include_str!("../settings.txt");
 const CONFIGURATION: &str = include_str!("../configuration.txt");
 const BEAT: &str = include_str!("../beat.txt");
+const BEAT_OF_ANOTHER_SERVICE: &str = include_str!("../beat-service.txt");
 const BEAT_OF_ANOTHER_WRITER: &str = include_str!("../beat-other.txt");
 
 /// Returns a header, path or variable by the name that the stand-ins use for it.
@@ -38,3 +39,7 @@
 pub fn beat_of_another_writer(values: &[(&str, &str)]) -> String {
     fill(BEAT_OF_ANOTHER_WRITER, values)
 }
+
+pub fn beat_of_another_service(values: &[(&str, &str)]) -> String {
+    fill(BEAT_OF_ANOTHER_SERVICE, values)
+}
