--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -426,3 +426,34 @@
         Err(err) => format!("no answer ({:?})", err.kind()),
     }
 }
+
+/// Another writer sends one announcement for each server, with the state that it leaves and without the
+/// other fields.
+pub fn incomplete_leave(record: &Arc<Record>, has_trouble: bool) -> Verdict {
+    let scene = match Scene::without_callers(record, Trouble::None) {
+        Ok(scene) => scene,
+        Err(reason) => return Verdict::NotRun(reason),
+    };
+    if let Err(reason) = scene.wait_until_ready(record, false) {
+        return Verdict::NotRun(reason);
+    }
+    thread::sleep(time::Duration::from_secs(3));
+    let born = crate::vm::now_ms().to_string();
+    for (i, target) in scene.targets.iter().enumerate().filter(|_| has_trouble) {
+        let vm = scene.fleet.vms[i % scene.fleet.vms.len()].operators();
+        let body = wire::beat_without_fields(&[("born", &born)]);
+        let path = format!("{}{}", wire::name("heartbeat"), target.id);
+        let headers = [("Content-Type", "application/json")];
+        let timeout = time::Duration::from_secs(1);
+        let outcome = match http::call(vm, timeout, "POST", &path, &headers, body.as_bytes()) {
+            Ok(answer) => answer.status().to_string(),
+            Err(err) => format!("no answer ({:?})", err.kind()),
+        };
+        record.line(format!(
+            "other writer: {body} for {} to {vm}: {outcome}",
+            target.id
+        ));
+    }
+    let verdict = scene.count_served(record);
+    scene.finish(record, verdict)
+}
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -37,6 +37,7 @@
         "long-announcement" => cases::long_announcement(&record, has_trouble),
         "leaving" => cases::leaving(&record, has_trouble),
         "other-service" => cases::other_service(&record, has_trouble),
+        "incomplete-leave" => cases::incomplete_leave(&record, has_trouble),
         _ => Verdict::NotRun("unknown case"),
     };
     let verdict = panic::catch_unwind(panic::AssertUnwindSafe(run));
--- a/review/standins-2/src/wire.rs
+++ b/review/standins-2/src/wire.rs
@@ -5,6 +5,7 @@
 const CONFIGURATION: &str = include_str!("../configuration.txt");
 const BEAT: &str = include_str!("../beat.txt");
 const BEAT_OF_ANOTHER_SERVICE: &str = include_str!("../beat-service.txt");
+const BEAT_WITHOUT_FIELDS: &str = include_str!("../beat-incomplete.txt");
 const BEAT_OF_ANOTHER_WRITER: &str = include_str!("../beat-other.txt");
 
 /// Returns a header, path or variable by the name that the stand-ins use for it.
@@ -43,3 +44,7 @@
 pub fn beat_of_another_service(values: &[(&str, &str)]) -> String {
     fill(BEAT_OF_ANOTHER_SERVICE, values)
 }
+
+pub fn beat_without_fields(values: &[(&str, &str)]) -> String {
+    fill(BEAT_WITHOUT_FIELDS, values)
+}
