A body that ends before its request was sent is not complete

Cause: the kernel reports a reset once, to whichever operation comes first. While an upload is being written that is the pending write, and the read that follows sees an ordinary end of the stream. A body without a length ends there, and the read is polled before the write, so hyper took the body for complete before it met the error.

Change: a client connection (`http::Io::client`) knows whether the kernel has taken all that was written. An end of the stream before that is an error of the connection, whatever the order in which read and write complete. This also holds for an orderly close in place of the reset: such a response doesn't prove that it is whole either. The call is then lost (502), and only a repeatable one may run again.

--- a/wagtailshunt/src/http/client.rs
+++ b/wagtailshunt/src/http/client.rs
@@ -67,7 +67,7 @@
         // segment.
         stream.set_nodelay(true).map_err(ClientError::Connect)?;
         let read_limit = ReadLimit::default();
-        let io = Io::with_read_limit(stream, read_limit.clone());
+        let io = Io::client(stream, read_limit.clone());
         let (sender, conn) = http1::handshake(io).await.map_err(ClientError::Broken)?;
         let ended = rc::Rc::new(cell::Cell::new(false));
         let connection_ended = ended.clone();
--- a/wagtailshunt/src/http/io.rs
+++ b/wagtailshunt/src/http/io.rs
@@ -23,23 +23,55 @@
 pub struct Io {
     stream: pin::Pin<Box<compat::AsyncStream<TcpStream>>>,
     read_limit: ReadLimit,
+    /// Whether the stream must not end before all written bytes are sent.
+    ends_after_sent: bool,
+    written: Written,
+}
+
+/// What has become of the bytes that were written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Written {
+    /// The kernel has taken them.
+    Sent,
+    /// Some of them are still buffered.
+    Buffered,
+    /// Writing has failed.
+    Failed,
 }
 
 impl Io {
-    /// Wraps a connection.
+    /// Wraps a connection of a server.
     pub fn new(stream: TcpStream) -> Io {
-        Io::with_read_limit(stream, ReadLimit::default())
-    }
-
-    /// Wraps a connection that fails once more bytes arrive than `read_limit` allows.
-    pub fn with_read_limit(stream: TcpStream, read_limit: ReadLimit) -> Io {
         let stream =
             compat::AsyncStream::with_limits(INITIAL_BUFFER_BYTES, MAX_BUFFER_BYTES, stream);
         Io {
             stream: Box::pin(stream),
+            read_limit: ReadLimit::default(),
+            ends_after_sent: false,
+            written: Written::Sent,
+        }
+    }
+
+    /// Wraps a connection of a client. It fails once more bytes arrive than `read_limit` allows.
+    ///
+    /// It also fails if the stream ends before the request is sent. The end of the connection may mark
+    /// the end of the body of a response, but does not prove then that the body is complete.
+    pub fn client(stream: TcpStream, read_limit: ReadLimit) -> Io {
+        Io {
             read_limit,
+            ends_after_sent: true,
+            ..Io::new(stream)
         }
     }
+
+    /// Records the result of passing bytes on to the kernel.
+    fn record_written<T>(&mut self, result: &task::Poll<io::Result<T>>, sent: Written) {
+        self.written = match (self.written, result) {
+            (Written::Failed, _) | (_, task::Poll::Ready(Err(_))) => Written::Failed,
+            (_, task::Poll::Ready(Ok(_))) => sent,
+            (_, task::Poll::Pending) => Written::Buffered,
+        };
+    }
 }
 
 impl rt::Read for Io {
@@ -56,6 +88,11 @@
             task::Poll::Ready(Err(err)) => return task::Poll::Ready(Err(err)),
             task::Poll::Pending => return task::Poll::Pending,
         };
+        // The kernel reports a reset once. If a write gets it, the next read sees an ordinary end. hyper
+        // flushes what it has before it reads on, so that an unsent request is buffered here.
+        if n == 0 && self.ends_after_sent && self.written != Written::Sent {
+            return task::Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
         if let Some(left) = self.read_limit.get() {
             let Some(left) = left.checked_sub(n) else {
                 return task::Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
@@ -73,14 +110,18 @@
         cx: &mut task::Context<'_>,
         buf: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        self.stream.as_mut().poll_write(cx, buf)
+        let result = self.stream.as_mut().poll_write(cx, buf);
+        self.record_written(&result, Written::Buffered);
+        result
     }
 
     fn poll_flush(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        self.stream.as_mut().poll_flush(cx)
+        let result = self.stream.as_mut().poll_flush(cx);
+        self.record_written(&result, Written::Sent);
+        result
     }
 
     fn poll_shutdown(
@@ -99,6 +140,8 @@
         cx: &mut task::Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
-        self.stream.as_mut().poll_write_vectored(cx, bufs)
+        let result = self.stream.as_mut().poll_write_vectored(cx, bufs);
+        self.record_written(&result, Written::Buffered);
+        result
     }
 }
