A status above 599 or a change of protocol is no response

What callers saw: a target in trouble answered with the status 600 or 999, or with 101 although the request asked for no upgrade, and the caller got it as the answer to its call; the gateway daemon also stored it for a key.

Cause: hyper takes every status of three digits from 100 on, and 101 as the end of HTTP on the connection. Nothing looked at the status after that.

Change: `http::Client::send` checks the head of each response, so that calls, probes, relays and the gateway daemon share the check. The call may have run: it is lost (502), its connection is closed, and only a repeatable one may run again.

Evidence: `response_with_an_invalid_status_is_no_answer`, one on entry VMs and one on the gateway daemon, failed before: callers got 101, 600 and 999 from both kinds of calls, on new and kept connections, with and without a body. Both hold now.

Held before, and kept as tests: statuses below 100 or not of three digits (000, 001, 099, 20, 2000, 2x0, none), names with blanks, control bytes or nothing before the colon, folded lines, values with control bytes, on both daemons. All of them were 502, and unsafe calls ran once. `unusual_but_valid_responses_are_answers` guards against checks that refuse too much.

--- a/lab/src/target/faults.rs
+++ b/lab/src/target/faults.rs
@@ -18,6 +18,8 @@
     pub truncate: bool,
     /// Sends these bytes after each response.
     pub trailing_bytes: Vec<u8>,
+    /// Sends these bytes in place of each response, unless there are none.
+    pub replacement: &'static [u8],
     /// Number of calls that are still refused, as if the queue was full.
     pub refusals: usize,
     /// Sends a second copy of each refusal before the next response on its connection.
--- a/lab/src/target/faulty_stream.rs
+++ b/lab/src/target/faulty_stream.rs
@@ -1,4 +1,4 @@
-//! A stream that adds bytes to the responses of a target, as a faulty server would.
+//! A stream that changes the responses of a target, as a faulty server would.
 
 use std::{io, pin, task};
 
@@ -63,6 +63,11 @@
         if buf.starts_with(REFUSAL) && self.shared.faults.borrow().repeat_refusals {
             self.late_copy = Some(buf.to_vec());
         }
+        let replacement = self.shared.faults.borrow().replacement;
+        if !replacement.is_empty() {
+            let written = pin::Pin::new(&mut self.inner).poll_write(cx, replacement);
+            return written.map_ok(|_| buf.len());
+        }
         let trailing_bytes = self.shared.faults.borrow().trailing_bytes.clone();
         if trailing_bytes.is_empty() {
             return pin::Pin::new(&mut self.inner).poll_write(cx, buf);
--- a/wagtailshunt/src/http/client.rs
+++ b/wagtailshunt/src/http/client.rs
@@ -30,12 +30,15 @@
     /// The connection failed after the call may have been sent.
     #[error("connection to the target failed: {0}")]
     Broken(hyper::Error),
+    /// The head of the response is invalid. The target may have run the call.
+    #[error("invalid response of the target: {0}")]
+    InvalidHead(http::ResponseHeadError),
 }
 
 impl ClientError {
     /// Returns whether the error proves that the target did not receive the call.
     pub fn proves_not_run(&self) -> bool {
-        !matches!(self, ClientError::Broken(_))
+        !matches!(self, ClientError::Broken(_) | ClientError::InvalidHead(_))
     }
 }
 
@@ -104,7 +107,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection was closed or failed, with the body if nothing was sent.
+    /// Returns an error if the connection was closed or failed, with the body if nothing was sent, or
+    /// if the head of the response is invalid. The connection must not be used again then.
     pub async fn send(
         &mut self,
         req: Request<http::Body>,
@@ -116,7 +120,10 @@
         let response = self.sender.try_send_request(req).await;
         self.read_limit.set(None);
         match response {
-            Ok(response) => Ok(response),
+            Ok(response) => match http::check_response_head(&response) {
+                Ok(()) => Ok(response),
+                Err(err) => Err((ClientError::InvalidHead(err), None)),
+            },
             // hyper returns the request only if it wrote nothing of it.
             Err(mut err) => match err.take_message() {
                 Some(req) => Err((ClientError::NotSent, Some(req.into_body()))),
--- a/wagtailshunt/src/http/head.rs
+++ b/wagtailshunt/src/http/head.rs
@@ -2,7 +2,7 @@
 //! 9112).
 
 use hyper::{
-    HeaderMap, Method, Request, Version,
+    HeaderMap, Method, Request, Response, StatusCode, Version,
     header::{self, HeaderName, HeaderValue},
 };
 
@@ -22,6 +22,9 @@
     header::UPGRADE,
 ];
 
+/// Largest valid status (RFC 9110, section 15).
+const MAX_STATUS: u16 = 599;
+
 const VIA: HeaderValue = HeaderValue::from_static("1.1 wagtailshunt");
 
 /// Reasons to reject the head of a request.
@@ -74,6 +77,27 @@
     }
 }
 
+/// Reasons to reject the head of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ResponseHeadError {
+    /// A status above 599, or a change of the protocol that the request did not ask for.
+    #[error("status {0} answers no request")]
+    Status(StatusCode),
+}
+
+/// Rejects heads of responses that hyper accepts although they answer no request of this proxy.
+///
+/// # Errors
+///
+/// Returns the reason for the rejection.
+pub fn check_response_head<B>(response: &Response<B>) -> Result<(), ResponseHeadError> {
+    match response.status() {
+        StatusCode::SWITCHING_PROTOCOLS => Err(ResponseHeadError::Status(response.status())),
+        status if status.as_u16() > MAX_STATUS => Err(ResponseHeadError::Status(status)),
+        _ => Ok(()),
+    }
+}
+
 /// Removes the fields that apply only to the connection of the sender, and adds `Via`.
 pub fn strip_connection_fields(headers: &mut HeaderMap) {
     if headers.contains_key(header::CONNECTION) {
--- a/wagtailshunt/src/http/mod.rs
+++ b/wagtailshunt/src/http/mod.rs
@@ -17,7 +17,10 @@
 pub use blocks::{BlockReader, Blocks, ReadError, buffer_response};
 pub use body::{Body, BodyError, empty, full};
 pub use client::{Client, ClientError};
-pub use head::{HeadError, check_head, header_text, strip_connection_fields};
+pub use head::{
+    HeadError, ResponseHeadError, check_head, check_response_head, header_text,
+    strip_connection_fields,
+};
 pub use memory::{Counters, Holder, Memory};
 pub use problem::{CONTENT_TYPE_PROBLEM, Problem, json, plain};
 pub use serve::{Limits, Shutdown, serve, serve_pipelined};
