A body in an unknown transfer coding is not passed on

What callers saw: a target sent a 200 with `Transfer-Encoding: xchunked`, `gzip`, `gzip, chunked` or another coding, and the caller got its bytes as they were coded, under a head that no longer named the coding; the gateway daemon stored them for a key. Lengths that were stated twice (`3, 3`) were passed on twice.

Cause: hyper decodes `chunked` where it comes last and leaves the rest as it is, or reads to the end of the connection. The proxy removes `Transfer-Encoding`, since it describes one connection, and so declared the coded bytes to be the body.

Change: the check of response heads takes `chunked` alone as a transfer coding and one decimal number as a length, as the check of request heads does. Other responses are lost (502), their connections closed; unsafe calls don't run again.

--- a/lab/tests/broken_answers.rs
+++ b/lab/tests/broken_answers.rs
@@ -62,3 +62,20 @@
         ],
     );
 }
+
+/// Guards against a transfer coding that is not decoded, and a body that is passed on, or stored for a
+/// key, as if it were the target's.
+#[test]
+fn response_with_invalid_framing_is_no_answer() {
+    check_no_answer(
+        "invalid-framing",
+        &[
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: xchunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nabc",
+            "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 3\r\n\r\nabc",
+            "HTTP/1.1 200 OK\r\ncontent-length: 3, 3\r\n\r\nabc",
+            "HTTP/1.1 200 OK\r\n\r\nabc",
+        ],
+    );
+}
--- a/wagtailshunt/src/http/head.rs
+++ b/wagtailshunt/src/http/head.rs
@@ -83,18 +83,36 @@
     /// A status above 599, or a change of the protocol that the request did not ask for.
     #[error("status {0} answers no request")]
     Status(StatusCode),
+    /// `Content-Length` repeated, or not a single number.
+    #[error("ambiguous body length")]
+    AmbiguousLength,
+    /// A transfer coding other than `chunked` alone.
+    #[error("unsupported transfer coding")]
+    TransferCoding,
 }
 
-/// Rejects heads of responses that hyper accepts although they answer no request of this proxy.
+/// Rejects heads of responses that hyper accepts although this proxy can't forward them: those that
+/// answer no request, and those whose body would arrive in another form than it was sent.
 ///
 /// # Errors
 ///
 /// Returns the reason for the rejection.
 pub fn check_response_head<B>(response: &Response<B>) -> Result<(), ResponseHeadError> {
-    match response.status() {
-        StatusCode::SWITCHING_PROTOCOLS => Err(ResponseHeadError::Status(response.status())),
-        status if status.as_u16() > MAX_STATUS => Err(ResponseHeadError::Status(status)),
-        _ => Ok(()),
+    let status = response.status();
+    if status == StatusCode::SWITCHING_PROTOCOLS || status.as_u16() > MAX_STATUS {
+        return Err(ResponseHeadError::Status(status));
+    }
+    let mut lengths = response.headers().get_all(header::CONTENT_LENGTH).iter();
+    if let Some(length) = lengths.next()
+        && (lengths.next().is_some() || !length.as_bytes().iter().all(u8::is_ascii_digit))
+    {
+        return Err(ResponseHeadError::AmbiguousLength);
+    }
+    let mut codings = response.headers().get_all(header::TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(()),
+        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(()),
+        _ => Err(ResponseHeadError::TransferCoding),
     }
 }
 
