Refusals whose bodies don't end are given up

What callers saw: targets in trouble refused calls with bodies that came piece by piece without end. Each VM that read them passed its memory and was killed, and the calls that it had in hand ended without a response (Fault, LOST).

Cause: `drain_and_pool` read the rest of a refusal to use its connection again, up to 256 KiB without a limit in time and outside the memory budget, and collected the pieces. Each kept the read buffer in which it had arrived. One that sent nothing more held its connection for good.

Change: `http::drain` reads a body without keeping it. Probes read their bodies in the same way.

--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -5,7 +5,6 @@
 
 use std::{cell, net, rc, time};
 
-use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Method, Request, StatusCode, Uri,
     body::Incoming,
@@ -30,6 +29,12 @@
 /// response can be replaced by that of another target.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// Largest body of a refusal that is read so that its connection can be used again.
+const MAX_DRAINED_BYTES: usize = 16 * 1024;
+
+/// Timeout for reading the body of a refusal, which usually arrives together with the head.
+const DRAIN_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 /// Longest idle time of a pooled connection for a call that is not repeatable. The target may close
 /// an idle connection while the request is on its way, and such a call cannot be sent again.
 const MAX_IDLE_NOT_REPEATABLE: time::Duration = time::Duration::from_millis(1500);
@@ -438,7 +443,8 @@
     }))
 }
 
-/// Reads the rest of a refusal in the background and returns the connection to the pool.
+/// Reads the body of a refusal in the background and returns the connection to the pool. The
+/// connection is closed if the body does not end soon.
 fn drain_and_pool(
     state: &rc::Rc<state::State>,
     destination: Destination,
@@ -451,11 +457,8 @@
     let keep_alive = keep_alive_timeout(&response.head.headers);
     let state = state.clone();
     compio::runtime::spawn(async move {
-        if Limited::new(response.body, MAX_BUFFERED_BYTES)
-            .collect()
-            .await
-            .is_ok()
-        {
+        let drain = http::drain(response.body, MAX_DRAINED_BYTES);
+        if let Ok(Ok(())) = compio::time::timeout(DRAIN_TIMEOUT, drain).await {
             return_to_pool(&state, &destination, client, keep_alive);
         }
     })
--- a/wagtailshunt/src/entry/calls/probe.rs
+++ b/wagtailshunt/src/entry/calls/probe.rs
@@ -7,7 +7,6 @@
 use std::{rc, time};
 
 use futures_channel::oneshot;
-use http_body_util::{BodyExt, Limited};
 use hyper::{Request, header};
 use wagtailshunt_core::{fleet, reach, types};
 
@@ -183,10 +182,7 @@
     if attempt::closes_connection(&head.headers) {
         return Ok(());
     }
-    Limited::new(body, MAX_BODY_BYTES)
-        .collect()
-        .await
-        .map_err(|err| err as Box<dyn std::error::Error>)?;
+    http::drain(body, MAX_BODY_BYTES).await?;
     let keep_alive = attempt::keep_alive_timeout(&head.headers);
     if client.ready().await {
         state.pool.put(state.clock.now(), key, client, keep_alive);
--- a/wagtailshunt/src/http/body.rs
+++ b/wagtailshunt/src/http/body.rs
@@ -3,8 +3,11 @@
 use std::{pin, task, time, vec};
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming, SizeHint};
 
+use crate::http;
+
 /// Errors that occur while a body is forwarded.
 #[derive(Debug, thiserror::Error)]
 pub enum BodyError {
@@ -49,6 +52,24 @@
     Body::Full(Some(bytes.into()).filter(|bytes| !bytes.is_empty()))
 }
 
+/// Reads a body of at most `limit` bytes to its end without keeping it.
+///
+/// # Errors
+///
+/// [`http::ReadError::BrokenOff`] or [`http::ReadError::TooLong`].
+pub async fn drain(mut body: Incoming, limit: usize) -> Result<(), http::ReadError> {
+    let mut len = 0;
+    while let Some(frame) = body.frame().await {
+        // A frame that is kept would keep the whole read buffer in which it arrived.
+        let frame = frame.map_err(|_| http::ReadError::BrokenOff)?;
+        len += frame.data_ref().map_or(0, Bytes::len);
+        if len > limit {
+            return Err(http::ReadError::TooLong);
+        }
+    }
+    Ok(())
+}
+
 impl Body {
     /// Returns whether the whole body is in memory.
     pub fn is_buffered(&self) -> bool {
--- a/wagtailshunt/src/http/mod.rs
+++ b/wagtailshunt/src/http/mod.rs
@@ -15,7 +15,7 @@
 
 pub use auth::{Key, bearer_matches};
 pub use blocks::{BlockReader, Blocks, ReadError, buffer_response};
-pub use body::{Body, BodyError, empty, full};
+pub use body::{Body, BodyError, drain, empty, full};
 pub use client::{Client, ClientError};
 pub use head::{
     HeadError, ResponseHeadError, check_head, check_response_head, header_text,
