The operator's program takes only whole responses

What operators saw: a response of a control daemon that broke off counted as complete where the end of the connection marked the end of its body; `put` reported a change as in force (exit code 0) on such a response. 101 counted as a refusal of the change. Bytes without end were kept in memory until the attempt timed out after 10 s.

Cause: the program had an HTTP client of its own, without the checks of the product's client, and read bodies without a limit.

Change: it uses `http::Client` through one function, `exchange::send`, for all its requests. A change without a response is resent with its request id, as before. Redirects lead to addresses, as control daemons send them, not to names.

--- a/cli/src/api.rs
+++ b/cli/src/api.rs
@@ -3,11 +3,12 @@
 use std::{fs, hash, net, path, time};
 
 use hash::{BuildHasher, Hasher};
-use hyper::{Method, StatusCode, header};
+use hyper::{Method, StatusCode, Uri, header};
 use serde_json::Value;
+use wagtailshunt::http;
 use wagtailshunt_lab::load;
 
-use crate::{exit, options};
+use crate::{exchange, exit, options};
 
 /// Maximum number of redirects per attempt. More than one occurs if the leader changes meanwhile.
 const MAX_REDIRECTS: usize = 4;
@@ -76,7 +77,6 @@
 
 /// Client that tries the addresses of the control daemons in order.
 pub struct Client {
-    http: cyper::Client,
     addresses: Vec<net::SocketAddr>,
     key: String,
     request_timeout: time::Duration,
@@ -116,15 +116,7 @@
             let message = "option --key-file is required: the file with the operator key";
             return Err(exit::Error::Usage(message.to_owned()));
         };
-        // Redirects are followed in `attempt`, because the HTTP client drops the key if the host
-        // changes. Proxy settings of the environment do not apply to addresses of the cluster.
-        let http = cyper::Client::builder()
-            .redirect(cyper::redirect::Policy::none())
-            .no_proxy()
-            .build()
-            .map_err(|err| exit::Error::Failed(err.to_string()))?;
         Ok(Client {
-            http,
             addresses: addresses.to_vec(),
             key: read_key(key_file)?,
             request_timeout: time::Duration::from_millis(global.timeout_ms),
@@ -137,8 +129,12 @@
     ///
     /// # Errors
     ///
-    /// Returns [`exit::Error::Unreachable`] if no daemon responds within the time limit.
+    /// Returns [`exit::Error::Unreachable`] if no daemon responds within the time limit, and a usage
+    /// error if the request cannot be written.
     pub async fn send(&self, request: &Request) -> Result<Response, exit::Error> {
+        let uri: Uri = request.path.parse().map_err(|err| {
+            exit::Error::Usage(format!("{} is not a valid path: {err}", request.path))
+        })?;
         let deadline = time::Instant::now() + self.request_timeout;
         let mut reason = String::new();
         loop {
@@ -147,7 +143,7 @@
                 if left.is_zero() {
                     return Err(exit::Error::Unreachable(reason));
                 }
-                let attempt = self.attempt(*address, request);
+                let attempt = self.attempt(*address, &uri, request);
                 let attempt_timeout = left.min(ATTEMPT_TIMEOUT);
                 match compio::time::timeout(attempt_timeout, attempt).await {
                     Ok(Attempt::Response(response)) => return Ok(response),
@@ -159,54 +155,64 @@
         }
     }
 
-    async fn attempt(&self, address: net::SocketAddr, request: &Request) -> Attempt {
-        let mut url = format!("http://{address}{}", request.path);
+    async fn attempt(&self, address: net::SocketAddr, uri: &Uri, request: &Request) -> Attempt {
+        let (mut address, mut uri) = (address, uri.clone());
         for _ in 0..=MAX_REDIRECTS {
-            match self.send_once(&url, request).await {
+            let req = match self.build_request(uri.clone(), request) {
+                Ok(req) => req,
                 Err(err) => return Attempt::Retry(err.to_string()),
-                Ok((response, Some(location))) if response.status.is_redirection() => {
-                    url = location
-                }
-                // There is no leader or the result is unknown, so the request is resent.
-                Ok((response, _)) if response.status.is_server_error() => {
-                    let cause = response.error_for_status().err().map(|err| err.to_string());
-                    return Attempt::Retry(cause.unwrap_or_default());
+            };
+            let response = match exchange::send(address, req).await {
+                Ok(response) => response,
+                Err(err) => return Attempt::Retry(err.to_string()),
+            };
+            let status = response.status;
+            if let Some(location) = response.location.filter(|_| status.is_redirection()) {
+                match parse_location(&location) {
+                    Some(leader) => (address, uri) = leader,
+                    None => return Attempt::Retry(format!("redirected to {location}")),
                 }
-                Ok((response, _)) => return Attempt::Response(response),
+                continue;
+            }
+            let text = response.text;
+            let response = Response { status, text };
+            // There is no leader or the result is unknown, so the request is resent.
+            if status.is_server_error() {
+                let cause = response.error_for_status().err().map(|err| err.to_string());
+                return Attempt::Retry(cause.unwrap_or_default());
             }
+            return Attempt::Response(response);
         }
         Attempt::Retry("too many redirects".to_owned())
     }
 
-    /// Sends one request and returns the response and its `Location` header.
-    async fn send_once(
+    fn build_request(
         &self,
-        url: &str,
+        uri: Uri,
         request: &Request,
-    ) -> Result<(Response, Option<String>), cyper::Error> {
-        let mut builder = self
-            .http
-            .request(request.method.clone(), url)?
-            .bearer_auth(&self.key)?;
+    ) -> Result<hyper::Request<http::Body>, hyper::http::Error> {
+        let mut builder = hyper::Request::builder()
+            .method(request.method.clone())
+            .uri(uri)
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key));
         if let Some(id) = &request.request_id {
-            builder = builder.header("request-id", id)?;
+            builder = builder.header("request-id", id);
         }
         if !request.body.is_empty() {
-            builder = builder
-                .header(header::CONTENT_TYPE, "application/json")?
-                .body(request.body.clone());
+            builder = builder.header(header::CONTENT_TYPE, "application/json");
         }
-        let response = builder.send().await?;
-        let status = response.status();
-        let location = response.headers().get(header::LOCATION);
-        let location = location
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned);
-        let text = response.text().await?;
-        Ok((Response { status, text }, location))
+        builder.body(http::full(request.body.clone()))
     }
 }
 
+/// Returns the address and the path of a redirect. Control daemons redirect to their addresses.
+fn parse_location(location: &str) -> Option<(net::SocketAddr, Uri)> {
+    let location: Uri = location.parse().ok()?;
+    let address = location.authority()?.as_str().parse().ok()?;
+    let path = location.path_and_query()?.as_str().parse().ok()?;
+    Some((address, path))
+}
+
 /// Reads the operator key from a file.
 pub fn read_key(path: &path::Path) -> Result<String, exit::Error> {
     let text = fs::read_to_string(path).map_err(|source| exit::Error::Read {
--- a/cli/src/explain_call.rs
+++ b/cli/src/explain_call.rs
@@ -1,11 +1,12 @@
 //! Command `explain-call`: asks an entry VM where it would send a call now, and prints the answer.
 
-use std::time;
+use std::{net, time};
 
-use wagtailshunt::entry::explain as query;
+use hyper::{Request, Uri};
+use wagtailshunt::{entry::explain as query, http};
 use wagtailshunt_core::explain;
 
-use crate::{exit, options};
+use crate::{exchange, exit, options};
 
 /// Runs `explain-call`.
 pub async fn run(
@@ -20,9 +21,11 @@
         true => opts.call.clone(),
         false => format!("{}/", opts.call),
     };
-    let url = format!("http://{address}{}{call}", query::PATH);
+    let uri: Uri = format!("{}{call}", query::PATH)
+        .parse()
+        .map_err(|err| exit::Error::Usage(format!("{call} is not a valid call: {err}")))?;
     let limit = time::Duration::from_millis(global.timeout_ms);
-    let text = compio::time::timeout(limit, fetch(&url, opts)).await;
+    let text = compio::time::timeout(limit, fetch(address, uri, opts)).await;
     let text = text
         .map_err(|_| exit::Error::NoAnswer(address.to_string()))?
         .map_err(|err| exit::Error::NoAnswer(format!("{address}: {err}")))?;
@@ -38,15 +41,18 @@
     Ok(exit::Code::Ok)
 }
 
-async fn fetch(url: &str, opts: &options::ExplainCall) -> Result<String, cyper::Error> {
-    // Proxy settings of the environment do not apply to addresses of the system.
-    let client = cyper::Client::builder().no_proxy().build()?;
-    let mut builder = client.get(url)?;
+async fn fetch(
+    address: net::SocketAddr,
+    uri: Uri,
+    opts: &options::ExplainCall,
+) -> Result<String, Box<dyn std::error::Error>> {
+    let mut builder = Request::builder().uri(uri);
     if let Some(name) = &opts.workspace {
-        builder = builder.header(query::WORKSPACE_HEADER, name)?;
+        builder = builder.header(query::WORKSPACE_HEADER, name);
     }
     if let Some(ms) = opts.time_left_ms {
-        builder = builder.header(query::TIME_LEFT_HEADER, ms.to_string())?;
+        builder = builder.header(query::TIME_LEFT_HEADER, ms);
     }
-    builder.send().await?.text().await
+    let response = exchange::send(address, builder.body(http::empty())?).await?;
+    Ok(response.text)
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod bench_core;
 mod check;
 mod demo;
+mod exchange;
 mod exit;
 mod explain;
 mod explain_call;
--- a/cli/tests/cli/main.rs
+++ b/cli/tests/cli/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the program against stub control daemons and against a running system.
 
+mod broken_answers;
 mod commands;
 mod explain;
 mod stub;
--- a/wagtailshunt/src/http/body.rs
+++ b/wagtailshunt/src/http/body.rs
@@ -52,24 +52,52 @@
     Body::Full(Some(bytes.into()).filter(|bytes| !bytes.is_empty()))
 }
 
-/// Reads a body of at most `limit` bytes to its end without keeping it.
-///
-/// # Errors
-///
-/// [`http::ReadError::BrokenOff`] or [`http::ReadError::TooLong`].
-pub async fn drain(mut body: Incoming, limit: usize) -> Result<(), http::ReadError> {
+/// Passes the data of a body of at most `limit` bytes to `take`. A frame is not kept, since it would
+/// keep the whole read buffer in which it arrived.
+async fn read_data<B>(
+    mut body: B,
+    limit: usize,
+    mut take: impl FnMut(&[u8]),
+) -> Result<(), http::ReadError>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
     let mut len = 0;
     while let Some(frame) = body.frame().await {
-        // A frame that is kept would keep the whole read buffer in which it arrived.
         let frame = frame.map_err(|_| http::ReadError::BrokenOff)?;
-        len += frame.data_ref().map_or(0, Bytes::len);
+        let data = frame.data_ref().map_or(&[][..], |data| &data[..]);
+        len += data.len();
         if len > limit {
             return Err(http::ReadError::TooLong);
         }
+        take(data);
     }
     Ok(())
 }
 
+/// Reads a body of at most `limit` bytes to its end without keeping it.
+///
+/// # Errors
+///
+/// [`http::ReadError::BrokenOff`] or [`http::ReadError::TooLong`].
+pub async fn drain(body: Incoming, limit: usize) -> Result<(), http::ReadError> {
+    read_data(body, limit, |_| {}).await
+}
+
+/// Reads a body of at most `limit` bytes into one buffer.
+///
+/// # Errors
+///
+/// [`http::ReadError::BrokenOff`] or [`http::ReadError::TooLong`].
+pub async fn read_whole<B>(body: B, limit: usize) -> Result<Bytes, http::ReadError>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
+    let mut buf = Vec::new();
+    read_data(body, limit, |data| buf.extend_from_slice(data)).await?;
+    Ok(buf.into())
+}
+
 impl Body {
     /// Returns whether the whole body is in memory.
     pub fn is_buffered(&self) -> bool {
--- a/wagtailshunt/src/http/head.rs
+++ b/wagtailshunt/src/http/head.rs
@@ -4,6 +4,7 @@
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Version,
     header::{self, HeaderName, HeaderValue},
+    http::response,
 };
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -116,6 +117,17 @@
     }
 }
 
+/// Returns whether a response says where its body ends. Otherwise the body ends with the connection,
+/// which does not prove that it is complete.
+pub fn marks_body_end(head: &response::Parts) -> bool {
+    let has_no_body = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    let fields = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    has_no_body || fields.iter().any(|name| head.headers.contains_key(name))
+}
+
 /// Removes the fields that apply only to the connection of the sender, and adds `Via`.
 pub fn strip_connection_fields(headers: &mut HeaderMap) {
     if headers.contains_key(header::CONNECTION) {
--- a/wagtailshunt/src/http/mod.rs
+++ b/wagtailshunt/src/http/mod.rs
@@ -15,10 +15,10 @@
 
 pub use auth::{Key, bearer_matches};
 pub use blocks::{BlockReader, Blocks, ReadError, buffer_response};
-pub use body::{Body, BodyError, drain, empty, full};
+pub use body::{Body, BodyError, drain, empty, full, read_whole};
 pub use client::{Client, ClientError};
 pub use head::{
-    HeadError, ResponseHeadError, check_head, check_response_head, header_text,
+    HeadError, ResponseHeadError, check_head, check_response_head, header_text, marks_body_end,
     strip_connection_fields,
 };
 pub use memory::{Counters, Holder, Memory};
