A relayed response must say where its body ends

What callers saw: while a VM had lost its path to the targets, a response of the relaying VM that ended with the connection counted as complete, so that a part of it could reach the caller as a success.

Cause: the sender read responses of relays like those of targets, for which the end of the connection may mark the end of the body. A VM always sends a length or chunks, so a response without them is not what the relay meant to send.

Change: `relay::receive` takes a response only if its head says where the body ends; otherwise the call is lost (502) and the relay avoided for a moment, as after other failures.

--- a/wagtailshunt/src/entry/calls/relay.rs
+++ b/wagtailshunt/src/entry/calls/relay.rs
@@ -247,6 +247,11 @@
         Ok(response) => response,
         Err(reason) => return (relay::Outcome::Failed, Some(lost(reason))),
     };
+    // A relay always says where the body ends, whatever its target does.
+    if !http::marks_body_end(&response.head) {
+        let result = lost("end of the response is not marked");
+        return (relay::Outcome::Failed, Some(result));
+    }
     let digest = response.check_digest(protocol);
     let OwnResponse { mut head, body } = response;
     let failure = http::header_text(&head.headers, &FAILURE_HEADER).map(Failure::from_text);
