Calls that run at the end of a planned stop are answered

What callers saw: a call that was running when the time of a planned stop ran out was cut off without a response (LOST), whether it came before the stop or early in it; among them calls that may not be repeated.

Cause: `core::drain` decides which calls are accepted during a stop. Nothing ended those whose deadline lies beyond the process, and the process ended with them in flight.

Change: 0.2 s before the process ends, the reserve that accepted calls already leave, a call that may have run gets 504, which promises nothing, and one that was not sent 503, "stopping". Calls look every 0.2 s whether a stop is in progress. Which calls are accepted is unchanged.

Evidence: `call_that_runs_at_the_end_of_a_planned_stop_is_answered` failed before (calls in flight at the end) and passes. Held before: a call that comes late in a stop and may outlast it is refused at once (`call_that_may_outlast_a_planned_stop_is_refused`).

--- a/core/src/drain/mod.rs
+++ b/core/src/drain/mod.rs
@@ -26,6 +26,11 @@
         Stop { certain_from, end }
     }
 
+    /// Returns the time by which each call must have its response.
+    pub fn last_response(&self) -> core_time::Instant {
+        self.end.saturating_sub(RESPONSE_RESERVE)
+    }
+
     /// Returns whether a call is accepted that has its response by `deadline` at the latest, and is
     /// expected to have it at `expected_end`.
     pub fn accepts(
@@ -34,7 +39,7 @@
         deadline: core_time::Instant,
         expected_end: core_time::Instant,
     ) -> bool {
-        let is_in_time = |end: core_time::Instant| end + RESPONSE_RESERVE <= self.end;
+        let is_in_time = |end: core_time::Instant| end <= self.last_response();
         is_in_time(deadline) || now < self.certain_from && is_in_time(expected_end)
     }
 }
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -31,10 +31,6 @@
 /// Multiple of the mean service time that must be left to run a call through another VM.
 const RUN_MARGIN: f64 = 1.3;
 
-/// Multiple of the mean service time that must be left before the end of a planned stop for a call
-/// that has a later deadline.
-const STOP_MARGIN: f64 = 3.0;
-
 /// `Retry-After` of a call that is refused because this VM stops: another one can serve it now.
 const STOPPING_RETRY_AFTER: time::Duration = time::Duration::from_millis(10);
 
@@ -177,18 +173,27 @@
         String::from_utf8_lossy(self.request.request_id.as_bytes()).into_owned()
     }
 
-    /// Runs the call until it has a response or its deadline expires.
+    /// Runs the call until it has a response, its deadline expires or a planned stop of this VM ends.
     pub async fn run(self: &rc::Rc<Self>) -> CallOutcome {
+        let run = self.run_to_deadline().fuse();
+        let stop_end = self.wait_for_stop_end().fuse();
+        pin_mut!(run, stop_end);
+        select_biased! {
+            outcome = run => outcome,
+            () = stop_end => match self.may_have_run() {
+                true => CallOutcome::Failed(Failure::Timeout),
+                false => self.stopping_outcome(),
+            },
+        }
+    }
+
+    async fn run_to_deadline(self: &rc::Rc<Self>) -> CallOutcome {
         self.count_call();
         if self.is_blocked() {
             return CallOutcome::Failed(Failure::CrashesTargets);
         }
         if self.may_outlast_stop() {
-            return CallOutcome::Failed(match self.is_relayed() {
-                // The sender chooses another relay.
-                true => Failure::Unreachable,
-                false => Failure::Stopping,
-            });
+            return self.stopping_outcome();
         }
         let attempts = Attempts::new();
         let mut attempts_started = 1;
@@ -265,14 +270,6 @@
         });
     }
 
-    /// Returns whether this VM is being stopped and might end before the call has its response.
-    fn may_outlast_stop(&self) -> bool {
-        let now = self.state.clock.now();
-        let expected_end = now + self.service_time().mul_f64(STOP_MARGIN);
-        let stop = self.state.current_stop();
-        stop.is_some_and(|stop| !stop.accepts(now, self.request.deadline, expected_end))
-    }
-
     /// Returns whether another VM has sent the call here.
     pub fn is_relayed(&self) -> bool {
         self.relayed.is_some()
@@ -304,13 +301,16 @@
         self.relayed.is_none() && self.state.is_path_lost()
     }
 
+    /// Returns whether a target may have run the call, as far as is known now.
+    fn may_have_run(&self) -> bool {
+        self.request.unproved.get() > 0 || self.is_at_relay.get()
+    }
+
     fn deadline_outcome(&self, fallback: Option<TargetResponse>) -> CallOutcome {
         match fallback {
             Some(response) => CallOutcome::Response(response),
-            None if self.request.unproved.get() == 0 && !self.is_at_relay.get() => {
-                CallOutcome::Failed(Failure::Overloaded)
-            }
-            None => CallOutcome::Failed(Failure::Timeout),
+            None if self.may_have_run() => CallOutcome::Failed(Failure::Timeout),
+            None => CallOutcome::Failed(Failure::Overloaded),
         }
     }
 
--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -24,6 +24,7 @@
 mod relay;
 mod response;
 mod shed;
+mod stopping;
 mod target_search;
 mod work;
 
