A planned stop is no longer than its limit

Cause: `EntryProcess::stop` kept its listener open for `listen_after_stop` (3.2 s), also where the whole stop has less. With a `grace` of less than 3.5 s the process would have been killed before it closed its connections, with calls in flight (by reading; the known deployments have 6 and 10 s).

Change: the listener closes 0.2 s before the end of the stop at the latest.

--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -30,7 +30,7 @@
 use std::{net, rc, time};
 
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use wagtailshunt_core::{event, memory as core_memory, types};
+use wagtailshunt_core::{drain, event, memory as core_memory, types};
 
 pub use settings::{AllowanceBound, Limits, Protocol, Settings};
 pub use state::State;
@@ -227,7 +227,8 @@
         state.events.emit(event::Id::ProcessStopping, &[]);
         replica::transfer_leadership(state, started);
         let limits = &state.cfg.limits;
-        compio::time::sleep(limits.listen_after_stop).await;
+        let longest = limits.stop_timeout.saturating_sub(drain::RESPONSE_RESERVE);
+        compio::time::sleep(limits.listen_after_stop.min(longest)).await;
         self.caller_shutdown.start();
         let time_left = (started + limits.stop_timeout).since(state.clock.now());
         let drained = compio::time::timeout(time_left, self.caller_shutdown.drained()).await;
