Stored responses no longer keep the read buffers of their pieces

Cause: the gateway daemon collected the response to a call with a key as a list of pieces, up to 8 MiB. Each piece that comes in a read of its own keeps the read buffer, so that a target which answers in small pieces takes a multiple of that memory.

Change: `http::read_whole`, which copies the pieces into one buffer.

Evidence: `body_in_small_pieces_takes_no_more_than_its_length` reads 6,000 bytes in pieces of one byte. That the daemon's memory grows in the same way is by reading.

--- a/wagtailshunt/src/gateway/keyed.rs
+++ b/wagtailshunt/src/gateway/keyed.rs
@@ -254,10 +254,10 @@
     response: Response<http::Body>,
 ) -> Result<Response<http::Body>, Refusal> {
     let (head, body) = response.into_parts();
-    let body = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-        Ok(body) => Some(body.to_bytes()),
+    let body = match http::read_whole(body, MAX_RESPONSE_BYTES).await {
+        Ok(body) => Some(body),
         // The call ran, but its response is too large to store.
-        Err(err) if err.is::<http_body_util::LengthLimitError>() => None,
+        Err(http::ReadError::TooLong) => None,
         Err(err) => {
             fail_claim(state, dispatched);
             let refusal = Refusal::unknown(outcome::Reason::ConnectionBroken);
