One timer for the deadline of a call and the end of a planned stop

Each call had a second timer, which looked every 0.2 s whether a stop is in progress. The timer of the deadline does it now, so that a call of less than 0.2 s costs what it did before. A 5xx response at hand is no longer replaced by 504 at the end of a stop.

--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -175,19 +175,6 @@
 
     /// Runs the call until it has a response, its deadline expires or a planned stop of this VM ends.
     pub async fn run(self: &rc::Rc<Self>) -> CallOutcome {
-        let run = self.run_to_deadline().fuse();
-        let stop_end = self.wait_for_stop_end().fuse();
-        pin_mut!(run, stop_end);
-        select_biased! {
-            outcome = run => outcome,
-            () = stop_end => match self.may_have_run() {
-                true => CallOutcome::Failed(Failure::Timeout),
-                false => self.stopping_outcome(),
-            },
-        }
-    }
-
-    async fn run_to_deadline(self: &rc::Rc<Self>) -> CallOutcome {
         self.count_call();
         if self.is_blocked() {
             return CallOutcome::Failed(Failure::CrashesTargets);
@@ -199,10 +186,9 @@
         let mut attempts_started = 1;
         let left = self.attempts_left(Purpose::First, 0);
         attempts.push(self.clone().run_attempt(Purpose::First, left).boxed_local());
-        let clock = self.state.clock;
-        let deadline = clock.sleep_until(self.request.deadline).fuse();
+        let end = self.wait_for_end().fuse();
         let hedge = self.wait_for_hedge().fuse();
-        pin_mut!(attempts, deadline, hedge);
+        pin_mut!(attempts, end, hedge);
         let mut fallback = None;
         // Set if a target may have run the call.
         let mut unknown = None;
@@ -251,7 +237,7 @@
                         attempts.push(self.clone().run_attempt(Purpose::Hedge, left).boxed_local());
                     }
                 }
-                () = deadline => return self.deadline_outcome(fallback),
+                () = end => return self.outcome_at_end(fallback),
             }
         }
     }
@@ -306,10 +292,12 @@
         self.request.unproved.get() > 0 || self.is_at_relay.get()
     }
 
-    fn deadline_outcome(&self, fallback: Option<TargetResponse>) -> CallOutcome {
+    /// Returns the result of a call whose deadline has expired, or which this VM has no more time for.
+    fn outcome_at_end(&self, fallback: Option<TargetResponse>) -> CallOutcome {
         match fallback {
             Some(response) => CallOutcome::Response(response),
             None if self.may_have_run() => CallOutcome::Failed(Failure::Timeout),
+            None if self.state.clock.now() < self.request.deadline => self.stopping_outcome(),
             None => CallOutcome::Failed(Failure::Overloaded),
         }
     }
--- a/wagtailshunt/src/entry/calls/stopping.rs
+++ b/wagtailshunt/src/entry/calls/stopping.rs
@@ -17,16 +17,19 @@
 const STOP_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
 impl Call {
-    /// Waits until responses can only just be sent before a planned stop of this VM ends.
-    pub async fn wait_for_stop_end(&self) {
+    /// Waits until the deadline of the call, or until responses can only just be sent before a planned
+    /// stop of this VM ends.
+    pub async fn wait_for_end(&self) {
         let clock = self.state.clock;
+        let deadline = self.request.deadline;
         loop {
-            let next_check = clock.now() + STOP_CHECK_INTERVAL;
-            match self.state.current_stop().map(|stop| stop.last_response()) {
-                Some(end) if end <= clock.now() => return,
-                Some(end) => clock.sleep_until(end).await,
-                None => clock.sleep_until(next_check).await,
+            let now = clock.now();
+            let stop_end = self.state.current_stop().map(|stop| stop.last_response());
+            let end = stop_end.map_or(deadline, |stop_end| stop_end.min(deadline));
+            if end <= now {
+                return;
             }
+            clock.sleep_until(end.min(now + STOP_CHECK_INTERVAL)).await;
         }
     }
 
