A target that states in a response that it leaves gets nothing more

Cause: nothing read the statement. A VM learned of a departure only from the announcements of the target, or from their absence after 7 s.

Change: a response of the target counts as a deregistration of its incarnation on the VM that gets it (entry::departures): responses to calls whether passed on or not, refusals, early responses to uploads, probes and relayed responses, whose relay names the target. Placement, queue, hedges and probes follow the directory already. New are a check right before bytes go to a target chosen earlier, whose attempt is replaced, and that its idle connections are closed. The other VMs are told by a command of the log, as for a deregistration; the reports are spread over a second, so that they come from one VM. Only a later incarnation ends the state. Values other than the platform's have no effect.

Why it works: all places that choose a target do so from the directory and the placement, from which the target is gone before its response is passed on.

Why the state doesn't come back: the directory ignores announcements of the same and of earlier incarnations, whatever their sequence.

--- a/core/src/event/catalogue.rs
+++ b/core/src/event/catalogue.rs
@@ -139,4 +139,5 @@
     RetriesShort = 151, Warn, "retry budget of a service short or sufficient again";
     CallShed = 152, Debug, "call refused to shed load";
     RosterChanged = 153, Info, "peer VMs learned";
+    DepartureStated = 154, Info, "target states that it leaves";
 }
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -5,10 +5,12 @@
 //! are ordered by their sequence number. A deregistration ends an incarnation for good. If two
 //! incarnations announce the same address, the one that started later keeps it.
 
+mod departures;
 mod digest;
 
 use std::{collections, net, time};
 
+pub use self::departures::UnreportedDepartures;
 pub use self::digest::{BUCKETS, Digests, SetDigest, bucket};
 
 use serde::{Deserialize, Serialize};
--- a/wagtailshunt/src/entry/calls/attempt.rs
+++ b/wagtailshunt/src/entry/calls/attempt.rs
@@ -16,7 +16,7 @@
 use crate::{
     entry::{
         calls::{failure::Failure, key_check, response::OwnResponse},
-        path, state, targets,
+        departures, path, state, targets,
     },
     http,
 };
@@ -92,6 +92,16 @@
     pub failure_domain: types::FailureDomain,
 }
 
+impl Destination {
+    /// Returns the incarnation of the target.
+    pub fn incarnation(&self) -> fleet::TargetIncarnation {
+        fleet::TargetIncarnation {
+            target: self.target.clone(),
+            born: self.born,
+        }
+    }
+}
+
 impl From<&fleet::TargetEntry> for Destination {
     fn from(known: &fleet::TargetEntry) -> Self {
         Destination {
@@ -107,6 +117,8 @@
 pub struct TargetResponse {
     pub head: response::Parts,
     pub body: http::Body,
+    /// The target, if it states that it leaves.
+    pub departed: Option<fleet::TargetIncarnation>,
 }
 
 /// Outcome of an attempt.
@@ -117,9 +129,8 @@
     NotSent(String),
     /// The call was not sent, and must not be sent to another target either.
     Refused(Failure),
-    /// The attempt was stopped before its first byte was sent, because the failure domain of the
-    /// target is evacuated.
-    Withdrawn,
+    /// The attempt was stopped before its first byte was sent.
+    Withdrawn(Withdrawal),
     /// The target did not run the call; with the reason for the log.
     NotRun(String),
     /// The target may have run the call, but there is no valid response; with the reason for the
@@ -127,6 +138,17 @@
     Lost(String),
 }
 
+/// Why a destination gets no bytes although it was chosen before.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum Withdrawal {
+    /// Its failure domain is evacuated.
+    #[display("failure domain is evacuated")]
+    Evacuated,
+    /// This incarnation of the target leaves or has left.
+    #[display("target has left")]
+    Left,
+}
+
 /// Why there is no response to a request on a connection.
 #[derive(Debug, derive_more::From)]
 pub enum SendError {
@@ -196,14 +218,13 @@
             flight.finish(placement::Outcome::Cancelled);
             return AttemptOutcome::Refused(reason);
         }
-        Err(SendError::Client(err))
-            if err.proves_not_run() && state.is_evacuated(&destination.failure_domain) =>
-        {
-            return AttemptOutcome::Withdrawn;
-        }
         Err(SendError::Client(err)) => {
+            let not_run = err.proves_not_run();
+            if let Some(reason) = state.withdrawal(&destination).filter(|_| not_run) {
+                return AttemptOutcome::Withdrawn(reason);
+            }
             flight.finish(placement::Outcome::Failed);
-            return match err.proves_not_run() {
+            return match not_run {
                 true => AttemptOutcome::NotSent(err.to_string()),
                 false => {
                     let target = &destination.target;
@@ -223,6 +244,7 @@
         }
     };
     record_load_header(state, &destination.target, &response.head.headers);
+    let leaves = record_departure(state, &destination, &response.head);
     if response.head.status == StatusCode::MISDIRECTED_REQUEST {
         call_request.record_not_run();
         flight.finish(placement::Outcome::Failed);
@@ -257,7 +279,26 @@
         return_to_pool(state, &destination, client, keep_alive);
     }
     http::strip_connection_fields(&mut head.headers);
-    AttemptOutcome::Answered(TargetResponse { head, body })
+    let departed = leaves.then(|| destination.incarnation());
+    AttemptOutcome::Answered(TargetResponse {
+        head,
+        body,
+        departed,
+    })
+}
+
+/// Records the statement in a response that its target leaves; returns whether there is one.
+fn record_departure(
+    state: &rc::Rc<state::State>,
+    destination: &Destination,
+    head: &response::Parts,
+) -> bool {
+    // Another target answers at the address, and speaks for itself only.
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return false;
+    }
+    let source = departures::Source::Call;
+    departures::response_received(state, &destination.incarnation(), &head.headers, source)
 }
 
 /// Returns how the status of a response counts for the health of its target.
@@ -293,14 +334,14 @@
     send(state, call_request, destination, client).await
 }
 
-/// Checks right before bytes go to a target that its failure domain is not evacuated.
+/// Checks right before bytes go to a target that it may still get them.
 pub fn check_destination(
     state: &state::State,
     destination: &Destination,
 ) -> Result<(), http::ClientError> {
-    match state.is_evacuated(&destination.failure_domain) {
-        true => Err(http::ClientError::NotSent),
-        false => Ok(()),
+    match state.withdrawal(destination) {
+        Some(_) => Err(http::ClientError::NotSent),
+        None => Ok(()),
     }
 }
 
@@ -475,12 +516,26 @@
     let key = (destination.target.clone(), destination.born);
     compio::runtime::spawn(async move {
         if client.ready().await {
-            state.pool.put(state.clock.now(), key, client, keep_alive);
+            pool_unless_left(&state, key, client, keep_alive);
         }
     })
     .detach();
 }
 
+/// Adds an idle connection to the pool; closes one to a target that leaves.
+pub fn pool_unless_left(
+    state: &state::State,
+    (target, born): (types::TargetId, core_time::UnixMillis),
+    client: http::Client,
+    keep_alive: Option<time::Duration>,
+) {
+    if state.with(|inner| inner.directory.is_deregistered(&target, born)) {
+        return;
+    }
+    let now = state.clock.now();
+    state.pool.put(now, (target, born), client, keep_alive);
+}
+
 /// Returns whether the headers announce that the connection closes after this message.
 pub fn closes_connection(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
@@ -515,10 +570,7 @@
 
 /// Removes a target whose address now belongs to another target.
 fn remove_misdirected(state: &state::State, destination: &Destination) {
-    let removed = fleet::TargetIncarnation {
-        target: destination.target.clone(),
-        born: destination.born,
-    };
+    let removed = destination.incarnation();
     state.with(|inner| {
         inner.directory.remove(&removed);
         inner.placement.remove(&destination.target);
--- a/wagtailshunt/src/entry/calls/call.rs
+++ b/wagtailshunt/src/entry/calls/call.rs
@@ -458,7 +458,7 @@
                 Evaluation::Final(response)
             }
             AttemptOutcome::NotSent(_) => Evaluation::NotReached,
-            AttemptOutcome::Withdrawn => Evaluation::Withdrawn,
+            AttemptOutcome::Withdrawn(_) => Evaluation::Withdrawn,
             AttemptOutcome::NotRun(_) => Evaluation::NotRun,
             AttemptOutcome::Refused(reason) => Evaluation::NotSent(reason),
             AttemptOutcome::Lost(_) => {
--- a/wagtailshunt/src/entry/calls/crash.rs
+++ b/wagtailshunt/src/entry/calls/crash.rs
@@ -86,7 +86,7 @@
     }
     if let Ok(client) = attempt::connect(state, &known).await {
         let key = (known.target, known.born);
-        state.pool.put(state.clock.now(), key, client, None);
+        attempt::pool_unless_left(state, key, client, None);
         return Some(false);
     }
     path::reaches_others(state, &to.target)
--- a/wagtailshunt/src/entry/calls/handler.rs
+++ b/wagtailshunt/src/entry/calls/handler.rs
@@ -313,9 +313,12 @@
 fn finish_call(state: &state::State, call: &Call, outcome: CallOutcome) -> Response<http::Body> {
     let served = matches!(outcome, CallOutcome::Response(_));
     let (response, outcome) = match outcome {
-        CallOutcome::Response(response) => {
+        CallOutcome::Response(mut response) => {
+            let departed = response.departed.take();
             let mut response = call::build_response(response);
             relay::clear_failure(&mut response);
+            let departed = departed.filter(|_| call.is_relayed());
+            relay::set_departed(&mut response, departed.as_ref());
             (response, "answered".to_owned())
         }
         CallOutcome::Failed(reason) => {
--- a/wagtailshunt/src/entry/calls/mod.rs
+++ b/wagtailshunt/src/entry/calls/mod.rs
@@ -28,7 +28,7 @@
 mod target_search;
 mod work;
 
-pub use attempt::{Destination, accepts_connection};
+pub use attempt::{Destination, Withdrawal, accepts_connection};
 pub(super) use call::{configured_search, room_rule};
 pub(super) use cold_target::has_repeatable_calls;
 pub use crash::crash_received;
--- a/wagtailshunt/src/entry/calls/pool.rs
+++ b/wagtailshunt/src/entry/calls/pool.rs
@@ -76,6 +76,11 @@
         });
     }
 
+    /// Closes all connections to a destination.
+    pub fn remove(&self, key: &K) {
+        self.idle.borrow_mut().remove(key);
+    }
+
     /// Closes connections that have expired or broken.
     pub fn remove_expired(&self, now: core_time::Instant) {
         let mut idle = self.idle.borrow_mut();
--- a/wagtailshunt/src/entry/calls/probe.rs
+++ b/wagtailshunt/src/entry/calls/probe.rs
@@ -13,7 +13,7 @@
 use crate::{
     entry::{
         calls::attempt::{self, Destination},
-        cold_targets, path, state,
+        cold_targets, departures, path, state,
     },
     http,
 };
@@ -173,6 +173,9 @@
             true => {}
             false => state.with(|inner| inner.placement.answered_without_load(&destination.target)),
         }
+        let source = departures::Source::Probe;
+        let target = destination.incarnation();
+        departures::response_received(state, &target, &head.headers, source);
         let left = http::header_text(&head.headers, &protocol.warmup_left_ms);
         if let Some(left) = left.and_then(|text| text.trim().parse().ok()) {
             let left = time::Duration::from_millis(left);
@@ -185,7 +188,7 @@
     http::drain(body, MAX_BODY_BYTES).await?;
     let keep_alive = attempt::keep_alive_timeout(&head.headers);
     if client.ready().await {
-        state.pool.put(state.clock.now(), key, client, keep_alive);
+        attempt::pool_unless_left(state, key, client, keep_alive);
     }
     Ok(())
 }
--- a/wagtailshunt/src/entry/calls/record.rs
+++ b/wagtailshunt/src/entry/calls/record.rs
@@ -40,7 +40,7 @@
                 ("not-run", reason.clone())
             }
             AttemptOutcome::Refused(reason) => ("not-run", reason.to_string()),
-            AttemptOutcome::Withdrawn => ("not-run", "failure domain is evacuated".to_owned()),
+            AttemptOutcome::Withdrawn(reason) => ("not-run", reason.to_string()),
             AttemptOutcome::Lost(reason) => ("lost", reason.clone()),
         };
         let attempts = self.state.metrics.attempts.with_label_values(&[result]);
--- a/wagtailshunt/src/entry/calls/relay.rs
+++ b/wagtailshunt/src/entry/calls/relay.rs
@@ -12,7 +12,7 @@
     body::Incoming,
     header::{HeaderName, HeaderValue},
 };
-use wagtailshunt_core::{event, relay, routing, time as core_time, types};
+use wagtailshunt_core::{event, fleet, relay, routing, time as core_time, types};
 
 use crate::{
     entry::{
@@ -23,7 +23,7 @@
             key_check,
             response::OwnResponse,
         },
-        state,
+        departures, state,
     },
     http,
 };
@@ -38,6 +38,10 @@
 /// In the response of a relay without a response of a target: the failure.
 const FAILURE_HEADER: HeaderName = HeaderName::from_static("wagtailshunt-relay-failure");
 
+/// In a response that states that its target leaves: the start of the incarnation and the id of the
+/// target. An earlier build does not set it, and passes it on to the caller.
+const DEPARTED_HEADER: HeaderName = HeaderName::from_static("wagtailshunt-relay-departed");
+
 /// Timeout for opening a connection to a relay. VMs accept within a round trip between failure
 /// domains.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(150);
@@ -99,6 +103,43 @@
     response.headers_mut().remove(FAILURE_HEADER);
 }
 
+/// Names the target in its response if it leaves; removes what a target has set itself.
+pub fn set_departed(
+    response: &mut Response<http::Body>,
+    departed: Option<&fleet::TargetIncarnation>,
+) {
+    let headers = response.headers_mut();
+    headers.remove(DEPARTED_HEADER);
+    let Some(departed) = departed else {
+        return;
+    };
+    match HeaderValue::from_str(&format!("{} {}", departed.born.0, departed.target)) {
+        Ok(value) => {
+            headers.insert(DEPARTED_HEADER, value);
+        }
+        Err(err) => log::warn!(
+            "id of target {} is not a valid header value: {err}; its departure is not relayed",
+            departed.target
+        ),
+    }
+}
+
+/// Takes the target that leaves from the response of a relay.
+fn take_departed(headers: &mut HeaderMap) -> Option<fleet::TargetIncarnation> {
+    let value = headers.remove(DEPARTED_HEADER)?;
+    let departed = value.to_str().ok().and_then(|text| {
+        let (born, target) = text.split_once(' ')?;
+        Some(fleet::TargetIncarnation {
+            target: types::TargetId::from(target),
+            born: core_time::UnixMillis(born.parse().ok()?),
+        })
+    });
+    if departed.is_none() {
+        log::warn!("relay names a target that leaves by an invalid value; ignored");
+    }
+    departed
+}
+
 /// A call in flight at a relay; counted until it finishes or is dropped.
 struct InFlightGuard<'a> {
     state: &'a state::State,
@@ -254,6 +295,10 @@
     }
     let digest = response.check_digest(protocol);
     let OwnResponse { mut head, body } = response;
+    if let Some(departed) = take_departed(&mut head.headers) {
+        let source = departures::Source::Relay;
+        departures::response_received(state, &departed, &head.headers, source);
+    }
     let failure = http::header_text(&head.headers, &FAILURE_HEADER).map(Failure::from_text);
     let keep_alive = attempt::keep_alive_timeout(&head.headers);
     let closes = attempt::closes_connection(&head.headers);
@@ -282,7 +327,12 @@
             let result = match digest {
                 Ok(()) => {
                     http::strip_connection_fields(&mut head.headers);
-                    RelayOutcome::Answered(TargetResponse { head, body })
+                    let departed = None;
+                    RelayOutcome::Answered(TargetResponse {
+                        head,
+                        body,
+                        departed,
+                    })
                 }
                 Err(reason) => lost(reason),
             };
--- a/wagtailshunt/src/entry/metrics.rs
+++ b/wagtailshunt/src/entry/metrics.rs
@@ -27,6 +27,9 @@
     pub connections: IntCounter,
     /// Probes sent to targets.
     pub probes: IntCounter,
+    /// Targets that have stated in a response that they leave, by the kind of response; also invalid
+    /// statements.
+    pub departures: IntCounterVec,
     /// Failure domains that are evacuated.
     pub evacuated_domains: IntGauge,
     /// Targets that are cold and whose calls are limited.
@@ -137,6 +140,12 @@
                 "Connections opened to targets.",
             ),
             probes: metrics::counter(&registry, "probes_total", "Probes sent to targets."),
+            departures: metrics::counter_vec(
+                &registry,
+                "stated_departures_total",
+                "Targets that state in a response that they leave, by its kind; invalid statements.",
+                "source",
+            ),
             evacuated_domains: metrics::gauge(
                 &registry,
                 "evacuated_domains",
--- a/wagtailshunt/src/entry/mod.rs
+++ b/wagtailshunt/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod allowance;
 pub mod calls;
 mod cold_targets;
+mod departures;
 mod disk_space;
 pub mod evacuation;
 pub mod explain;
@@ -326,6 +327,7 @@
         store::save_configuration(&state);
         path::check(&state);
         allowance::tick(&state, ticks % TICKS_PER_SLOW_TICK == 0);
+        departures::report(&state);
         if ticks % TICKS_PER_SLOW_TICK == 0 {
             store::save_targets(&state);
             cold_targets::update_metrics(&state);
--- a/wagtailshunt/src/entry/settings.rs
+++ b/wagtailshunt/src/entry/settings.rs
@@ -4,7 +4,7 @@
 
 use std::{net, path, time};
 
-use hyper::header::HeaderName;
+use hyper::header::{HeaderName, HeaderValue};
 pub use wagtailshunt_core::allowance::Bound as AllowanceBound;
 use wagtailshunt_core::{formation, placement, types};
 
@@ -168,6 +168,8 @@
     pub not_run: HeaderName,
     /// Load of a target.
     pub load: HeaderName,
+    /// Statement of a target that it leaves.
+    pub leaving: HeaderName,
     /// Id of the target that a call is sent to; any other target refuses the call with 421.
     pub expected_target: HeaderName,
     /// Id of the target in a response of its health endpoint.
@@ -182,6 +184,8 @@
     /// Present in each response of a target, with a digest of the body; `None` when targets send
     /// none.
     pub digest: Option<HeaderName>,
+    /// Returns whether a value of the header `leaving` states that the target leaves.
+    pub states_leaving: fn(&HeaderValue) -> bool,
     /// Parses the value of the load header.
     pub parse_load: fn(&str) -> Option<placement::LoadReport>,
 }
--- a/wagtailshunt/src/entry/state.rs
+++ b/wagtailshunt/src/entry/state.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     clock,
-    entry::{allowance, calls, key_lease, metrics, peers, replica, settings, store},
+    entry::{allowance, calls, departures, key_lease, metrics, peers, replica, settings, store},
     events, http, transport,
 };
 
@@ -114,6 +114,8 @@
     pub queues: collections::BTreeMap<types::ServiceName, placement::Queue>,
     /// Decisions on the calls of each service where load is shed by value.
     pub shedders: collections::BTreeMap<types::ServiceName, shedding::Shedder>,
+    /// Targets that have stated in a response that they leave.
+    pub(crate) departures: departures::Departures,
     /// Requests during which targets crashed.
     pub(crate) crashes: containment::CrashCounter,
     /// How far each service of a traffic split is behind its weight, in calls, by route.
@@ -208,6 +210,7 @@
                 probe_rate: placement::ProbeRate::default(),
                 queues: collections::BTreeMap::new(),
                 shedders: collections::BTreeMap::new(),
+                departures: departures::Departures::default(),
                 crashes: containment::CrashCounter::default(),
                 split_credits: collections::BTreeMap::new(),
                 allowances: allowance::Allowances::new(now, cfg.limits.allowance, incarnation),
@@ -277,9 +280,17 @@
         self.with(|inner| inner.placement.cold.counts(now))
     }
 
-    /// Returns whether a failure domain is evacuated, as far as this VM knows.
-    pub fn is_evacuated(&self, domain: &types::FailureDomain) -> bool {
-        self.with(|inner| inner.machine.evacuated.contains(domain))
+    /// Returns why a destination that was chosen gets no bytes any more.
+    pub fn withdrawal(&self, to: &calls::Destination) -> Option<calls::Withdrawal> {
+        self.with(|inner| {
+            let has_left = inner.directory.is_deregistered(&to.target, to.born);
+            let is_evacuated = inner.machine.evacuated.contains(&to.failure_domain);
+            match (has_left, is_evacuated) {
+                (true, _) => Some(calls::Withdrawal::Left),
+                (false, true) => Some(calls::Withdrawal::Evacuated),
+                (false, false) => None,
+            }
+        })
     }
 
     /// Returns the event log of this process.
--- a/wagtailshunt/src/entry/targets.rs
+++ b/wagtailshunt/src/entry/targets.rs
@@ -69,6 +69,8 @@
         }
         inner.directory.deregister(deregistered)
     });
+    let connections = (deregistered.target.clone(), deregistered.born);
+    state.pool.remove(&connections);
     if is_new {
         state.unsaved.targets.set(true);
         state.events.emit(
