A response that closes its connection outlives what its caller sends on

Callers with slow links got the first part of a response and then a reset (LOST): the call had run and the VM had the whole response.

Cause: the socket was closed as soon as the kernel had taken the response. Bytes that the caller had sent by then or sent later, a pipelined request or the rest of a refused upload, reset the connection, and the kernel dropped what was still to be sent. In a planned stop each response closes its connection.

Change: after the last response the connection stays half open for 1 s at most, until the caller closes it or has sent 256 KB more, which are dropped (RFC 9112, section 9.6). Idle connections are closed at once as before: a request that crosses their end must stay unread.

Why it works: no bytes arrive at a closed socket before the caller had the time to take the response.

--- a/wagtailshunt/src/http/serve.rs
+++ b/wagtailshunt/src/http/serve.rs
@@ -2,7 +2,11 @@
 
 use std::{cell, io, net, rc, time};
 
-use compio::net::{TcpListener, TcpStream};
+use compio::{
+    BufResult,
+    io::AsyncRead,
+    net::{TcpListener, TcpStream},
+};
 use cyper_core::CompioTimer;
 use futures_channel::oneshot;
 use futures_util::{FutureExt, future as future_util, pin_mut, select_biased};
@@ -345,6 +349,16 @@
 /// Time after which the listener is closed although callers still connect.
 const LAST_ACCEPT_LIMIT: time::Duration = time::Duration::from_millis(100);
 
+/// Longest time for which a connection stays half open after its last response. It covers the time
+/// that the response takes on a slow link.
+const MAX_LINGER: time::Duration = time::Duration::from_secs(1);
+
+/// Largest number of bytes that are read from a caller after the last response.
+const MAX_DISCARDED_BYTES: usize = 256 * 1024;
+
+/// Largest single read of them.
+const DISCARD_CHUNK_BYTES: usize = 2 * 1024;
+
 /// Serves a connection until it ends or, after the start of the shutdown, until `may_close` and the
 /// request in progress has its response. It is closed at once when `evicted` returns. `socket` is
 /// that of `io`.
@@ -401,20 +415,51 @@
     };
     pin_mut!(stop, evicted);
     let stop = future_util::select(stop, evicted.as_mut());
+    let mut was_idle = false;
     let ended = match future_util::select(conn.as_mut(), stop).await {
         future_util::Either::Left((ended, _)) => ended,
         future_util::Either::Right((future_util::Either::Right(_), _)) => return,
         future_util::Either::Right((future_util::Either::Left(_), _)) => {
             conn.as_mut().graceful_shutdown();
-            match future_util::select(conn.as_mut(), evicted).await {
-                future_util::Either::Left((ended, _)) => ended,
-                future_util::Either::Right(_) => return,
+            match conn.as_mut().now_or_never() {
+                Some(ended) => {
+                    was_idle = true;
+                    ended
+                }
+                None => match future_util::select(conn.as_mut(), evicted).await {
+                    future_util::Either::Left((ended, _)) => ended,
+                    future_util::Either::Right(_) => return,
+                },
             }
         }
     };
     // A response to HTTP/1.0 may end with its connection. Without a reset, the part of it that was
     // sent would look complete.
-    if is_http_1_0.get() && ended.is_err_and(|err| err.is_user()) {
+    if is_http_1_0.get() && ended.as_ref().is_err_and(hyper::Error::is_user) {
         let _ = socket.set_zero_linger();
     }
+    drop(conn);
+    // An idle connection has no response on its way, and a request that crosses its end must stay
+    // unread, so that its caller may send it again.
+    if ended.is_ok() && !was_idle {
+        // The response is complete whatever becomes of this.
+        let _ = compio::time::timeout(MAX_LINGER, discard_until_closed(&socket)).await;
+    }
+}
+
+/// Reads and drops what a caller sends behind the last response, until it closes the connection. Bytes
+/// that arrive at a closed socket would reset the connection, and the caller would lose the part of
+/// the response that is still on its way (RFC 9112, section 9.6).
+async fn discard_until_closed(mut socket: &TcpStream) {
+    let mut buf = Vec::with_capacity(DISCARD_CHUNK_BYTES);
+    let mut discarded = 0;
+    while discarded < MAX_DISCARDED_BYTES {
+        buf.clear();
+        let BufResult(read, returned) = socket.read(buf).await;
+        buf = returned;
+        match read {
+            Ok(n) if n > 0 => discarded += n,
+            _ => return,
+        }
+    }
 }
