--- a/lab/tests/broken_answers.rs
+++ b/lab/tests/broken_answers.rs
@@ -1,13 +1,18 @@
-//! Invalid responses of targets, through the gateway daemon.
+//! Invalid responses of targets, through the gateway daemon and to the load generator.
 
 mod support;
 
-use hyper::Method;
+use std::{
+    io::{Read, Write},
+    net, thread,
+};
+
+use hyper::{Method, Request};
 use support::{
     Folder, block_on, outcome, put_record, request, send, start_cluster, start_target, try_send,
     wait_for_answer,
 };
-use wagtailshunt_lab::cluster;
+use wagtailshunt_lab::{cluster, load::client};
 
 /// Sends calls whose target answers with the responses of one kind. Checks that no caller gets a whole
 /// response, and that a call with a key runs once and has an unknown outcome.
@@ -69,3 +74,27 @@
 fn response_without_a_stated_end_is_no_answer() {
     check_no_answer("valid_until_close");
 }
+
+/// Guards against a status 000 that the load generator counts as an answer.
+#[test]
+fn status_000_is_no_answer_for_the_load_generator() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("address");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buf = [0; 4096];
+        assert!(stream.read(&mut buf).expect("a request") > 0);
+        let text = b"HTTP/1.1 000 OK\r\ncontent-length: 3\r\n\r\nabc";
+        stream.write_all(text).expect("sends");
+        // The end of the connection must not be what fails the call.
+        let _ = stream.read(&mut buf);
+    });
+    block_on(async {
+        let mut connection = client::Connection::open(address).await.expect("connects");
+        let req = Request::get("/x").header("host", "a.example");
+        let response = connection.call(req.body(client::body("".into())).expect("valid"));
+        let response = response.await;
+        assert!(response.is_err(), "{response:?}");
+    });
+    server.join().expect("the server ends");
+}
