What a restart recovers is synced before it is used

A VM that was killed between the write and the sync of its log counted the recovered entries and its vote as durable, and acknowledged them. A loss of power before the next sync takes them away; an acknowledged change is lost with them if the other copies are lost at that moment (LOST).

Cause: Store::open synced only what it repaired.

Change: the last segment and the folder are synced when a group is opened, before its state is used. Earlier segments were synced before the last one was begun.

Evidence: what_a_restart_recovers_survives_a_loss_of_power failed before ("killed before sync 0": an entry recovered, none left after the loss of power) and passes for a kill before each of the first twelve syncs. Why it works: a node acknowledges only what it has after Store::open returned.

--- a/core/src/storage/recovery.rs
+++ b/core/src/storage/recovery.rs
@@ -18,6 +18,10 @@
     pub recovered: Recovered,
     /// Writer for all later batches.
     pub writer: Writer,
+    /// File operations that make durable what was recovered. They must succeed before any of it is
+    /// acknowledged: a process that is killed between a write and its sync leaves bytes that a loss
+    /// of power would still take away. Earlier segments were synced before the last one was begun.
+    pub unsynced: Vec<FileOp>,
     /// File operations that must succeed before the first batch. They truncate a torn tail and
     /// remove unfinished files.
     pub repair: Vec<FileOp>,
@@ -91,9 +95,15 @@
         snapshot,
         entries,
     };
+    let last = segments.last_key_value();
+    let last = last.map(|(first, _)| FileOp::Sync {
+        file: segment_name(*first),
+    });
+    let folder = (!files.is_empty()).then_some(FileOp::SyncFolder);
     Ok(Opened {
         recovered,
         writer,
+        unsynced: last.into_iter().chain(folder).collect(),
         repair,
         torn_bytes,
     })
--- a/lab/tests/disk.rs
+++ b/lab/tests/disk.rs
@@ -1,6 +1,6 @@
 //! Storage of a replicated group on a real file system: locking, recovery and failed syncs.
 
-use std::{fs, io, path};
+use std::{collections, fs, io, path};
 
 use bytes::Bytes;
 use wagtailshunt::disk::{self, DataFolder, Error, Files, Folder, Store};
@@ -216,6 +216,132 @@
     }
 }
 
+/// Files in the memory of a machine: a process that is killed leaves all of them, a loss of power only
+/// what was synced.
+#[derive(Clone, Default)]
+struct PageCache {
+    files: collections::BTreeMap<String, Vec<u8>>,
+    synced_files: collections::BTreeMap<String, Vec<u8>>,
+    /// Names whose creation, change or removal was synced.
+    synced_names: collections::BTreeSet<String>,
+    /// Number of further syncs until the process is killed before one.
+    killed_after: Option<usize>,
+}
+
+impl PageCache {
+    fn check_killed(&mut self) -> io::Result<()> {
+        match &mut self.killed_after {
+            Some(0) => Err(io::Error::other("killed")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// Returns the files after a loss of power.
+    fn after_power_loss(&self) -> PageCache {
+        let synced = self.synced_files.iter();
+        let kept = synced.filter(|(name, _)| self.synced_names.contains(*name));
+        let files: collections::BTreeMap<String, Vec<u8>> = kept
+            .map(|(name, content)| (name.clone(), content.clone()))
+            .collect();
+        PageCache {
+            synced_files: files.clone(),
+            synced_names: files.keys().cloned().collect(),
+            files,
+            killed_after: None,
+        }
+    }
+}
+
+impl Files for PageCache {
+    fn path(&self) -> &path::Path {
+        path::Path::new("memory")
+    }
+    fn read_all(&mut self) -> io::Result<Vec<(String, Vec<u8>)>> {
+        Ok(self.files.clone().into_iter().collect())
+    }
+    fn write(&mut self, file: &str, offset: u64, data: &[u8]) -> io::Result<()> {
+        let content = self.files.entry(file.to_owned()).or_default();
+        content.resize(offset as usize, 0);
+        content.extend_from_slice(data);
+        Ok(())
+    }
+    fn sync(&mut self, file: &str) -> io::Result<()> {
+        self.check_killed()?;
+        let content = self.files.entry(file.to_owned()).or_default().clone();
+        self.synced_files.insert(file.to_owned(), content);
+        Ok(())
+    }
+    fn set_len(&mut self, file: &str, len: u64) -> io::Result<()> {
+        let content = self.files.entry(file.to_owned()).or_default();
+        content.truncate(len as usize);
+        Ok(())
+    }
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        for files in [&mut self.files, &mut self.synced_files] {
+            if let Some(content) = files.remove(from) {
+                files.insert(to.to_owned(), content);
+            }
+        }
+        Ok(())
+    }
+    fn remove(&mut self, file: &str) -> io::Result<()> {
+        self.files.remove(file);
+        Ok(())
+    }
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.check_killed()?;
+        self.synced_names = self.files.keys().cloned().collect();
+        Ok(())
+    }
+}
+
+/// Guards against an entry that is acknowledged after a restart although it was never synced: the
+/// process was killed between its write and its sync, and a later loss of power takes it away.
+/// Repeated with a kill before each sync of files and folder.
+#[test]
+fn what_a_restart_recovers_survives_a_loss_of_power() {
+    let members = Membership::of_voters([VmId(1), VmId(2), VmId(3)]);
+    let snapshot = |index| Snapshot {
+        index: LogIndex(index),
+        term: Term(1),
+        membership: members.clone(),
+        data: Bytes::from_static(b"state"),
+    };
+    let batches = [
+        vec![append(1, 1)],
+        vec![append(2, 3)],
+        vec![
+            Op::Snapshot(snapshot(2)),
+            Op::Compact {
+                through: LogIndex(2),
+            },
+        ],
+        vec![append(4, 8)],
+    ];
+    for killed_after in 0..12 {
+        let files = PageCache {
+            killed_after: Some(killed_after),
+            ..PageCache::default()
+        };
+        let (mut store, _) = Store::open(files, None).unwrap();
+        store.set_segment_bytes(300);
+        for batch in &batches {
+            // After the kill, nothing more is written.
+            let _ = store.execute(batch);
+        }
+        let mut files = store.into_files();
+        files.killed_after = None;
+        let (store, restarted) = Store::open(files, None).unwrap();
+        let files = store.into_files().after_power_loss();
+        let (_, recovered) = Store::open(files, None).unwrap();
+        assert_eq!(recovered, restarted, "killed before sync {killed_after}");
+    }
+}
+
 /// Guards against a process that cannot start while its disk is full: a torn tail was to be cut
 /// before the group could be used.
 #[test]
--- a/wagtailshunt/src/disk/store.rs
+++ b/wagtailshunt/src/disk/store.rs
@@ -48,10 +48,12 @@
         let mut store = Store {
             files,
             writer: recovery.writer,
-            pending: recovery.repair.into(),
+            pending: recovery.unsynced.into(),
             torn_bytes: recovery.torn_bytes,
             stopped: false,
         };
+        store.retry()?;
+        store.pending.extend(recovery.repair);
         match store.retry() {
             // The repair stays pending and runs before the first batch. Until then nothing is
             // written, so what was recovered stays true.
